--- /dev/null
+++ b/src/api.rs
@@ -0,0 +1,307 @@
+//! The users' interface: submissions read and checked, answers written.
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use crate::http::Response;
+use crate::model::{
+    Flavor, JobId, JobSpec, Micros, Priority, Resources, Shape, Team, micros, valid_job_id,
+};
+
+/// The most tasks a job may have.
+pub const MAX_TASKS: u32 = 100_000;
+const MAX_NAME: usize = 128;
+
+/// What a user is told about a job.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Status {
+    Pending,
+    Running,
+    Done,
+    Cancelled,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct JobView {
+    pub status: Status,
+    pub done: u32,
+    pub running: u32,
+}
+
+/// The body of an answer about a job.
+pub fn answer(code: u16, id: &str, view: &JobView) -> Response {
+    #[derive(Serialize)]
+    struct Wire<'a> {
+        id: &'a str,
+        status: &'a str,
+        done: u32,
+        running: u32,
+    }
+    let status = match view.status {
+        Status::Pending => "pending",
+        Status::Running => "running",
+        Status::Done => "done",
+        Status::Cancelled => "cancelled",
+    };
+    Response::json(code, &Wire { id, status, done: view.done, running: view.running })
+}
+
+/// Why a submission is refused.
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum Refusal {
+    #[error("{0}")]
+    Malformed(String),
+    #[error("{0}")]
+    Impossible(String),
+    #[error("the machine types are not known yet")]
+    NotYet,
+}
+
+fn bad<T>(field: &str, reason: &str) -> Result<T, Refusal> {
+    Err(Refusal::Malformed(format!("{field}: {reason}")))
+}
+
+struct Fields<'a>(&'a Map<String, Value>);
+
+impl Fields<'_> {
+    fn get(&self, field: &str) -> Option<&Value> {
+        self.0.get(field).filter(|v| !v.is_null())
+    }
+
+    fn text(&self, field: &str) -> Result<String, Refusal> {
+        match self.get(field).and_then(Value::as_str) {
+            Some(s) if !s.is_empty() && s.len() <= MAX_NAME => Ok(s.to_string()),
+            Some(_) => bad(field, "must have 1 to 128 bytes"),
+            None => bad(field, "a string is needed"),
+        }
+    }
+
+    fn amount(&self, field: &str) -> Result<f64, Refusal> {
+        match self.get(field).and_then(Value::as_f64) {
+            Some(x) if (0.0..=1e7).contains(&x) => Ok(x),
+            Some(_) => bad(field, "out of range"),
+            None => bad(field, "a number is needed"),
+        }
+    }
+
+    fn flag(&self, field: &str) -> Result<bool, Refusal> {
+        self.get(field).and_then(Value::as_bool).map_or_else(|| bad(field, "true or false"), Ok)
+    }
+}
+
+/// The JSON object of a submission, and its id if it has a valid one.
+pub fn parse_object(body: &[u8]) -> Result<(Map<String, Value>, Option<JobId>), Refusal> {
+    let Ok(Value::Object(map)) = serde_json::from_slice(body) else {
+        return Err(Refusal::Malformed("the body is not a JSON object".into()));
+    };
+    let id = map.get("id").and_then(Value::as_str).filter(|id| valid_job_id(id)).map(JobId::from);
+    Ok((map, id))
+}
+
+/// Reads a submission. Nothing here depends on the cluster.
+pub fn parse_spec(map: &Map<String, Value>) -> Result<JobSpec, Refusal> {
+    let f = Fields(map);
+    if !f.get("id").and_then(Value::as_str).is_some_and(valid_job_id) {
+        return bad("id", "a job id like j-000412 is needed");
+    }
+    let shape = match f.text("shape")?.as_str() {
+        "array" => Shape::Array,
+        "group" => Shape::Gang,
+        "service" => Shape::Service,
+        _ => return bad("shape", "array, group or service"),
+    };
+    let priority = match f.text("rank")?.as_str() {
+        "production" => Priority::Production,
+        "urgent" => Priority::High,
+        "normal" => Priority::Normal,
+        "low" => Priority::Low,
+        _ => return bad("rank", "production, urgent, normal or low"),
+    };
+    let tasks = match f.get("pieces").and_then(Value::as_u64) {
+        Some(n) if (1..=u64::from(MAX_TASKS)).contains(&n) => n as u32,
+        _ => return bad("pieces", "a whole number from 1 to 100000"),
+    };
+    let types = match f.get("rigs") {
+        None => None,
+        Some(Value::Array(list)) if !list.is_empty() => {
+            let names = list.iter().map(|v| v.as_str().map(str::to_string));
+            match names.collect::<Option<Vec<_>>>() {
+                Some(names) => Some(names),
+                None => return bad("rigs", "a list of names or null"),
+            }
+        }
+        Some(_) => return bad("rigs", "a list of names or null"),
+    };
+    let zone = if f.get("yard").is_some() { Some(f.text("yard")?) } else { None };
+    let deadline = match f.get("due_s") {
+        Some(_) => Some(micros(f.amount("due_s")?)),
+        None => None,
+    };
+    let duration = |field: &str| -> Result<Micros, Refusal> { f.amount(field).map(micros) };
+    Ok(JobSpec {
+        class: f.text("jobclass")?,
+        team: f.text("crew")?,
+        shape,
+        priority,
+        tasks,
+        need: Resources::new(f.amount("vcpus")?, f.amount("cards")?, f.amount("mem_gb")?),
+        image: f.text("build")?,
+        image_gb: f.amount("size_gb")?,
+        types,
+        zone,
+        one_zone: f.flag("together")?,
+        spread: f.flag("scatter")?,
+        spot: f.flag("loaners")?,
+        estimate: duration("guess_s")?,
+        checkpoint_every: duration("stamp_every_s")?,
+        save: duration("stamp_s")?,
+        deadline,
+    })
+}
+
+/// Whether a job can ever run here. Narrows its list of types to those that exist.
+pub fn admit(spec: &mut JobSpec, teams: &[Team], flavors: &[Flavor]) -> Result<(), Refusal> {
+    if flavors.is_empty() {
+        return Err(Refusal::NotYet);
+    }
+    let never = |reason: &str| Err(Refusal::Impossible(reason.into()));
+    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+        return never("crew: no such team");
+    };
+    let fits = |f: &&Flavor| {
+        spec.types.as_ref().is_none_or(|t| t.contains(&f.name))
+            && spec.zone.as_ref().is_none_or(|z| f.zones.contains(z))
+            && spec.need.fits(&f.size)
+    };
+    let fitting: Vec<String> = flavors.iter().filter(fits).map(|f| f.name.clone()).collect();
+    if fitting.is_empty() {
+        return never("a task fits no allowed machine type");
+    }
+    if let Some(types) = &mut spec.types {
+        types.retain(|t| fitting.contains(t));
+        types.sort();
+        types.dedup();
+    }
+    let at_once = if spec.shape == Shape::Array { 1 } else { i64::from(spec.tasks) };
+    if !Team::within(&team.limit, &Resources::default(), &spec.need.times(at_once)) {
+        return never("the job needs more than its team's limit");
+    }
+    Ok(())
+}
+
+/// What a request to the users' interface asks for.
+#[derive(Debug, PartialEq)]
+pub enum Route<'a> {
+    Health,
+    Report,
+    Submit,
+    Query(&'a str),
+    Cancel(&'a str),
+}
+
+/// Finds out what a request is for, or how to refuse it.
+pub fn route(method: crate::http::Method, path: &str) -> Result<Route<'_>, Response> {
+    use crate::http::Method::{Get, Post};
+    let path = path.split('?').next().unwrap_or("");
+    let (route, needed) = match path {
+        "/healthz" => (Route::Health, Get),
+        "/v1/report" => (Route::Report, Post),
+        "/api/jobs" => (Route::Submit, Post),
+        _ => match path.strip_prefix("/api/jobs/") {
+            Some(rest) => match rest.strip_suffix("/cancel") {
+                Some(id) => (Route::Cancel(id), Post),
+                None => (Route::Query(rest), Get),
+            },
+            None => return Err(Response::error(404, "no such resource")),
+        },
+    };
+    if method != needed {
+        return Err(Response::error(405, "this resource does not take that method"));
+    }
+    Ok(route)
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub const JOB: &str = r#"{"id":"j-000412","jobclass":"train","crew":"blue","shape":"group",
+        "rank":"urgent","pieces":2,"vcpus":4.0,"cards":1.0,"mem_gb":64.0,"build":"img-07",
+        "size_gb":6.2,"rigs":["g8","gone"],"yard":null,"together":true,"scatter":false,
+        "loaners":true,"guess_s":240.0,"stamp_every_s":30.0,"stamp_s":4.0,"due_s":900.0,"x":1}"#;
+
+    pub fn flavor(name: &str, cpus: f64, gpus: f64, mem: f64) -> Flavor {
+        Flavor {
+            name: name.into(),
+            size: Resources::new(cpus, gpus, mem),
+            price: 0.05 * cpus,
+            spot_price: 0.02 * cpus,
+            boot: 20_000_000,
+            fetch_gb_per_s: 1.0,
+            zones: vec!["a".into(), "b".into()],
+        }
+    }
+
+    fn check(body: &str) -> Result<JobSpec, Refusal> {
+        let teams = crate::settings::tests::SAMPLE;
+        let (settings, _) = crate::settings::Settings::parse(teams, "f").unwrap();
+        let mut spec = parse_spec(&parse_object(body.as_bytes())?.0)?;
+        admit(&mut spec, &settings.teams, &[flavor("g8", 96.0, 8.0, 768.0)])?;
+        Ok(spec)
+    }
+
+    #[test]
+    fn a_submission_is_read_and_its_unknown_types_are_dropped() {
+        let spec = check(JOB).unwrap();
+        assert_eq!(spec.types, Some(vec!["g8".to_string()]));
+        assert_eq!(spec.deadline, Some(900_000_000));
+        assert_eq!(spec.need, Resources::new(4.0, 1.0, 64.0));
+        assert!(check(&JOB.replace(",\"due_s\":900.0", "")).is_ok(), "null may be omitted");
+    }
+
+    #[test]
+    fn bad_submissions_name_the_field() {
+        for (from, to, field) in [
+            ("\"pieces\":2", "\"pieces\":0", "pieces"),
+            ("\"pieces\":2", "\"pieces\":2.5", "pieces"),
+            ("\"vcpus\":4.0", "\"vcpus\":-4.0", "vcpus"),
+            ("\"vcpus\":4.0", "\"vcpus\":1e300", "vcpus"),
+            ("\"rank\":\"urgent\"", "\"rank\":\"vip\"", "rank"),
+            ("\"together\":true", "\"together\":1", "together"),
+            ("j-000412", "412", "id"),
+            ("\"build\":\"img-07\"", "\"build\":null", "build"),
+        ] {
+            match check(&JOB.replace(from, to)) {
+                Err(Refusal::Malformed(why)) => assert!(why.starts_with(field), "{why}"),
+                other => panic!("{to}: {other:?}"),
+            }
+        }
+        for body in ["[]", "{", "\"x\"", "nan"] {
+            assert!(matches!(check(body), Err(Refusal::Malformed(_))));
+        }
+    }
+
+    #[test]
+    fn what_can_never_run_is_told_apart_from_what_cannot_be_decided_yet() {
+        for (from, to) in [
+            ("blue", "green"),
+            ("\"pieces\":2", "\"pieces\":4"),
+            ("\"mem_gb\":64.0", "\"mem_gb\":999.0"),
+            ("\"yard\":null", "\"yard\":\"moon\""),
+            ("\"g8\",", ""),
+        ] {
+            assert!(matches!(check(&JOB.replace(from, to)), Err(Refusal::Impossible(_))), "{to}");
+        }
+        let mut spec = check(JOB).unwrap();
+        assert_eq!(admit(&mut spec, &[], &[]), Err(Refusal::NotYet));
+    }
+
+    #[test]
+    fn routes_know_their_methods() {
+        use crate::http::Method;
+        assert_eq!(route(Method::Post, "/api/jobs/j-1/cancel"), Ok(Route::Cancel("j-1")));
+        assert_eq!(route(Method::Get, "/api/jobs/j-1?x=1"), Ok(Route::Query("j-1")));
+        assert_eq!(route(Method::Get, "/api/jobs").unwrap_err().status, 405);
+        assert_eq!(route(Method::Get, "/nothing").unwrap_err().status, 404);
+    }
+}
--- /dev/null
+++ b/src/cloud.rs
@@ -0,0 +1,129 @@
+//! The cloud, as it appears on the wire.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::http::Method;
+use crate::model::{Flavor, Resources, micros};
+
+/// A request to the cloud.
+#[derive(Clone, Debug, PartialEq)]
+pub struct CloudRequest {
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+}
+
+impl CloudRequest {
+    pub fn flavors() -> CloudRequest {
+        CloudRequest { method: Method::Get, path: "/flavors".into(), body: Bytes::new() }
+    }
+
+    pub fn list(after: &str) -> CloudRequest {
+        let path = if after.is_empty() {
+            "/rentals?page=500".to_string()
+        } else {
+            format!("/rentals?from={after}&page=500")
+        };
+        CloudRequest { method: Method::Get, path, body: Bytes::new() }
+    }
+
+    pub fn rent(name: &str, flavor: &str, zone: &str, spot: bool, count: u32) -> CloudRequest {
+        #[derive(Serialize)]
+        struct Rent<'a> {
+            hire: &'a str,
+            rig: &'a str,
+            yard: &'a str,
+            loaners: bool,
+            how_many: u32,
+        }
+        let body = Rent { hire: name, rig: flavor, yard: zone, loaners: spot, how_many: count };
+        CloudRequest::post("/rentals", &body)
+    }
+
+    pub fn delete(machines: &[String]) -> CloudRequest {
+        #[derive(Serialize)]
+        struct Delete<'a> {
+            hosts: &'a [String],
+        }
+        CloudRequest::post("/rentals/delete", &Delete { hosts: machines })
+    }
+
+    fn post(path: &str, body: &impl Serialize) -> CloudRequest {
+        let body = serde_json::to_vec(body).unwrap_or_default().into();
+        CloudRequest { method: Method::Post, path: path.into(), body }
+    }
+}
+
+#[derive(Deserialize)]
+struct Flavors {
+    rigs: Vec<RawFlavor>,
+}
+
+#[derive(Deserialize)]
+struct RawFlavor {
+    label: String,
+    vcpus: f64,
+    #[serde(default)]
+    cards: f64,
+    mem_gb: f64,
+    #[serde(default)]
+    fetch_gb_per_s: f64,
+    price: f64,
+    #[serde(default)]
+    spot_price: f64,
+    #[serde(default)]
+    boot_s: f64,
+    #[serde(default)]
+    yards: Vec<String>,
+}
+
+/// Reads the machine types; `None` if the answer makes no sense.
+pub fn parse_flavors(body: &[u8]) -> Option<Vec<Flavor>> {
+    let raw: Flavors = serde_json::from_slice(body).ok()?;
+    let sane = |x: f64| x.is_finite() && (0.0..1e9).contains(&x);
+    let flavors: Vec<Flavor> = raw
+        .rigs
+        .into_iter()
+        .filter(|f| [f.vcpus, f.cards, f.mem_gb, f.price, f.spot_price].into_iter().all(sane))
+        .map(|f| Flavor {
+            size: Resources::new(f.vcpus, f.cards, f.mem_gb),
+            name: f.label,
+            price: f.price,
+            spot_price: if f.spot_price > 0.0 { f.spot_price } else { f.price },
+            boot: micros(f.boot_s),
+            fetch_gb_per_s: if f.fetch_gb_per_s > 0.0 { f.fetch_gb_per_s } else { 1.0 },
+            zones: f.yards,
+        })
+        .collect();
+    (!flavors.is_empty()).then_some(flavors)
+}
+
+#[derive(Deserialize)]
+pub struct Rented {
+    #[serde(rename = "hosts")]
+    pub machines: Vec<String>,
+}
+
+#[derive(Deserialize, Debug, Clone)]
+pub struct Listed {
+    pub id: String,
+    #[serde(rename = "rig")]
+    pub flavor: String,
+    #[serde(rename = "yard")]
+    pub zone: String,
+    #[serde(rename = "loaners", default)]
+    pub spot: bool,
+    #[serde(default)]
+    pub status: String,
+    #[serde(rename = "held_s", default)]
+    pub age_s: f64,
+}
+
+#[derive(Deserialize)]
+pub struct MachineList {
+    #[serde(rename = "hosts")]
+    pub machines: Vec<Listed>,
+    #[serde(default)]
+    pub truncated: bool,
+}
--- /dev/null
+++ b/src/cluster.rs
@@ -0,0 +1,1058 @@
+//! The leader's view of jobs and machines, kept true by reports and by the state service.
+//!
+//! Everything that could be on a machine counts: tasks whose launch may still arrive, tasks that
+//! fetch, run, save or wait, and tasks of machines that cannot be reached.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::block::{Block, ChunkRecord, Member};
+use crate::fleet::Fleet;
+use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, Resources, SECOND, Shape, TaskId};
+use crate::saga::{Action, Saga, State};
+use crate::settings::Settings;
+use crate::store::{self, Commit, JobRecord, OverRecord, PART_TASKS, PartRecord};
+use crate::worker::{ExitReason, Order, Report, TaskState};
+
+pub type MachineId = Arc<str>;
+
+/// Orders in one answer: keeps its line below 64 KiB.
+const MAX_ORDERS: usize = 300;
+/// Added to every lease that is waited out.
+pub const LEASE_MARGIN: Micros = 250_000;
+
+/// A duration as a clock that runs 0.1% fast against ours would need it.
+pub fn with_drift(d: Micros) -> Micros {
+    d + d / 1000
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Phase {
+    /// Placed; the worker has not shown it yet.
+    Starting,
+    Fetching,
+    Waiting,
+    Running,
+    Saving,
+    Ended(ExitReason),
+}
+
+/// One start of a task, on one machine.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub phase: Phase,
+    pub since: Micros,
+    /// The worker has reported it.
+    pub seen: bool,
+    /// Told to stop, with this much time to save.
+    pub stop: Option<Micros>,
+    pub need: Resources,
+    pub team: Option<usize>,
+    /// It counts against its machine and its team.
+    pub holds: bool,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub id: MachineId,
+    pub flavor: Option<usize>,
+    pub size: Resources,
+    pub zone: String,
+    pub spot: bool,
+    /// In its block's record, durably.
+    pub recorded: bool,
+    /// Its worker has seen this term's token.
+    pub confirmed: bool,
+    pub session: u64,
+    pub seq: u64,
+    /// No task of this session or an earlier one can be left.
+    pub lost_session: u64,
+    pub heard_at: Option<Micros>,
+    /// The last answer that could have renewed the worker's lease.
+    pub answered_at: Micros,
+    pub attempts: BTreeMap<(TaskId, u64), Attempt>,
+    pub used: Resources,
+    pub idle_since: Micros,
+    pub known_since: Micros,
+    /// When it was rented, as far as is known.
+    pub rented_at: Micros,
+    /// The worker has reported at all, so it is up.
+    pub up: bool,
+    pub listed: bool,
+    pub missed_lists: u32,
+    pub notice: bool,
+    pub deleting: bool,
+    /// Not worth placing on: faulty, or of an unknown type.
+    pub bad: bool,
+    pub failures: HashSet<JobId>,
+    pub failure_count: u32,
+    pub images: HashSet<String>,
+    /// Room that is being made for a job.
+    pub reserved: Option<(JobId, Micros)>,
+    pub refused_until: Micros,
+}
+
+impl Machine {
+    pub fn free(&self) -> Resources {
+        self.size - self.used
+    }
+
+    fn holds_any(&self) -> bool {
+        self.attempts.values().any(|a| a.holds)
+    }
+
+    /// Whether new tasks may be placed here now.
+    pub fn usable(&self, now: Micros, report: Micros) -> bool {
+        let fresh = self.heard_at.is_some_and(|t| now < t + 2 * report + SECOND);
+        self.confirmed
+            && self.recorded
+            && fresh
+            && !self.deleting
+            && !self.bad
+            && !self.notice
+            && self.flavor.is_some()
+            && self.refused_until <= now
+    }
+}
+
+#[derive(Debug)]
+pub struct Gang {
+    pub attempt: u64,
+    /// The attempt's own saga: its tasks are vital to it, it is not vital to its job.
+    pub saga: Saga,
+    pub running: bool,
+    pub stopping: bool,
+}
+
+#[derive(Debug)]
+pub struct Job {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    pub team: Option<usize>,
+    pub at: u64,
+    pub stamp: u64,
+    pub done: Ranges,
+    /// The part of `done` that the state service holds.
+    pub flushed: Ranges,
+    pub cancelled: bool,
+    /// The pipeline's saga; this version's pipelines have one job each.
+    pub saga: Saga,
+    pub pending: Ranges,
+    pub live: HashMap<u32, (MachineId, u64)>,
+    pub gang: Option<Gang>,
+    /// Tasks that wait after a failure, and how often they failed.
+    pub backoff: HashMap<u32, (Micros, u32)>,
+    pub failed_on: HashSet<MachineId>,
+    dirty_parts: BTreeSet<u32>,
+    dirty_since: Option<Micros>,
+    writing: bool,
+    /// Its version is unknown until it has been read again.
+    pub unsure: bool,
+}
+
+impl Job {
+    pub fn finished(&self) -> bool {
+        self.spec.shape != Shape::Service && self.done.len() == self.spec.tasks
+    }
+
+    /// Failing everywhere: most likely the user's mistake, so one task at a time keeps trying.
+    pub fn suspect(&self) -> bool {
+        self.done.is_empty() && self.failed_on.len() >= 3
+    }
+
+    pub fn deadline(&self) -> Option<u64> {
+        self.spec.deadline.map(|d| self.at + d)
+    }
+
+    pub fn running(&self) -> u32 {
+        self.live.len() as u32
+    }
+}
+
+/// What a report is answered with.
+#[derive(Debug, PartialEq)]
+pub enum Outcome {
+    Orders(Vec<Order>),
+    /// An old message, or one that must not renew anything.
+    Stale,
+    /// The worker has seen a higher token: this controller has been replaced.
+    Deposed,
+}
+
+/// Part of a transaction in flight.
+#[derive(Debug, Clone)]
+enum Item {
+    Job { id: JobId, parts: BTreeMap<u32, Ranges> },
+    Over { id: JobId },
+    Chunk { index: usize, members: Vec<String> },
+    Drop,
+}
+
+#[derive(Debug, Default)]
+pub struct Batch {
+    items: Vec<Item>,
+    keys: Vec<String>,
+}
+
+impl Batch {
+    /// Keys whose versions are unsure when the transaction's fate is.
+    pub fn keys(&self) -> &[String] {
+        &self.keys
+    }
+}
+
+#[derive(Debug)]
+pub struct Cluster {
+    pub term: u64,
+    pub settings: Arc<Settings>,
+    pub flavors: Arc<Vec<Flavor>>,
+    pub jobs: BTreeMap<JobId, Job>,
+    pub machines: BTreeMap<MachineId, Machine>,
+    pub used: Vec<Resources>,
+    pub block: Block,
+    pub fleet: Fleet,
+    /// Every machine of the block has reported to this term, or its lease has run out.
+    pub settled: bool,
+    taken_at: Micros,
+    attempts: u64,
+    drops: Vec<String>,
+    /// Learned: how long tasks of a class run, as a share of their owners' estimates.
+    pub pace: HashMap<String, f64>,
+    pub wall: u64,
+    /// Jobs that are over, and the version at which they ended: a watch may still bring older news.
+    buried: HashMap<JobId, u64>,
+}
+
+impl Cluster {
+    pub fn new(
+        term: u64,
+        settings: Arc<Settings>,
+        flavors: Arc<Vec<Flavor>>,
+        now: Micros,
+        wall: u64,
+    ) -> Cluster {
+        let block = Block::new(0, term, &settings.name, settings.value_bytes);
+        Cluster {
+            term,
+            used: vec![Resources::default(); settings.teams.len()],
+            fleet: Fleet::new(term, settings.cloud_rps),
+            settings,
+            flavors,
+            jobs: BTreeMap::new(),
+            machines: BTreeMap::new(),
+            block,
+            settled: false,
+            taken_at: now,
+            attempts: 0,
+            drops: Vec::new(),
+            pace: HashMap::new(),
+            wall,
+            buried: HashMap::new(),
+        }
+    }
+
+    // ---- Loading and following the state service ----
+
+    /// Takes in a job's record: a new job, a cancellation, or what was read back.
+    pub fn job_record(&mut self, id: &str, record: JobRecord, stamp: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            if stamp > job.stamp {
+                job.stamp = stamp;
+            }
+            job.unsure = false;
+            store::decode_done(&record.done, 0, &mut job.flushed);
+            if record.cancelled && !job.cancelled {
+                self.cancel(id);
+            }
+            return;
+        }
+        if self.buried.get(id).is_some_and(|over| *over >= stamp) {
+            return;
+        }
+        let spec = Arc::new(record.spec);
+        let mut done = Ranges::default();
+        store::decode_done(&record.done, 0, &mut done);
+        let mut pending = Ranges::up_to(spec.tasks);
+        done.iter().for_each(|x| {
+            pending.remove(x);
+        });
+        let job = Job {
+            id: id.into(),
+            team: self.settings.team(&spec.team),
+            at: record.at,
+            stamp,
+            flushed: done.clone(),
+            done,
+            cancelled: false,
+            saga: Saga::flat(1),
+            pending,
+            live: HashMap::new(),
+            gang: None,
+            backoff: HashMap::new(),
+            failed_on: HashSet::new(),
+            dirty_parts: BTreeSet::new(),
+            dirty_since: None,
+            writing: false,
+            unsure: false,
+            spec,
+        };
+        self.jobs.insert(job.id.clone(), job);
+        if record.cancelled {
+            self.cancel(id);
+        }
+    }
+
+    /// Takes in finished tasks of a large array.
+    pub fn part_record(&mut self, key: &str, record: &PartRecord) {
+        let parsed = key.strip_prefix(store::PART).and_then(|k| k.rsplit_once('/'));
+        let Some((id, part)) = parsed.and_then(|(j, n)| Some((j, n.parse::<u32>().ok()?))) else {
+            return;
+        };
+        match self.jobs.get_mut(id) {
+            Some(job) if part < 100 => {
+                let mut done = Ranges::default();
+                store::decode_done(&record.done, part, &mut done);
+                for x in done.iter().filter(|x| *x < job.spec.tasks) {
+                    job.done.insert(x);
+                    job.flushed.insert(x);
+                    job.pending.remove(x);
+                }
+            }
+            _ => self.drops.push(key.to_string()),
+        }
+    }
+
+    /// Takes in a part of the block's record. Its machines may hold tasks of an earlier term.
+    pub fn chunk_record(&mut self, key: &str, record: ChunkRecord, stamp: u64) {
+        let Some(index) = self.block.chunk_of_key(key) else { return };
+        for (name, member) in &record.machines {
+            let taken = self.taken_at;
+            let machine = self.machine(name, &member.flavor, &member.zone, member.spot, taken);
+            machine.recorded = true;
+            machine.answered_at = taken;
+            machine.up = true;
+        }
+        self.block.load(index, record, stamp);
+    }
+
+    /// The user cancelled: the pipeline's saga aborts. Nothing of it starts from here on.
+    fn cancel(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.cancelled = true;
+        job.pending = Ranges::default();
+        job.dirty_since = Some(0);
+        let actions = job.saga.abort();
+        let live: Vec<_> = job.live.iter().map(|(i, p)| (*i, p.clone())).collect();
+        tracing::info!(job = id, tasks = live.len(), "cancelled");
+        if actions.contains(&Action::Cancel(0)) {
+            for (index, (machine, attempt)) in live {
+                self.stop(id, index, &machine, attempt, 0);
+            }
+        }
+    }
+
+    /// A live key is gone: the job is over, whoever wrote that.
+    pub fn job_gone(&mut self, id: &str, stamp: u64) {
+        if self.jobs.get(id).is_some_and(|j| j.stamp >= stamp) {
+            return;
+        }
+        self.buried.insert(id.into(), stamp);
+        if let Some(job) = self.jobs.remove(id) {
+            for part in 1..job.spec.tasks.div_ceil(PART_TASKS) {
+                self.drops.push(format!("{}{id}/{part}", store::PART));
+            }
+        }
+    }
+
+    /// The watch has reached this version: nothing older can come.
+    pub fn watched(&mut self, stamp: u64) {
+        self.buried.retain(|_, over| *over > stamp);
+    }
+
+    /// Everything has been read; leases of recorded machines are counted from here.
+    pub fn loaded(&mut self, now: Micros) {
+        self.taken_at = now;
+        self.machines.values_mut().for_each(|m| m.answered_at = now);
+    }
+
+    /// The next transaction, if anything needs to be written. `holder` is the leader key's version.
+    pub fn next_commit(&mut self, now: Micros, holder: u64) -> Option<(Commit, Batch)> {
+        let ops = self.settings.txn_ops;
+        let mut commit = Commit::default();
+        let mut batch = Batch::default();
+        let mut bytes = 512;
+        commit.guard(store::HOLDER, holder);
+        if let Some((index, stamp, record)) = self.block.dirty() {
+            let key = self.block.key(index);
+            commit.guard(&key, stamp);
+            commit.put(&key, store::raw(&record), None);
+            bytes += self.settings.value_bytes;
+            self.block.writing(index);
+            let members = record.machines.into_keys().collect();
+            batch.items.push(Item::Chunk { index, members });
+            batch.keys.push(key);
+        }
+        let mut due: Vec<(bool, Micros, JobId)> = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.writing && !j.unsure) {
+            let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
+            match job.dirty_since {
+                _ if over => due.push((false, 0, job.id.clone())),
+                // Progress can wait: until it is written, the worker keeps the result.
+                Some(t) if now >= t + 2 * SECOND && !job.dirty_parts.is_empty() => {
+                    due.push((true, t, job.id.clone()));
+                }
+                _ => {}
+            }
+        }
+        due.sort();
+        for (progress, _, id) in due {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let live = format!("{}{id}", store::LIVE);
+            let room = ops - commit.changes();
+            if !progress {
+                if room < 2 || bytes > 40_000 {
+                    break;
+                }
+                let over = OverRecord { cancelled: job.cancelled, tasks: job.spec.tasks };
+                let key = format!("{}{id}", store::OVER);
+                commit.guard(&live, job.stamp);
+                commit.guard(&key, 0);
+                commit.delete(&live);
+                commit.put(&key, store::raw(&over), None);
+                bytes += 400;
+                job.writing = true;
+                batch.items.push(Item::Over { id });
+                batch.keys.push(live);
+                continue;
+            }
+            if room == 0 || bytes > 40_000 {
+                break;
+            }
+            let mut parts = BTreeMap::new();
+            for part in job.dirty_parts.iter().copied().take(room).collect::<Vec<_>>() {
+                job.dirty_parts.remove(&part);
+                let done = store::encode_done(&job.done, part);
+                bytes += done.len() + 200;
+                let lo = part * PART_TASKS;
+                parts.insert(part, job.done.slice(lo, lo + PART_TASKS));
+                if part > 0 {
+                    // Each part is a growing set on its own, so parts need not change together;
+                    // the leader's key, guarded above, keeps other writers out.
+                    let key = format!("{}{id}/{part}", store::PART);
+                    commit.put(&key, store::raw(&PartRecord { done }), None);
+                    continue;
+                }
+                let record = JobRecord {
+                    spec: (*job.spec).clone(),
+                    at: job.at,
+                    done,
+                    cancelled: job.cancelled,
+                };
+                commit.guard(&live, job.stamp);
+                commit.put(&live, store::raw(&record), None);
+                bytes += 1500;
+            }
+            if job.dirty_parts.is_empty() {
+                job.dirty_since = None;
+            }
+            job.writing = true;
+            batch.items.push(Item::Job { id, parts });
+            batch.keys.push(live);
+        }
+        while commit.changes() < ops && bytes < 40_000 {
+            let Some(key) = self.drops.pop() else { break };
+            commit.delete(&key);
+            bytes += key.len() + 20;
+            batch.items.push(Item::Drop);
+        }
+        (commit.changes() > 0).then_some((commit, batch))
+    }
+
+    /// A transaction was carried out.
+    pub fn committed(&mut self, batch: Batch, stamp: u64) {
+        for item in batch.items {
+            match item {
+                Item::Job { id, parts } => {
+                    let Some(job) = self.jobs.get_mut(&id) else { continue };
+                    job.writing = false;
+                    if parts.contains_key(&0) {
+                        job.stamp = job.stamp.max(stamp);
+                    }
+                    for x in parts.values().flat_map(Ranges::iter) {
+                        job.flushed.insert(x);
+                    }
+                }
+                Item::Over { id } => {
+                    let cancelled = self.jobs.get(&id).is_some_and(|j| j.cancelled);
+                    tracing::info!(job = %id, cancelled, "over");
+                    self.job_gone(&id, stamp);
+                }
+                Item::Chunk { index, members } => {
+                    self.block.written(index, stamp);
+                    for name in members {
+                        if let Some(m) = self.machines.get_mut(name.as_str()) {
+                            m.recorded = true;
+                        }
+                    }
+                }
+                Item::Drop => {}
+            }
+        }
+    }
+
+    /// A transaction was not carried out. `unsure`: perhaps it was, or its versions were wrong; its
+    /// keys are then to be read back, never assumed.
+    pub fn uncommitted(&mut self, batch: &Batch, unsure: bool, now: Micros) {
+        for item in &batch.items {
+            match item {
+                Item::Job { id, parts } => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.writing = false;
+                        job.unsure = unsure;
+                        job.dirty_parts.extend(parts.keys());
+                        job.dirty_since.get_or_insert(now);
+                    }
+                }
+                Item::Over { id } => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.writing = false;
+                        job.unsure = unsure;
+                    }
+                }
+                Item::Chunk { index, .. } if !unsure => self.block.unwritten(*index),
+                // A dropped key that stays is found and dropped again at the next takeover.
+                Item::Chunk { .. } | Item::Drop => {}
+            }
+        }
+    }
+
+    // ---- Machines ----
+
+    /// The machine of that name; one not known yet is adopted.
+    pub fn machine(
+        &mut self,
+        name: &str,
+        flavor: &str,
+        zone: &str,
+        spot: bool,
+        now: Micros,
+    ) -> &mut Machine {
+        let flavor = self.flavors.iter().position(|f| f.name == flavor);
+        let size = flavor.map(|i| self.flavors[i].size).unwrap_or_default();
+        let id: MachineId = name.into();
+        self.machines.entry(id.clone()).or_insert_with(|| Machine {
+            id,
+            flavor,
+            size,
+            zone: zone.into(),
+            spot,
+            recorded: false,
+            confirmed: false,
+            session: 0,
+            seq: 0,
+            lost_session: 0,
+            heard_at: None,
+            answered_at: now,
+            attempts: BTreeMap::new(),
+            used: Resources::default(),
+            idle_since: now,
+            known_since: now,
+            rented_at: now,
+            up: false,
+            listed: false,
+            missed_lists: 0,
+            notice: false,
+            deleting: false,
+            bad: flavor.is_none(),
+            failures: HashSet::new(),
+            failure_count: 0,
+            images: HashSet::new(),
+            reserved: None,
+            refused_until: 0,
+        })
+    }
+
+    /// Answers a worker's report. The caller has checked that this controller may act.
+    pub fn report(&mut self, now: Micros, report: &Report<'_>) -> Outcome {
+        if report.token > self.term {
+            return Outcome::Deposed;
+        }
+        let known = self.machines.contains_key(&*report.machine);
+        let machine = self.machine(&report.machine, &report.flavor, &report.zone, report.spot, now);
+        let id = machine.id.clone();
+        if (report.session, report.seq) <= (machine.session, machine.seq)
+            || report.session <= machine.lost_session
+        {
+            return Outcome::Stale;
+        }
+        if !machine.up {
+            tracing::info!(machine = %id, known, "machine is up");
+            machine.up = true;
+            machine.idle_since = now;
+        }
+        let new_session = report.session > machine.session;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.heard_at = Some(now);
+        machine.answered_at = now;
+        let notice = report.notice_s.is_some() && !machine.notice;
+        machine.notice |= notice;
+        let member = Member {
+            flavor: report.flavor.to_string(),
+            zone: report.zone.to_string(),
+            spot: report.spot,
+        };
+        if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
+            self.block.add(&id, member);
+        }
+        if new_session {
+            // The worker killed and forgot all it had when its lease ended.
+            self.lose(&id, now, "its session ended");
+        }
+        if report.token < self.term {
+            // A report held back in the network may be older than another leader's launches.
+            // Only a worker that has seen this term's token tells us all that it holds.
+            return Outcome::Orders(Vec::new());
+        }
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.confirmed = true;
+        }
+        if notice {
+            tracing::info!(machine = %id, "spot notice");
+        }
+        self.reconcile(&id, now, report);
+        if self.machines.get(&id).is_some_and(|m| m.notice) {
+            self.drain(&id);
+        }
+        Outcome::Orders(self.orders(&id))
+    }
+
+    fn reconcile(&mut self, id: &MachineId, now: Micros, report: &Report<'_>) {
+        let mut reported: HashSet<(TaskId, u64)> = HashSet::with_capacity(report.tasks.len());
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else { continue };
+            let key = (task, t.attempt);
+            reported.insert(key.clone());
+            let phase = match t.state {
+                TaskState::Fetching => Phase::Fetching,
+                TaskState::Waiting => Phase::Waiting,
+                TaskState::Running => Phase::Running,
+                TaskState::Saving => Phase::Saving,
+                TaskState::Exited => Phase::Ended(t.why.unwrap_or(ExitReason::Other)),
+            };
+            let Some(machine) = self.machines.get(id) else { return };
+            match machine.attempts.get(&key).map(|a| a.phase) {
+                None => self.found(id, key, phase, now),
+                Some(old) if old != phase => self.moved(id, &key, phase, now),
+                Some(_) => {}
+            }
+        }
+        let Some(machine) = self.machines.get(id) else { return };
+        let missing: Vec<_> =
+            machine.attempts.keys().filter(|k| !reported.contains(*k)).cloned().collect();
+        for key in missing {
+            let Some(machine) = self.machines.get_mut(id) else { return };
+            let Some(a) = machine.attempts.get(&key) else { continue };
+            match a.phase {
+                Phase::Ended(_) => {
+                    machine.attempts.remove(&key);
+                }
+                // The answer with the launch was lost, and workers drop late answers: ask again.
+                Phase::Starting if a.stop.is_none() => {}
+                _ => {
+                    self.release(id, &key, now);
+                    self.gone(&key, id, None, now);
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.attempts.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A worker shows an attempt that this leader did not start.
+    fn found(&mut self, id: &MachineId, key: (TaskId, u64), phase: Phase, now: Micros) {
+        let (task, attempt) = key.clone();
+        let ended = matches!(phase, Phase::Ended(_));
+        let mut entry = Attempt {
+            phase,
+            since: now,
+            seen: true,
+            stop: None,
+            need: Resources::default(),
+            team: None,
+            holds: !ended,
+        };
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            entry.need = job.spec.need;
+            entry.team = job.team;
+            let free = !job.live.contains_key(&task.index) && !job.done.contains(task.index);
+            if phase == Phase::Ended(ExitReason::Done) {
+                self.complete(&task, now);
+            } else if !ended && free && task.index < job.spec.tasks {
+                job.live.insert(task.index, (id.clone(), attempt));
+                job.pending.remove(task.index);
+                if job.cancelled {
+                    entry.stop = Some(0);
+                } else if job.spec.shape == Shape::Gang {
+                    let tasks = job.spec.tasks as usize;
+                    let gang = job.gang.get_or_insert_with(|| Gang {
+                        attempt,
+                        saga: Saga::flat(tasks),
+                        running: false,
+                        stopping: false,
+                    });
+                    gang.running |= matches!(phase, Phase::Running | Phase::Saving);
+                    if gang.attempt != attempt {
+                        entry.stop = Some(0);
+                    }
+                }
+            } else if !ended {
+                entry.stop = Some(0);
+            }
+        } else if !ended {
+            // No such pipeline any more: it is over, so this must end.
+            entry.stop = Some(0);
+        }
+        let holds = entry.holds;
+        let (need, team) = (entry.need, entry.team);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.attempts.insert(key, entry);
+            if holds {
+                m.used += need;
+            }
+        }
+        if let Some(t) = team.filter(|_| holds) {
+            self.used[t] += need;
+        }
+    }
+
+    /// An attempt changed its phase.
+    fn moved(&mut self, id: &MachineId, key: &(TaskId, u64), phase: Phase, now: Micros) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(a) = machine.attempts.get_mut(key) else { return };
+        let old = std::mem::replace(&mut a.phase, phase);
+        let ran = if old == Phase::Running { now.saturating_sub(a.since) } else { 0 };
+        a.since = now;
+        a.seen = true;
+        let Some(job) = self.jobs.get_mut(&key.0.job) else {
+            if matches!(phase, Phase::Ended(_)) {
+                self.release(id, key, now);
+            }
+            return;
+        };
+        match phase {
+            Phase::Running | Phase::Waiting => {
+                machine.images.insert(job.spec.image.clone());
+                if let Some(g) = job.gang.as_mut().filter(|g| g.attempt == key.1) {
+                    g.running |= phase == Phase::Running;
+                }
+            }
+            Phase::Ended(why) => {
+                if why == ExitReason::Done {
+                    machine.images.insert(job.spec.image.clone());
+                    machine.failure_count = 0;
+                    if ran > 0 && job.spec.estimate > 0 {
+                        let ratio = (ran as f64 / job.spec.estimate as f64).clamp(0.1, 10.0);
+                        let pace = self.pace.entry(job.spec.class.clone()).or_insert(1.0);
+                        *pace += 0.05 * (ratio - *pace);
+                    }
+                }
+                self.release(id, key, now);
+                self.gone(key, id, Some(why), now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Gives back what an attempt held.
+    fn release(&mut self, id: &MachineId, key: &(TaskId, u64), now: Micros) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(a) = m.attempts.get_mut(key).filter(|a| a.holds) else { return };
+        a.holds = false;
+        let (need, team) = (a.need, a.team);
+        m.used -= need;
+        if !m.holds_any() {
+            m.idle_since = now;
+        }
+        if let Some(t) = team {
+            self.used[t] -= need;
+        }
+    }
+
+    /// A task is done: its saga commits, and with the last one its job's does.
+    fn complete(&mut self, task: &TaskId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.cancelled || job.spec.shape == Shape::Service || task.index >= job.spec.tasks {
+            return;
+        }
+        // The tasks of a gang complete together: one done means every one is.
+        let range = match job.spec.shape {
+            Shape::Gang => 0..job.spec.tasks,
+            _ => task.index..task.index + 1,
+        };
+        for x in range {
+            job.done.insert(x);
+            job.pending.remove(x);
+            job.backoff.remove(&x);
+            job.dirty_parts.insert(x / PART_TASKS);
+            if let Some(g) = &mut job.gang {
+                g.saga.commit(x as usize);
+            }
+        }
+        job.dirty_since.get_or_insert(now);
+        if job.finished() {
+            job.saga.commit(0);
+            debug_assert_eq!(job.saga.state(), State::Committed);
+        }
+    }
+
+    /// An attempt is known to be gone. `why` is `None` when it vanished with its machine.
+    fn gone(&mut self, key: &(TaskId, u64), id: &MachineId, why: Option<ExitReason>, now: Micros) {
+        let (task, attempt) = key;
+        if why == Some(ExitReason::Done) {
+            self.complete(task, now);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.live.get(&task.index).is_none_or(|p| p.1 != *attempt || p.0 != *id) {
+            return;
+        }
+        job.live.remove(&task.index);
+        if job.cancelled || job.done.contains(task.index) {
+            return;
+        }
+        job.pending.insert(task.index);
+        match why {
+            Some(ExitReason::Error) => {
+                let (_, n) = job.backoff.get(&task.index).copied().unwrap_or((0, 0));
+                let wait = (2 * SECOND) << n.min(5);
+                job.backoff.insert(task.index, (now + wait, n + 1));
+                job.failed_on.insert(id.clone());
+                let suspect = job.suspect();
+                tracing::info!(task = %task, machine = %id, suspect, "task failed");
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.failures.insert(task.job.clone());
+                    m.failure_count += 1;
+                    // Other jobs fail here too, or this one does well elsewhere.
+                    if m.failures.len() >= 2 || (!suspect && m.failure_count >= 2) {
+                        tracing::info!(machine = %id, "machine judged faulty");
+                        m.bad = true;
+                    }
+                }
+                if self.machines.get(id).is_some_and(|m| m.bad) {
+                    self.drain(id);
+                }
+            }
+            Some(ExitReason::NoRoom | ExitReason::Busy | ExitReason::Unknown) => {
+                tracing::info!(task = %task, machine = %id, ?why, "launch refused");
+                let wait = if why == Some(ExitReason::Unknown) { 5 * SECOND } else { SECOND };
+                let n = job.backoff.get(&task.index).map_or(0, |b| b.1);
+                job.backoff.insert(task.index, (now + wait, n));
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.refused_until = now + 3 * SECOND;
+                }
+            }
+            _ => {}
+        }
+        self.gang_lost(task, *attempt, why);
+    }
+
+    /// A task of a gang is gone without being done.
+    fn gang_lost(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(gang) = job.gang.as_mut().filter(|g| g.attempt == attempt) else { return };
+        // Before the start a replacement with the same attempt number completes the gang.
+        let replace = !gang.running
+            && !gang.stopping
+            && matches!(why, None | Some(ExitReason::NoRoom | ExitReason::Error));
+        let mut cancels = Vec::new();
+        if !replace && !gang.stopping {
+            cancels = gang.saga.abort_element(task.index as usize);
+            gang.stopping = true;
+        }
+        if job.live.is_empty() {
+            job.gang = None;
+        }
+        let id = task.job.clone();
+        for action in cancels {
+            let Action::Cancel(i) = action else { continue };
+            let live = self.jobs.get(&id).and_then(|j| j.live.get(&(i as u32)).cloned());
+            if let Some((machine, attempt)) = live {
+                self.stop(&id, i as u32, &machine, attempt, 0);
+            }
+        }
+    }
+
+    /// Tells one attempt to stop. A shorter grace replaces a longer one.
+    fn stop(&mut self, job: &str, index: u32, machine: &str, attempt: u64, grace: Micros) {
+        let key = (TaskId { job: job.into(), index }, attempt);
+        let Some(m) = self.machines.get_mut(machine) else { return };
+        if let Some(a) = m.attempts.get_mut(&key) {
+            a.stop = Some(a.stop.map_or(grace, |g| g.min(grace)));
+        }
+    }
+
+    /// Stops a task so that it saves if it can; a gang is stopped whole, and in order.
+    pub fn evict(&mut self, job: &JobId, index: u32) {
+        let Some(j) = self.jobs.get_mut(job) else { return };
+        let saves = j.spec.checkpoint_every > 0;
+        let grace = if saves { j.spec.save + 2 * SECOND } else { 0 };
+        let targets: Vec<u32> = match &mut j.gang {
+            Some(g) if g.stopping => return,
+            Some(g) => {
+                g.stopping = true;
+                j.live.keys().copied().collect()
+            }
+            None => vec![index],
+        };
+        let live: Vec<_> =
+            targets.iter().filter_map(|i| Some((*i, j.live.get(i)?.clone()))).collect();
+        for (i, (machine, attempt)) in live {
+            self.stop(job, i, &machine, attempt, grace);
+        }
+    }
+
+    /// Moves off a machine what can save its work.
+    pub fn drain(&mut self, id: &MachineId) {
+        let Some(m) = self.machines.get(id) else { return };
+        let tasks: Vec<TaskId> = m
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.holds && a.stop.is_none())
+            .map(|(k, _)| k.0.clone())
+            .collect();
+        for t in tasks {
+            let Some(j) = self.jobs.get(&t.job) else { continue };
+            if j.spec.checkpoint_every > 0 || j.spec.shape == Shape::Service {
+                self.evict(&t.job, t.index);
+            }
+        }
+    }
+
+    /// Everything that was on the machine is gone.
+    pub fn lose(&mut self, id: &MachineId, now: Micros, why: &str) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let keys: Vec<_> = m.attempts.keys().cloned().collect();
+        let held = m.attempts.values().filter(|a| a.holds).count();
+        if held > 0 {
+            tracing::info!(machine = %id, tasks = held, why, "tasks lost");
+        }
+        for key in keys {
+            self.release(id, &key, now);
+            let ended = self.machines.get_mut(id).and_then(|m| m.attempts.remove(&key));
+            if ended.is_some_and(|a| !matches!(a.phase, Phase::Ended(_))) {
+                self.gone(&key, id, None, now);
+            }
+        }
+    }
+
+    /// The cloud has confirmed that the machine is gone, or it can no longer exist.
+    pub fn remove_machine(&mut self, id: &MachineId, now: Micros, why: &str) {
+        self.lose(id, now, why);
+        self.block.remove(id);
+        self.machines.remove(id);
+    }
+
+    fn orders(&mut self, id: &MachineId) -> Vec<Order> {
+        let Some(machine) = self.machines.get(id) else { return Vec::new() };
+        let mut starts = Vec::new();
+        let mut orders = Vec::new();
+        for ((task, attempt), a) in &machine.attempts {
+            let (name, attempt) = (|| task.to_string(), *attempt);
+            // What belongs to no live pipeline has to end.
+            let stop = if self.jobs.contains_key(&task.job) { a.stop } else { Some(0) };
+            match (a.phase, stop) {
+                (Phase::Ended(why), _) => {
+                    // A completion must be in the state service before the worker forgets it.
+                    let durable = why != ExitReason::Done
+                        || self.jobs.get(&task.job).is_none_or(|j| {
+                            j.cancelled
+                                || j.flushed.contains(task.index)
+                                || j.spec.shape == Shape::Service
+                        });
+                    if durable {
+                        orders.push(Order::Forget { task: name(), attempt });
+                    }
+                }
+                (Phase::Saving, Some(grace)) if grace > 0 => {}
+                (_, Some(grace)) if a.seen => {
+                    let grace_s = grace as f64 / SECOND as f64;
+                    orders.push(Order::Stop { task: name(), attempt, grace_s });
+                }
+                (Phase::Starting, None) => starts.push(Order::Start { task: name(), attempt }),
+                _ => {}
+            }
+        }
+        orders.append(&mut starts);
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+
+    /// Puts a task on a machine; the launch goes out with the answer to its next report.
+    pub fn place(
+        &mut self,
+        job: &JobId,
+        index: u32,
+        machine: &MachineId,
+        attempt: u64,
+        now: Micros,
+    ) {
+        let (Some(j), Some(m)) = (self.jobs.get_mut(job), self.machines.get_mut(machine)) else {
+            return;
+        };
+        j.pending.remove(index);
+        j.live.insert(index, (machine.clone(), attempt));
+        let need = j.spec.need;
+        m.used += need;
+        if m.reserved.as_ref().is_some_and(|r| r.0 == *job) {
+            m.reserved = None;
+        }
+        if let Some(t) = j.team {
+            self.used[t] += need;
+        }
+        let entry = Attempt {
+            phase: Phase::Starting,
+            since: now,
+            seen: false,
+            stop: None,
+            need,
+            team: j.team,
+            holds: true,
+        };
+        m.attempts.insert((TaskId { job: job.clone(), index }, attempt), entry);
+    }
+
+    /// A number that no other start of any task has, in this term or another.
+    pub fn next_attempt(&mut self) -> u64 {
+        self.attempts += 1;
+        (self.term << 24) + self.attempts
+    }
+
+    /// Runs out leases of silent machines, and finds out whether placing may begin.
+    pub fn tick(&mut self, now: Micros, wall: u64) {
+        self.wall = wall;
+        let limit = with_drift(self.settings.lease) + LEASE_MARGIN;
+        let silent: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| now > m.answered_at + limit && (!m.confirmed || !m.attempts.is_empty()))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in silent {
+            self.lose(&id, now, "its lease ran out");
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.lost_session = m.lost_session.max(m.session);
+            }
+        }
+        if !self.settled {
+            let waits = |m: &&Machine| m.recorded && !m.confirmed && now <= m.answered_at + limit;
+            let waiting = self.machines.values().filter(waits).count();
+            if waiting == 0 {
+                tracing::info!(machines = self.machines.len(), jobs = self.jobs.len(), "settled");
+                self.settled = true;
+            }
+        }
+        let empty = |j: &&mut Job| j.live.is_empty() && j.gang.is_some();
+        self.jobs.values_mut().filter(empty).for_each(|j| j.gang = None);
+    }
+}
--- /dev/null
+++ b/src/controller.rs
@@ -0,0 +1,1221 @@
+//! The single owner of a controller's state: commands and the time go in, effects come out.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use crate::api::{self, JobView, Refusal, Route, Status};
+use crate::block::ChunkRecord;
+use crate::cloud::CloudRequest;
+use crate::cluster::{Batch, Cluster, Outcome};
+use crate::fleet::CloudCall;
+use crate::http::{Request, Response};
+use crate::leadership::{Authority, Candidacy, PROMISE, TTL};
+use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, SECOND, valid_job_id};
+use crate::peer::{
+    Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
+};
+use crate::settings::Settings;
+use crate::store::{
+    self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
+    LeadRecord, Listing, OverRecord, PartRecord, StoreRequest, TERM, Urgency,
+};
+use crate::worker::{Report, ReportAnswer, ReportElsewhere};
+
+const PROBE_EVERY: Micros = 500_000;
+const RENEW_EVERY: Micros = 800_000;
+const BEAT_EVERY: Micros = 500_000;
+/// A sibling that was not heard for this long does not count as reachable.
+const HEARD: Micros = 1_800_000;
+/// A leader that hears neither workers nor siblings for this long makes way.
+const DEAF: Micros = 3 * SECOND;
+const ABSTAIN: Micros = 12 * SECOND;
+const POLL_PATIENCE: Micros = 1_700_000;
+const SUBMIT_PATIENCE: Micros = 2_500_000;
+const RELAY_PATIENCE: Micros = 1_500_000;
+const CACHE: usize = 50_000;
+
+/// The time, as a step sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    /// This process's steady clock.
+    pub now: Micros,
+    /// Time of day, since 1970.
+    pub wall: u64,
+}
+
+/// What the owner of all state is told.
+#[derive(Debug)]
+pub enum Command {
+    Request { conn: u64, request: Request },
+    Store { id: u64, answer: Option<(u16, Bytes)> },
+    Cloud { id: u64, answer: Option<(u16, Bytes)> },
+    Peer(Envelope),
+    Tick,
+}
+
+/// What it wants done.
+#[derive(Debug)]
+pub enum Effect {
+    Reply { conn: u64, response: Response },
+    Store { id: u64, request: StoreRequest },
+    Cloud { id: u64, request: CloudRequest },
+    Peer { to: usize, message: Envelope },
+}
+
+/// What a request to the state service was for.
+#[derive(Debug)]
+enum Purpose {
+    Probe,
+    Grant { sent: Micros },
+    Takeover { term: u64, grant: u64, until: Micros },
+    DropGrant,
+    Renew { sent: Micros, term: u64 },
+    Load { term: u64, stage: usize },
+    Follow { term: u64 },
+    Write { term: u64, batch: Batch },
+    ReadBack { term: u64, key: String },
+    ReadOver { term: u64, key: String },
+    Look { job: JobId, over: bool },
+    Accept { jobs: Vec<(u64, JobId)> },
+    Cancel { job: JobId, conns: Vec<u64>, view: JobView },
+}
+
+const STAGES: [&str; 3] = [store::LIVE, store::PART, store::BLOCK];
+
+/// Why a job is being looked up.
+#[derive(Debug)]
+enum Waiter {
+    Poll(u64),
+    Cancel(u64),
+    /// A submission, with what to answer if the job is not known.
+    Submit(u64, Result<Box<JobSpec>, Refusal>),
+    /// The commit of an acceptance had no answer: found means accepted.
+    Confirm(u64),
+}
+
+impl Waiter {
+    fn conn(&self) -> u64 {
+        match self {
+            Waiter::Poll(c) | Waiter::Cancel(c) | Waiter::Submit(c, _) | Waiter::Confirm(c) => *c,
+        }
+    }
+}
+
+/// A read that answers those who asked before it began; later askers wait for the next one, so
+/// that nobody is told something older than what another controller has said already.
+#[derive(Debug, Default)]
+struct Lookup {
+    now: Vec<Waiter>,
+    next: Vec<Waiter>,
+}
+
+#[derive(Debug)]
+struct Lead {
+    term: u64,
+    grant: u64,
+    /// Version of the leader's key: every write of this leader depends on it.
+    holder: u64,
+    authority: Authority,
+    cluster: Cluster,
+    /// The stage of reading the state; past the last one everything is loaded.
+    stage: usize,
+    loaded_once: bool,
+    load_at: Option<Micros>,
+    watched: u64,
+    following: bool,
+    follow_at: Micros,
+    writing: bool,
+    write_at: Micros,
+    readbacks: BTreeSet<String>,
+    readback_at: Micros,
+    reading: usize,
+    renew_at: Micros,
+    ask_at: Micros,
+    heard_at: Option<Micros>,
+    schedule_at: Micros,
+    dirty: bool,
+    fleet_at: Micros,
+}
+
+impl Lead {
+    fn loaded(&self) -> bool {
+        self.stage >= STAGES.len()
+    }
+}
+
+#[derive(Debug, Default, Clone)]
+struct SiblingView {
+    heard_at: Option<Micros>,
+    leading: u64,
+    state_ok: bool,
+}
+
+pub struct Controller {
+    settings: Arc<Settings>,
+    clock: Clock,
+    flavors: Arc<Vec<Flavor>>,
+    flavors_at: Micros,
+    candidacy: Candidacy,
+    lead: Option<Box<Lead>>,
+    siblings: Vec<SiblingView>,
+    running: HashMap<String, (u32, u32)>,
+    state_ok_at: Option<Micros>,
+    probing: bool,
+    probe_at: Micros,
+    beat_at: Micros,
+    budget: Budget<(u64, StoreRequest)>,
+    purposes: HashMap<u64, Purpose>,
+    calls: HashMap<u64, (u64, CloudCall)>,
+    next_id: u64,
+    lookups: HashMap<JobId, Lookup>,
+    accepting: VecDeque<(u64, JobId, Box<JobSpec>)>,
+    accept_specs: HashMap<u64, Box<JobSpec>>,
+    deadlines: HashMap<u64, Micros>,
+    relays: HashMap<u64, (u64, Micros)>,
+    retries: Vec<(Micros, JobId, Waiter)>,
+    over: HashMap<JobId, JobView>,
+    effects: Vec<Effect>,
+    next_tick: Micros,
+}
+
+impl Controller {
+    pub fn new(settings: Arc<Settings>, clock: Clock) -> Controller {
+        let n = settings.siblings.len();
+        let mut controller = Controller {
+            candidacy: Candidacy::new(&settings.name, clock.now),
+            budget: Budget::new(1.0, 1.0),
+            settings,
+            clock,
+            flavors: Arc::default(),
+            flavors_at: 0,
+            lead: None,
+            siblings: vec![SiblingView::default(); n],
+            running: HashMap::new(),
+            state_ok_at: None,
+            probing: false,
+            probe_at: 0,
+            beat_at: 0,
+            purposes: HashMap::new(),
+            calls: HashMap::new(),
+            next_id: 1,
+            lookups: HashMap::new(),
+            accepting: VecDeque::new(),
+            accept_specs: HashMap::new(),
+            deadlines: HashMap::new(),
+            relays: HashMap::new(),
+            retries: Vec::new(),
+            over: HashMap::new(),
+            effects: Vec::new(),
+            next_tick: 0,
+        };
+        controller.share_budget();
+        controller
+    }
+
+    /// Works through a batch of commands.
+    pub fn step(
+        &mut self,
+        clock: Clock,
+        commands: impl IntoIterator<Item = Command>,
+    ) -> Vec<Effect> {
+        self.clock = clock;
+        self.check_authority();
+        for command in commands {
+            match command {
+                Command::Request { conn, request } => self.request(conn, request),
+                Command::Store { id, answer } => self.store_answer(id, answer),
+                Command::Cloud { id, answer } => self.cloud_answer(id, answer),
+                Command::Peer(message) => self.peer(message),
+                Command::Tick => {}
+            }
+        }
+        if clock.now >= self.next_tick {
+            self.next_tick = clock.now + 50_000;
+            self.tick();
+        }
+        self.flush_accepts();
+        while let Some((id, request)) = self.budget.pop(clock.now) {
+            self.effects.push(Effect::Store { id, request });
+        }
+        std::mem::take(&mut self.effects)
+    }
+
+    /// The cluster as the leader sees it; `None` on every other controller.
+    pub fn cluster(&self) -> Option<&Cluster> {
+        self.lead.as_ref().map(|l| &l.cluster)
+    }
+
+    // ---- Plumbing ----
+
+    fn share_budget(&mut self) {
+        let n = self.settings.siblings.len() as f64;
+        let share = match (self.lead.is_some(), n > 0.0) {
+            (_, false) => 0.95,
+            (true, true) => 0.6,
+            (false, true) => 0.35 / n,
+        };
+        self.budget
+            .set_share(self.settings.state_rps * share, self.settings.state_write_rps * share);
+    }
+
+    fn send(&mut self, urgency: Urgency, request: StoreRequest, purpose: Purpose) {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.purposes.insert(id, purpose);
+        self.budget.push(urgency, request.changes, (id, request));
+    }
+
+    fn reply(&mut self, conn: u64, response: Response) {
+        if self.deadlines.remove(&conn).is_some() {
+            self.effects.push(Effect::Reply { conn, response });
+        }
+    }
+
+    fn say(&mut self, to: usize, body: Body) {
+        let message = Envelope { from: self.settings.name.clone(), body: Some(body) };
+        self.effects.push(Effect::Peer { to, message });
+    }
+
+    fn state_ok(&self) -> bool {
+        self.state_ok_at.is_some_and(|t| self.clock.now < t + 3 * PROBE_EVERY)
+    }
+
+    fn heard(&self, i: usize) -> bool {
+        self.siblings[i].heard_at.is_some_and(|t| self.clock.now < t + HEARD)
+    }
+
+    /// The sibling that says it leads, and can be heard.
+    fn leader(&self) -> Option<usize> {
+        (0..self.siblings.len())
+            .filter(|&i| self.heard(i) && self.siblings[i].leading > 0)
+            .max_by_key(|&i| self.siblings[i].leading)
+    }
+
+    fn healthy(&self) -> bool {
+        if self.flavors.is_empty() {
+            return false;
+        }
+        // In an outage that everybody sees, users are better told so than turned away; a
+        // controller that alone is cut off from the state service must not take requests.
+        let others = || (0..self.siblings.len()).filter(|&i| self.heard(i));
+        self.state_ok() || (others().count() > 0 && others().all(|i| !self.siblings[i].state_ok))
+    }
+
+    // ---- Time ----
+
+    fn check_authority(&mut self) {
+        let now = self.clock.now;
+        if self.lead.as_ref().is_some_and(|l| !l.authority.valid(now)) {
+            self.step_down("its authority ran out");
+        }
+    }
+
+    fn step_down(&mut self, why: &str) {
+        let Some(lead) = self.lead.take() else { return };
+        tracing::info!(term = lead.term, why, "no longer leading");
+        self.share_budget();
+        self.send(Urgency::Renewal, StoreRequest::drop_grant(lead.grant), Purpose::DropGrant);
+        self.probe_at = self.clock.now;
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now;
+        let late: Vec<u64> =
+            self.deadlines.iter().filter(|(_, t)| **t <= now).map(|(c, _)| *c).collect();
+        for conn in late {
+            self.accept_specs.remove(&conn);
+            self.reply(conn, Response::error(503, "the state service does not answer").retry(2));
+        }
+        self.relays.retain(|_, r| r.1 > now);
+        let due: Vec<_> = self.retries.extract_if(.., |r| r.0 <= now).collect();
+        for (_, job, waiter) in due {
+            if self.deadlines.contains_key(&waiter.conn()) {
+                self.look(job, waiter);
+            }
+        }
+        if now >= self.beat_at {
+            self.beat_at = now + BEAT_EVERY;
+            self.beat();
+        }
+        if self.flavors.is_empty() && now >= self.flavors_at {
+            self.flavors_at = now + 2 * SECOND;
+            self.call(0, CloudCall::Flavors, CloudRequest::flavors());
+        }
+        if self.lead.is_some() {
+            self.lead_tick();
+        } else {
+            if !self.probing && now >= self.probe_at {
+                self.probing = true;
+                self.probe_at = now + PROBE_EVERY;
+                self.send(Urgency::Renewal, StoreRequest::list(LEAD, ""), Purpose::Probe);
+            }
+            if !self.flavors.is_empty() && self.candidacy.may_try(now) {
+                self.candidacy.trying = true;
+                let purpose = Purpose::Grant { sent: now };
+                self.send(Urgency::Renewal, StoreRequest::grant(TTL), purpose);
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        let now = self.clock.now;
+        let mut running = Vec::new();
+        if let Some(lead) = &self.lead {
+            for job in lead.cluster.jobs.values().filter(|j| j.running() > 0).take(2000) {
+                running.push(Running {
+                    job: job.id.to_string(),
+                    tasks: job.running(),
+                    done: job.done.len(),
+                });
+            }
+        }
+        let beat = Heartbeat {
+            leading: self.lead.as_ref().map_or(0, |l| l.term),
+            state_ok: self.state_ok(),
+            hears_workers: self.relays.values().any(|r| r.1 > now),
+            running,
+        };
+        for i in 0..self.siblings.len() {
+            self.say(i, Body::Heartbeat(beat.clone()));
+        }
+    }
+
+    fn lead_tick(&mut self) {
+        let now = self.clock.now;
+        let wall = self.clock.wall;
+        let siblings = self.siblings.len();
+        let Some(lead) = &mut self.lead else { return };
+        if siblings > 0 && lead.heard_at.is_some_and(|t| now > t + DEAF) {
+            self.candidacy.abstain(now + ABSTAIN);
+            self.step_down("it hears neither workers nor siblings");
+            return;
+        }
+        if now >= lead.renew_at {
+            lead.renew_at = now + RENEW_EVERY;
+            let (grant, term) = (lead.grant, lead.term);
+            let purpose = Purpose::Renew { sent: now, term };
+            self.send(Urgency::Renewal, StoreRequest::renew(grant), purpose);
+        }
+        let Some(lead) = &mut self.lead else { return };
+        // The grant runs low: the state service may be down for everybody. Siblings that see
+        // that too may promise not to take over.
+        if lead.authority.low(now) && now >= lead.ask_at && siblings > 0 {
+            lead.ask_at = now + 600_000;
+            let (round, term) = (lead.authority.ask(now, siblings), lead.term);
+            for i in 0..siblings {
+                self.say(i, Body::PromiseAsk(PromiseAsk { round, term, micros: PROMISE }));
+            }
+        }
+        let Some(lead) = &mut self.lead else { return };
+        if !lead.loaded() {
+            if lead.load_at.is_some_and(|t| t <= now) {
+                lead.load_at = None;
+                self.load("");
+            }
+            return;
+        }
+        lead.cluster.tick(now, wall);
+        if now >= lead.schedule_at && (lead.dirty || now >= lead.schedule_at + SECOND) {
+            lead.schedule_at = now + 100_000;
+            lead.dirty = false;
+            lead.cluster.schedule(now);
+        }
+        let mut calls = Vec::new();
+        if now >= lead.fleet_at {
+            lead.fleet_at = now + 500_000;
+            for call in lead.cluster.plan_fleet(now) {
+                let request = call.request(&lead.cluster);
+                calls.push((lead.term, call, request));
+            }
+        }
+        for (term, call, request) in calls {
+            self.call(term, call, request);
+        }
+        self.follow();
+        self.write();
+        self.read_back();
+    }
+
+    fn call(&mut self, term: u64, call: CloudCall, request: CloudRequest) {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.calls.insert(id, (term, call));
+        self.effects.push(Effect::Cloud { id, request });
+    }
+
+    fn follow(&mut self) {
+        let now = self.clock.now;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.following || now < lead.follow_at {
+            return;
+        }
+        lead.following = true;
+        // Bounds how often the watch is opened when much is written.
+        lead.follow_at = now + 100_000;
+        let (term, from) = (lead.term, lead.watched);
+        self.send(
+            Urgency::Commit,
+            StoreRequest::follow(store::LIVE, from),
+            Purpose::Follow { term },
+        );
+    }
+
+    fn write(&mut self) {
+        let now = self.clock.now;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.writing || now < lead.write_at {
+            return;
+        }
+        if let Some((commit, batch)) = lead.cluster.next_commit(now, lead.holder) {
+            lead.writing = true;
+            lead.write_at = now + 100_000;
+            let term = lead.term;
+            self.send(Urgency::Commit, commit.request(), Purpose::Write { term, batch });
+        }
+    }
+
+    fn read_back(&mut self) {
+        let now = self.clock.now;
+        let Some(lead) = &mut self.lead else { return };
+        if lead.reading > 0 || now < lead.readback_at || lead.readbacks.is_empty() {
+            return;
+        }
+        lead.readback_at = now + 300_000;
+        let keys = std::mem::take(&mut lead.readbacks);
+        lead.reading = keys.len();
+        let term = lead.term;
+        for key in keys {
+            self.send(Urgency::Commit, StoreRequest::get(&key), Purpose::ReadBack { term, key });
+        }
+    }
+
+    // ---- Users and workers ----
+
+    fn request(&mut self, conn: u64, request: Request) {
+        let now = self.clock.now;
+        self.deadlines.insert(conn, now + POLL_PATIENCE);
+        let route = match api::route(request.method, &request.path) {
+            Ok(route) => route,
+            Err(response) => return self.reply(conn, response),
+        };
+        match route {
+            Route::Health => {
+                let response = if self.healthy() {
+                    Response { status: 200, body: Bytes::from_static(b"{}"), retry_after: None }
+                } else {
+                    Response::error(503, "not ready to take requests")
+                };
+                self.reply(conn, response);
+            }
+            Route::Report => self.report(conn, request.body),
+            Route::Submit => self.submit(conn, &request.body),
+            Route::Query(id) | Route::Cancel(id) if !valid_job_id(id) => {
+                self.reply(conn, Response::error(404, "no such job"));
+            }
+            Route::Query(id) => self.look(id.into(), Waiter::Poll(conn)),
+            Route::Cancel(id) => {
+                self.deadlines.insert(conn, now + SUBMIT_PATIENCE);
+                self.look(id.into(), Waiter::Cancel(conn));
+            }
+        }
+    }
+
+    fn submit(&mut self, conn: u64, body: &[u8]) {
+        self.deadlines.insert(conn, self.clock.now + SUBMIT_PATIENCE);
+        let (map, id) = match api::parse_object(body) {
+            Ok(parsed) => parsed,
+            Err(refusal) => return self.refuse(conn, &refusal),
+        };
+        let checked = api::parse_spec(&map).and_then(|mut spec| {
+            api::admit(&mut spec, &self.settings.teams, &self.flavors)?;
+            Ok(Box::new(spec))
+        });
+        match (id, checked) {
+            (Some(id), Ok(spec)) if !self.over.contains_key(&id) => {
+                self.accepting.push_back((conn, id, spec));
+            }
+            // A known job gets its state, whatever this body would be answered with.
+            (Some(id), checked) => self.look(id, Waiter::Submit(conn, checked)),
+            (None, Err(refusal)) => self.refuse(conn, &refusal),
+            (None, Ok(_)) => self.refuse(conn, &Refusal::Malformed("id: missing".into())),
+        }
+    }
+
+    fn refuse(&mut self, conn: u64, refusal: &Refusal) {
+        let response = match refusal {
+            Refusal::Malformed(_) => Response::error(400, refusal),
+            Refusal::Impossible(_) => Response::error(422, refusal),
+            Refusal::NotYet => Response::error(503, refusal).retry(2),
+        };
+        self.reply(conn, response);
+    }
+
+    /// Submissions that came together are accepted in one transaction.
+    fn flush_accepts(&mut self) {
+        let max = self.settings.txn_ops.min(8);
+        while !self.accepting.is_empty() {
+            let mut commit = Commit::default();
+            let mut jobs: Vec<(u64, JobId)> = Vec::new();
+            let mut left = VecDeque::new();
+            while let Some((conn, id, spec)) = self.accepting.pop_front() {
+                if jobs.len() >= max || jobs.iter().any(|j| j.1 == id) {
+                    left.push_back((conn, id, spec));
+                    continue;
+                }
+                let live = format!("{}{id}", store::LIVE);
+                let record = JobRecord {
+                    spec: (*spec).clone(),
+                    at: self.clock.wall,
+                    done: String::new(),
+                    cancelled: false,
+                };
+                let value = store::raw(&record);
+                if value.get().len() + 1200 > self.settings.value_bytes {
+                    self.reply(conn, Response::error(400, "the description is too long"));
+                    continue;
+                }
+                commit.guard(&live, 0);
+                commit.guard(&format!("{}{id}", store::OVER), 0);
+                commit.put(&live, value, None);
+                self.accept_specs.insert(conn, spec);
+                jobs.push((conn, id));
+            }
+            self.accepting = left;
+            if !jobs.is_empty() {
+                self.send(Urgency::User, commit.request(), Purpose::Accept { jobs });
+            }
+        }
+    }
+
+    fn accepted(&mut self, jobs: Vec<(u64, JobId)>, answer: Option<(u16, Bytes)>) {
+        let status = answer.as_ref().map(|a| a.0);
+        for (conn, id) in jobs {
+            let Some(spec) = self.accept_specs.remove(&conn) else { continue };
+            match status {
+                Some(200) => {
+                    tracing::info!(job = %id, class = %spec.class, tasks = spec.tasks, "accepted");
+                    let view = JobView { status: Status::Pending, done: 0, running: 0 };
+                    self.reply(conn, api::answer(201, &id, &view));
+                    self.changed(&id);
+                }
+                // One of them was known already: look at each, and try again with the others.
+                Some(409) => self.look(id, Waiter::Submit(conn, Ok(spec))),
+                // Perhaps carried out, perhaps later: only reading tells.
+                None => self.look(id, Waiter::Confirm(conn)),
+                Some(_) => {
+                    let at = self.clock.now + 300_000;
+                    self.retries.push((at, id, Waiter::Submit(conn, Ok(spec))));
+                }
+            }
+        }
+    }
+
+    /// Lets the leader know at once; its watch would tell it too.
+    fn changed(&mut self, id: &JobId) {
+        if let Some(lead) = &mut self.lead {
+            lead.readbacks.insert(format!("{}{id}", store::LIVE));
+            lead.readback_at = 0;
+        } else if let Some(i) = self.leader() {
+            self.say(i, Body::Changed(Changed { job: id.to_string() }));
+        }
+    }
+
+    fn look(&mut self, id: JobId, waiter: Waiter) {
+        if let Some(view) = self.over.get(&id) {
+            let response = api::answer(200, &id, view);
+            return self.reply(waiter.conn(), response);
+        }
+        let lookup = self.lookups.entry(id.clone()).or_default();
+        if !lookup.now.is_empty() {
+            lookup.next.push(waiter);
+            return;
+        }
+        lookup.now.push(waiter);
+        self.start_look(id);
+    }
+
+    fn start_look(&mut self, job: JobId) {
+        let key = format!("{}{job}", store::LIVE);
+        self.send(Urgency::User, StoreRequest::get(&key), Purpose::Look { job, over: false });
+    }
+
+    fn looked(&mut self, job: JobId, over: bool, answer: Option<(u16, Bytes)>) {
+        match answer {
+            Some((200, body)) => {
+                let Ok(item) = serde_json::from_slice::<Item>(&body) else {
+                    return self.look_failed(job);
+                };
+                if over {
+                    let Some(r) = item.record::<OverRecord>() else { return self.look_failed(job) };
+                    let status = if r.cancelled { Status::Cancelled } else { Status::Done };
+                    let done = if r.cancelled { 0 } else { r.tasks };
+                    self.found(job, JobView { status, done, running: 0 }, None);
+                } else {
+                    let Some(r) = item.record::<JobRecord>() else { return self.look_failed(job) };
+                    let view = self.view(&job, &r);
+                    self.found(job, view, Some((r, item.stamp)));
+                }
+            }
+            Some((404, _)) if !over => {
+                let key = format!("{}{job}", store::OVER);
+                self.send(
+                    Urgency::User,
+                    StoreRequest::get(&key),
+                    Purpose::Look { job, over: true },
+                );
+            }
+            Some((404, _)) => {
+                let waiters = self.take_waiters(&job);
+                for w in waiters {
+                    match w {
+                        Waiter::Poll(c) | Waiter::Cancel(c) => {
+                            self.reply(c, Response::error(404, "no such job"));
+                        }
+                        Waiter::Submit(c, Ok(spec)) => {
+                            self.accepting.push_back((c, job.clone(), spec));
+                        }
+                        Waiter::Submit(c, Err(refusal)) => self.refuse(c, &refusal),
+                        Waiter::Confirm(c) => {
+                            let why = "it is not certain yet that the job was accepted";
+                            self.reply(c, Response::error(503, why).retry(1));
+                        }
+                    }
+                }
+            }
+            _ => self.look_failed(job),
+        }
+    }
+
+    fn look_failed(&mut self, job: JobId) {
+        let at = self.clock.now + 300_000;
+        for w in self.take_waiters(&job) {
+            self.retries.push((at, job.clone(), w));
+        }
+    }
+
+    /// Those whom the finished read may answer; starts the next read for the rest.
+    fn take_waiters(&mut self, job: &JobId) -> Vec<Waiter> {
+        let Some(lookup) = self.lookups.get_mut(job) else { return Vec::new() };
+        let waiters = std::mem::take(&mut lookup.now);
+        lookup.now = std::mem::take(&mut lookup.next);
+        if lookup.now.is_empty() {
+            self.lookups.remove(job);
+        } else {
+            self.start_look(job.clone());
+        }
+        waiters
+    }
+
+    fn view(&self, id: &JobId, record: &JobRecord) -> JobView {
+        let mut done = Ranges::default();
+        store::decode_done(&record.done, 0, &mut done);
+        if record.cancelled {
+            return JobView { status: Status::Cancelled, done: done.len(), running: 0 };
+        }
+        let (mut running, mut count) = (0, done.len());
+        if let Some(job) = self.lead.as_ref().and_then(|l| l.cluster.jobs.get(id)) {
+            (running, count) = (job.running(), job.done.len());
+        } else if let Some(r) = self.running.get(&**id).filter(|_| self.leader().is_some()) {
+            (running, count) = (r.0, r.1.max(count));
+        }
+        let status = if running > 0 { Status::Running } else { Status::Pending };
+        JobView { status, done: count, running }
+    }
+
+    fn found(&mut self, job: JobId, view: JobView, live: Option<(JobRecord, u64)>) {
+        if matches!(view.status, Status::Done | Status::Cancelled) {
+            if self.over.len() >= CACHE {
+                self.over.clear();
+            }
+            self.over.insert(job.clone(), view.clone());
+        }
+        let mut cancels = Vec::new();
+        for w in self.take_waiters(&job) {
+            match (w, &live) {
+                (Waiter::Cancel(c), Some((r, _))) if !r.cancelled => cancels.push(c),
+                (w, _) => self.reply(w.conn(), api::answer(200, &job, &view)),
+            }
+        }
+        let Some((mut record, stamp)) = live.filter(|_| !cancels.is_empty()) else { return };
+        record.cancelled = true;
+        let key = format!("{}{job}", store::LIVE);
+        let mut commit = Commit::default();
+        commit.guard(&key, stamp);
+        commit.put(&key, store::raw(&record), None);
+        let view = JobView { status: Status::Cancelled, done: view.done, running: 0 };
+        let purpose = Purpose::Cancel { job, conns: cancels, view };
+        self.send(Urgency::User, commit.request(), purpose);
+    }
+
+    fn cancelled(&mut self, job: JobId, conns: Vec<u64>, view: JobView, status: Option<u16>) {
+        if status == Some(200) {
+            self.over.insert(job.clone(), view.clone());
+            for c in conns {
+                self.reply(c, api::answer(200, &job, &view));
+            }
+            return self.changed(&job);
+        }
+        // The job changed meanwhile, or nothing is certain: look again.
+        let wait = if status == Some(409) { 0 } else { 300_000 };
+        let at = self.clock.now + wait;
+        for c in conns {
+            self.retries.push((at, job.clone(), Waiter::Cancel(c)));
+        }
+    }
+
+    fn report(&mut self, conn: u64, body: Bytes) {
+        if self.lead.is_some() {
+            let (status, body) = self.lead_report(&body);
+            return self.reply(conn, Response { status, body, retry_after: None });
+        }
+        match self.leader() {
+            // Passed on rather than sent away: the worker may not reach the leader itself.
+            Some(i) => {
+                let id = self.next_id;
+                self.next_id += 1;
+                let until = self.clock.now + RELAY_PATIENCE;
+                self.deadlines.insert(conn, until);
+                self.relays.insert(id, (conn, until));
+                self.say(i, Body::Relay(Relay { id, report: body }));
+            }
+            None => {
+                let elsewhere = ReportElsewhere { report_to: None };
+                self.reply(conn, Response::json(421, &elsewhere));
+            }
+        }
+    }
+
+    /// The leader's answer to a report.
+    fn lead_report(&mut self, body: &Bytes) -> (u16, Bytes) {
+        let now = self.clock.now;
+        let error = |status: u16, why: &str| (status, Response::error(status, why).body);
+        let Some(lead) = &mut self.lead else { return error(503, "not leading") };
+        lead.heard_at = Some(now);
+        let report: Report<'_> = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(e) => {
+                tracing::debug!(error = %e, "a report makes no sense");
+                return error(400, "not a report");
+            }
+        };
+        if !lead.loaded() && report.token <= lead.term {
+            // Renews the worker's lease and shows it the new token while the state is read.
+            let body = ReportAnswer { token: lead.term, orders: &[] };
+            return (200, Response::json(200, &body).body);
+        }
+        match lead.cluster.report(now, &report) {
+            Outcome::Orders(orders) => {
+                lead.dirty = true;
+                let body = ReportAnswer { token: lead.term, orders: &orders };
+                (200, Response::json(200, &body).body)
+            }
+            Outcome::Stale => error(503, "an old report"),
+            Outcome::Deposed => {
+                self.step_down("a worker has seen a higher token");
+                error(503, "not leading")
+            }
+        }
+    }
+
+    // ---- Siblings ----
+
+    fn peer(&mut self, message: Envelope) {
+        let now = self.clock.now;
+        let Some(i) = self.settings.siblings.iter().position(|s| s.name == message.from) else {
+            tracing::info!(from = %message.from, "a message from a stranger is dropped");
+            return;
+        };
+        self.siblings[i].heard_at = Some(now);
+        if let Some(lead) = &mut self.lead {
+            lead.heard_at = Some(now);
+        }
+        match message.body {
+            Some(Body::Heartbeat(beat)) => {
+                self.siblings[i].leading = beat.leading;
+                self.siblings[i].state_ok = beat.state_ok;
+                if beat.leading > 0 {
+                    self.running =
+                        beat.running.into_iter().map(|r| (r.job, (r.tasks, r.done))).collect();
+                }
+            }
+            Some(Body::Relay(relay)) => {
+                let (status, body) = self.lead_report(&relay.report);
+                let reply = Relayed { id: relay.id, status: u32::from(status), body };
+                self.say(i, Body::Relayed(reply));
+            }
+            Some(Body::Relayed(reply)) => {
+                if let Some((conn, _)) = self.relays.remove(&reply.id) {
+                    let status = u16::try_from(reply.status).unwrap_or(503);
+                    self.reply(conn, Response { status, body: reply.body, retry_after: None });
+                }
+            }
+            Some(Body::PromiseAsk(ask)) => {
+                // Only an outage that this controller sees too is a reason to promise.
+                let sees = !self.state_ok() && self.lead.is_none();
+                let micros = ask.micros.min(PROMISE);
+                if sees && self.candidacy.promise(ask.term, now, micros) {
+                    self.say(i, Body::Promise(Promise { round: ask.round, term: ask.term }));
+                }
+            }
+            Some(Body::Promise(promise)) => {
+                if let Some(lead) = self.lead.as_mut().filter(|l| l.term == promise.term) {
+                    lead.authority.promised(promise.round, i);
+                }
+            }
+            Some(Body::Changed(changed)) => {
+                if let Some(lead) = self.lead.as_mut().filter(|_| valid_job_id(&changed.job)) {
+                    lead.readbacks.insert(format!("{}{}", store::LIVE, changed.job));
+                    lead.readback_at = 0;
+                }
+            }
+            None => {}
+        }
+    }
+
+    // ---- Answers of the state service and the cloud ----
+
+    fn store_answer(&mut self, id: u64, answer: Option<(u16, Bytes)>) {
+        let Some(purpose) = self.purposes.remove(&id) else { return };
+        let now = self.clock.now;
+        let status = answer.as_ref().map(|a| a.0);
+        if status.is_some_and(|s| s < 500 && s != 429) && !matches!(purpose, Purpose::Follow { .. })
+        {
+            self.state_ok_at = Some(now);
+        }
+        match purpose {
+            Purpose::Probe => self.probed(answer),
+            Purpose::Grant { sent } => self.granted(sent, answer),
+            Purpose::Takeover { term, grant, until } => self.taken_over(term, grant, until, answer),
+            Purpose::DropGrant => {
+                if matches!(status, Some(200 | 204 | 404)) {
+                    self.candidacy.grant_dropped();
+                }
+            }
+            Purpose::Renew { sent, term } => {
+                let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+                match status {
+                    Some(200) => lead.authority.renewed(sent),
+                    Some(404) => self.step_down("its grant ended"),
+                    _ => lead.renew_at = lead.renew_at.min(now + 300_000),
+                }
+            }
+            Purpose::Load { term, stage } => self.load_answer(term, stage, answer),
+            Purpose::Follow { term } => self.followed(term, answer),
+            Purpose::Write { term, batch } => self.written(term, batch, answer),
+            Purpose::ReadBack { term, key } => self.read(term, key, answer),
+            Purpose::ReadOver { term, key } => {
+                let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+                lead.reading = lead.reading.saturating_sub(1);
+                match answer {
+                    Some((200, body)) => {
+                        let item = serde_json::from_slice::<Item>(&body).ok();
+                        let id = key.trim_start_matches(store::OVER);
+                        lead.cluster.job_gone(id, item.map_or(u64::MAX, |i| i.stamp));
+                    }
+                    Some((404, _)) => {}
+                    _ => {
+                        let id = key.trim_start_matches(store::OVER);
+                        lead.readbacks.insert(format!("{}{id}", store::LIVE));
+                    }
+                }
+            }
+            Purpose::Look { job, over } => self.looked(job, over, answer),
+            Purpose::Accept { jobs } => self.accepted(jobs, answer),
+            Purpose::Cancel { job, conns, view } => self.cancelled(job, conns, view, status),
+        }
+    }
+
+    fn probed(&mut self, answer: Option<(u16, Bytes)>) {
+        self.probing = false;
+        let listing = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let Some(listing) = listing else { return };
+        let mut holder = None;
+        let mut term = None;
+        for item in &listing.items {
+            let Some(record) = item.record::<LeadRecord>() else { return };
+            match item.k.as_str() {
+                HOLDER => holder = Some((record, item.stamp)),
+                TERM => term = Some((record, item.stamp)),
+                _ => {}
+            }
+        }
+        self.candidacy.saw(holder, term);
+    }
+
+    fn granted(&mut self, sent: Micros, answer: Option<(u16, Bytes)>) {
+        let granted = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<Granted>(&a.1).ok());
+        let Some(granted) = granted else {
+            self.candidacy.trying = false;
+            return;
+        };
+        if !self.candidacy.still_may(self.clock.now) {
+            self.candidacy.trying = false;
+            let request = StoreRequest::drop_grant(granted.permit);
+            return self.send(Urgency::Renewal, request, Purpose::DropGrant);
+        }
+        let (holder, term, last) = self.candidacy.versions();
+        let record = LeadRecord { holder: self.settings.name.clone(), term: last + 1 };
+        let mut commit = Commit::default();
+        commit.guard(HOLDER, holder);
+        commit.guard(TERM, term);
+        commit.put(HOLDER, store::raw(&record), Some(granted.permit));
+        commit.put(TERM, store::raw(&record), None);
+        let until = crate::leadership::grant_end(sent);
+        let purpose = Purpose::Takeover { term: record.term, grant: granted.permit, until };
+        self.send(Urgency::Renewal, commit.request(), purpose);
+    }
+
+    fn taken_over(&mut self, term: u64, grant: u64, until: Micros, answer: Option<(u16, Bytes)>) {
+        let now = self.clock.now;
+        self.candidacy.trying = false;
+        let stamp = match &answer {
+            Some((200, body)) => serde_json::from_slice::<Committed>(body).ok(),
+            _ => None,
+        };
+        let Some(stamp) = stamp else {
+            if !matches!(answer, Some((400 | 409 | 429 | 503, _))) {
+                // It may still be carried out; until the grant is known to be gone, nobody gets
+                // a promise from here.
+                self.candidacy.unsure();
+            }
+            self.probe_at = now;
+            return self.send(
+                Urgency::Renewal,
+                StoreRequest::drop_grant(grant),
+                Purpose::DropGrant,
+            );
+        };
+        tracing::info!(term, "leading");
+        self.candidacy.took(term, stamp.ledger_no, &self.settings.name);
+        let cluster =
+            Cluster::new(term, self.settings.clone(), self.flavors.clone(), now, self.clock.wall);
+        self.lead = Some(Box::new(Lead {
+            term,
+            grant,
+            holder: stamp.ledger_no,
+            authority: Authority::new(until),
+            cluster,
+            stage: 0,
+            loaded_once: false,
+            load_at: None,
+            watched: 0,
+            following: false,
+            follow_at: 0,
+            writing: false,
+            write_at: 0,
+            readbacks: BTreeSet::new(),
+            readback_at: 0,
+            reading: 0,
+            renew_at: now,
+            ask_at: 0,
+            heard_at: None,
+            schedule_at: 0,
+            dirty: true,
+            fleet_at: 0,
+        }));
+        self.share_budget();
+        self.beat_at = now;
+        self.load("");
+        self.tick();
+    }
+
+    fn load(&mut self, after: &str) {
+        let now = self.clock.now;
+        let Some(lead) = &mut self.lead else { return };
+        let (term, stage) = (lead.term, lead.stage);
+        match STAGES.get(stage) {
+            Some(prefix) => {
+                let request = StoreRequest::list(prefix, after);
+                self.send(Urgency::Renewal, request, Purpose::Load { term, stage });
+            }
+            None => {
+                lead.loaded_once = true;
+                lead.cluster.loaded(now);
+            }
+        }
+    }
+
+    fn load_answer(&mut self, term: u64, stage: usize, answer: Option<(u16, Bytes)>) {
+        let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+        let listing = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let Some(listing) = listing else {
+            // Reading a stage again is harmless.
+            lead.load_at = Some(self.clock.now + 300_000);
+            return;
+        };
+        if stage == 0 && lead.watched == 0 {
+            lead.watched = listing.ledger_no;
+        }
+        for item in &listing.items {
+            match stage {
+                0 => {
+                    if let Some(record) = item.record::<JobRecord>() {
+                        let id = item.k.trim_start_matches(store::LIVE);
+                        lead.cluster.job_record(id, record, item.stamp);
+                    }
+                }
+                1 => {
+                    if let Some(record) = item.record::<PartRecord>() {
+                        lead.cluster.part_record(&item.k, &record);
+                    }
+                }
+                // After the first time this leader knows better: nobody else writes the block.
+                _ if lead.loaded_once => {}
+                _ => {
+                    if let Some(record) = item.record::<ChunkRecord>() {
+                        lead.cluster.chunk_record(&item.k, record, item.stamp);
+                    }
+                }
+            }
+        }
+        let last = listing.items.last().map(|i| i.k.clone()).filter(|_| listing.truncated);
+        if last.is_none() {
+            lead.stage += 1;
+        }
+        self.load(last.as_deref().unwrap_or(""));
+    }
+
+    fn followed(&mut self, term: u64, answer: Option<(u16, Bytes)>) {
+        let now = self.clock.now;
+        let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+        lead.following = false;
+        let followed = match answer {
+            Some((200, body)) => serde_json::from_slice::<Followed>(&body).ok(),
+            Some((410, _)) => {
+                // Too far behind: read everything live again. What ended is found by reading back.
+                tracing::info!("the watch fell behind; reading all jobs again");
+                lead.readbacks
+                    .extend(lead.cluster.jobs.keys().map(|id| format!("{}{id}", store::LIVE)));
+                lead.watched = 0;
+                lead.stage = 0;
+                return self.load("");
+            }
+            _ => None,
+        };
+        let Some(followed) = followed else {
+            lead.follow_at = now + 500_000;
+            return;
+        };
+        for change in followed.log {
+            if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(store::LIVE)) {
+                lead.cluster.job_gone(id, change.stamp);
+            }
+            let key = change.write.as_deref().and_then(|k| k.strip_prefix(store::LIVE));
+            let (Some(id), Some(v)) = (key, &change.v) else { continue };
+            if lead.cluster.jobs.get(id).is_some_and(|j| j.stamp >= change.stamp) {
+                continue;
+            }
+            match serde_json::from_str::<JobRecord>(v.get()) {
+                Ok(record) => lead.cluster.job_record(id, record, change.stamp),
+                Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
+            }
+            lead.dirty = true;
+        }
+        lead.watched = followed.ledger_no;
+        lead.cluster.watched(followed.ledger_no);
+    }
+
+    fn written(&mut self, term: u64, batch: Batch, answer: Option<(u16, Bytes)>) {
+        let now = self.clock.now;
+        let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+        lead.writing = false;
+        match answer {
+            Some((200, body)) => match serde_json::from_slice::<Committed>(&body) {
+                Ok(done) => {
+                    lead.dirty = true;
+                    lead.cluster.committed(batch, done.ledger_no);
+                }
+                Err(_) => self.unwritten(batch),
+            },
+            Some((409, body)) => {
+                let conflict = serde_json::from_slice::<Conflict>(&body);
+                if conflict.is_ok_and(|c| c.failed.iter().any(|k| k == HOLDER)) {
+                    return self.step_down("its key is gone");
+                }
+                self.unwritten(batch);
+            }
+            Some((429 | 503, _)) => {
+                lead.cluster.uncommitted(&batch, false, now);
+                lead.write_at = now + 300_000;
+            }
+            Some((status, body)) => {
+                let reason = String::from_utf8_lossy(&body).into_owned();
+                tracing::error!(status, reason, "the state service refuses a transaction");
+                lead.write_at = now + SECOND;
+                self.unwritten(batch);
+            }
+            None => self.unwritten(batch),
+        }
+    }
+
+    fn unwritten(&mut self, batch: Batch) {
+        let now = self.clock.now;
+        let Some(lead) = &mut self.lead else { return };
+        lead.cluster.uncommitted(&batch, true, now);
+        lead.readbacks.extend(batch.keys().iter().cloned());
+        lead.readback_at = now;
+    }
+
+    fn read(&mut self, term: u64, key: String, answer: Option<(u16, Bytes)>) {
+        let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
+        lead.reading = lead.reading.saturating_sub(1);
+        lead.dirty = true;
+        let item = match &answer {
+            Some((200, body)) => serde_json::from_slice::<Item>(body).ok(),
+            _ => None,
+        };
+        if let Some(chunk) = lead.cluster.block.chunk_of_key(&key) {
+            match (item, answer) {
+                (Some(item), _) => lead.cluster.block.rewrite(chunk, item.stamp),
+                (None, Some((404, _))) => lead.cluster.block.rewrite(chunk, 0),
+                _ => {
+                    lead.readbacks.insert(key);
+                }
+            }
+            return;
+        }
+        let id = key.trim_start_matches(store::LIVE).to_string();
+        match (item, answer) {
+            (Some(item), _) => {
+                if let Some(record) = item.record::<JobRecord>() {
+                    lead.cluster.job_record(&id, record, item.stamp);
+                }
+            }
+            (None, Some((404, _))) => {
+                lead.reading += 1;
+                let key = format!("{}{id}", store::OVER);
+                let purpose = Purpose::ReadOver { term, key: key.clone() };
+                self.send(Urgency::Commit, StoreRequest::get(&key), purpose);
+            }
+            _ => {
+                lead.readbacks.insert(key);
+            }
+        }
+    }
+
+    fn cloud_answer(&mut self, id: u64, answer: Option<(u16, Bytes)>) {
+        let now = self.clock.now;
+        let Some((term, call)) = self.calls.remove(&id) else { return };
+        if term == 0 {
+            let flavors =
+                answer.filter(|a| a.0 == 200).and_then(|a| crate::cloud::parse_flavors(&a.1));
+            if let Some(flavors) = flavors {
+                self.flavors = Arc::new(flavors);
+            }
+            return;
+        }
+        if let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) {
+            let answer = answer.as_ref().map(|a| (a.0, &a.1[..]));
+            lead.cluster.cloud_answer(call, answer, now);
+            lead.dirty = true;
+        }
+    }
+}
--- /dev/null
+++ b/src/fleet.rs
@@ -0,0 +1,496 @@
+//! The fleet: renting, returning, and noticing machines that have gone bad.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::cloud::{CloudRequest, Listed};
+use crate::cluster::{Cluster, MachineId, Phase};
+use crate::model::{JobId, JobSpec, Micros, Resources, SECOND, Shape, micros};
+use crate::scheduler::{Slot, Zones, zone_ok};
+use std::sync::Arc;
+
+/// What the cloud charges at least for a machine that is deleted.
+const MIN_CHARGE: Micros = 60 * SECOND;
+const MAX_RENT: u32 = 50;
+const MAX_DELETE: usize = 100;
+
+/// A kind of machine that can be asked for.
+#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
+pub struct Offer {
+    pub flavor: usize,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// A call to the cloud and what it is for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CloudCall {
+    Flavors,
+    List { after: String },
+    Rent { name: String, offer: Offer, count: u32, tries: u32 },
+    Delete { machines: Vec<String> },
+}
+
+#[derive(Debug)]
+pub struct Fleet {
+    term: u64,
+    requests: u64,
+    tokens: f64,
+    rate: f64,
+    refilled: Micros,
+    pub renting: BTreeMap<String, (Offer, u32)>,
+    backoff: HashMap<Offer, (Micros, u32)>,
+    paused_until: Micros,
+    listing: bool,
+    next_list: Micros,
+    next_flavors: Micros,
+    list_after: String,
+    list_seen: Vec<Listed>,
+    retry: Vec<CloudCall>,
+    deleting: bool,
+    /// Machines confirmed as deleted, and when: a lagging list may still show them.
+    removed: HashMap<String, Micros>,
+}
+
+impl Fleet {
+    pub fn new(term: u64, rps: f64) -> Fleet {
+        Fleet {
+            term,
+            requests: 0,
+            tokens: rps,
+            // Siblings may ask for the machine types now and then.
+            rate: rps * 0.85,
+            refilled: 0,
+            renting: BTreeMap::new(),
+            backoff: HashMap::new(),
+            paused_until: 0,
+            listing: false,
+            next_list: 0,
+            next_flavors: 0,
+            list_after: String::new(),
+            list_seen: Vec::new(),
+            retry: Vec::new(),
+            deleting: false,
+            removed: HashMap::new(),
+        }
+    }
+
+    /// Takes a request's worth of the rate, leaving `keep` for more urgent calls.
+    fn may_call(&mut self, keep: f64) -> bool {
+        if self.tokens >= 1.0 + keep {
+            self.tokens -= 1.0;
+            return true;
+        }
+        false
+    }
+}
+
+impl CloudCall {
+    pub fn request(&self, cluster: &Cluster) -> CloudRequest {
+        match self {
+            CloudCall::Flavors => CloudRequest::flavors(),
+            CloudCall::List { after } => CloudRequest::list(after),
+            CloudCall::Delete { machines } => CloudRequest::delete(machines),
+            CloudCall::Rent { name, offer, count, .. } => {
+                let flavor = &cluster.flavors[offer.flavor].name;
+                CloudRequest::rent(name, flavor, &offer.zone, offer.spot, *count)
+            }
+        }
+    }
+}
+
+/// Work that found no room: a job, its spec, how many tasks, and where its tasks are.
+struct Waiting {
+    job: JobId,
+    spec: Arc<JobSpec>,
+    tasks: i64,
+    zones: Zones,
+}
+
+impl Cluster {
+    /// The calls to make to the cloud now.
+    pub fn plan_fleet(&mut self, now: Micros) -> Vec<CloudCall> {
+        let earned = now.saturating_sub(self.fleet.refilled) as f64 / SECOND as f64;
+        self.fleet.tokens =
+            (self.fleet.tokens + earned * self.fleet.rate).min(self.fleet.rate * 2.0);
+        self.fleet.refilled = now;
+        let mut calls = Vec::new();
+        if now < self.fleet.paused_until {
+            return calls;
+        }
+        while let Some(call) = self.fleet.retry.pop() {
+            if !self.fleet.may_call(0.0) {
+                self.fleet.retry.push(call);
+                break;
+            }
+            calls.push(call);
+        }
+        self.find_bad(now);
+        if self.settled {
+            self.return_idle(now);
+            self.rent(now, &mut calls);
+        }
+        let doomed: Vec<String> =
+            self.machines.values().filter(|m| m.deleting).map(|m| m.id.to_string()).collect();
+        if !doomed.is_empty() && !self.fleet.deleting && self.fleet.may_call(0.0) {
+            self.fleet.deleting = true;
+            let machines = doomed.into_iter().take(MAX_DELETE).collect();
+            calls.push(CloudCall::Delete { machines });
+        }
+        if !self.fleet.listing && now >= self.fleet.next_list && self.fleet.may_call(1.0) {
+            self.fleet.listing = true;
+            calls.push(CloudCall::List { after: self.fleet.list_after.clone() });
+        }
+        if now >= self.fleet.next_flavors && self.fleet.may_call(1.0) {
+            self.fleet.next_flavors = now + 30 * SECOND;
+            calls.push(CloudCall::Flavors);
+        }
+        calls
+    }
+
+    /// Machines that stay silent, never boot or have been judged faulty are given back.
+    fn find_bad(&mut self, now: Micros) {
+        let limit = crate::cluster::with_drift(self.settings.lease) + crate::cluster::LEASE_MARGIN;
+        for m in self.machines.values_mut().filter(|m| !m.deleting) {
+            let boot = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
+            let stuck = !m.up && now > m.rented_at.max(m.known_since) + 3 * boot + 20 * SECOND;
+            // The lease has run out, so nothing is lost with a machine that stays silent.
+            let silent = m.up && now > m.answered_at + limit;
+            let idle = m.attempts.values().all(|a| !a.holds);
+            let useless = (m.bad || m.notice) && idle && m.up;
+            if stuck || silent || useless {
+                let why = if stuck {
+                    "it does not boot"
+                } else if silent {
+                    "it is silent"
+                } else if m.bad {
+                    "it is faulty"
+                } else {
+                    "the cloud takes it back"
+                };
+                tracing::info!(machine = %m.id, why, "returning");
+                m.deleting = true;
+            }
+        }
+    }
+
+    /// An idle machine is kept for as long as replacing it would cost, as in the ski-rental rule.
+    fn return_idle(&mut self, now: Micros) {
+        for m in self.machines.values_mut().filter(|m| m.up && !m.deleting) {
+            let Some(f) = m.flavor else { continue };
+            let keep = self.flavors[f].boot;
+            let empty = m.attempts.is_empty() && m.reserved.as_ref().is_none_or(|r| r.1 <= now);
+            if empty && now > m.idle_since + keep && now + SECOND > m.rented_at + MIN_CHARGE {
+                tracing::info!(machine = %m.id, why = "it is idle", "returning");
+                m.deleting = true;
+            }
+        }
+    }
+
+    /// Work that has no room now and may run under its team's limit, in queue order.
+    fn waiting(&self, now: Micros) -> Vec<Waiting> {
+        let mut spare: Vec<Resources> =
+            (0..self.used.len()).map(|t| self.settings.teams[t].limit - self.used[t]).collect();
+        let mut out = Vec::new();
+        for id in self.queue() {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            let Some(t) = job.team else { continue };
+            if job.pending.is_empty() || job.suspect() {
+                continue;
+            }
+            spare[t].mem = i64::MAX / 4;
+            let need = Resources { mem: 0, ..job.spec.need };
+            let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
+            let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
+            if job.spec.shape == Shape::Gang && tasks < i64::from(job.pending.len()) {
+                tasks = 0;
+            }
+            if tasks <= 0 {
+                continue;
+            }
+            spare[t] -= need.times(tasks);
+            let zones = self.zones_of(job);
+            out.push(Waiting { job: id, spec: job.spec.clone(), tasks, zones });
+        }
+        out
+    }
+
+    /// Room that will be there about as soon as a machine rented now would be.
+    fn coming(&self, now: Micros) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        let slot = |machine: Option<MachineId>, offer: &Offer, free: Resources| Slot {
+            machine,
+            flavor: offer.flavor,
+            flavor_name: self.flavors[offer.flavor].name.clone(),
+            zone: offer.zone.clone(),
+            spot: offer.spot,
+            free,
+            reserved: None,
+        };
+        for m in self.machines.values() {
+            let Some(flavor) = m.flavor else { continue };
+            if m.deleting || m.bad || m.notice {
+                continue;
+            }
+            let offer = Offer { flavor, zone: m.zone.clone(), spot: m.spot };
+            if !m.up {
+                let late = now > m.rented_at + 2 * self.flavors[flavor].boot;
+                if !late {
+                    slots.push(slot(Some(m.id.clone()), &offer, m.size));
+                }
+                continue;
+            }
+            let horizon = self.flavors[flavor].boot;
+            let mut free = m.free();
+            for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
+                let Some(j) = self.jobs.get(&task.job) else { continue };
+                let pace = self.pace.get(&j.spec.class).copied().unwrap_or(1.0);
+                let whole = (j.spec.estimate as f64 * pace) as Micros;
+                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
+                if j.spec.shape != Shape::Service && whole.saturating_sub(ran) < horizon {
+                    free += a.need;
+                }
+            }
+            slots.push(slot(Some(m.id.clone()), &offer, free));
+        }
+        for (offer, count) in self.fleet.renting.values() {
+            for _ in 0..*count {
+                slots.push(slot(None, offer, self.flavors[offer.flavor].size));
+            }
+        }
+        slots
+    }
+
+    fn rent(&mut self, now: Micros, calls: &mut Vec<CloudCall>) {
+        let mut waiting = self.waiting(now);
+        if waiting.is_empty() {
+            return;
+        }
+        let mut slots = self.coming(now);
+        for w in &mut waiting {
+            for slot in &mut slots {
+                fill(w, slot);
+            }
+        }
+        waiting.retain(|w| w.tasks > 0);
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        let mut rented = 0;
+        while rented < 200 {
+            let Some(offer) = self.best_offer(&waiting, now) else { break };
+            let slot = Slot {
+                machine: None,
+                flavor: offer.flavor,
+                flavor_name: self.flavors[offer.flavor].name.clone(),
+                zone: offer.zone.clone(),
+                spot: offer.spot,
+                free: self.flavors[offer.flavor].size,
+                reserved: None,
+            };
+            let mut slot = slot;
+            waiting.iter_mut().for_each(|w| fill(w, &mut slot));
+            waiting.retain(|w| w.tasks > 0);
+            *wanted.entry(offer).or_default() += 1;
+            rented += 1;
+        }
+        for (offer, count) in wanted {
+            if !self.fleet.may_call(0.0) {
+                break;
+            }
+            let count = count.min(MAX_RENT);
+            self.fleet.requests += 1;
+            // The term in the name keeps it from ever being used by another leader.
+            let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
+            tracing::info!(%name, flavor = %self.flavors[offer.flavor].name, zone = %offer.zone,
+                spot = offer.spot, count, "renting");
+            self.fleet.renting.insert(name.clone(), (offer.clone(), count));
+            calls.push(CloudCall::Rent { name, offer, count, tries: 0 });
+        }
+    }
+
+    /// The offer that serves the first waiting job at the least price for the room it uses.
+    fn best_offer(&self, waiting: &[Waiting], now: Micros) -> Option<Offer> {
+        for first in waiting {
+            let mut best: Option<(f64, Offer)> = None;
+            for (i, flavor) in self.flavors.iter().enumerate() {
+                if !first.spec.need.fits(&flavor.size) {
+                    continue;
+                }
+                for zone in &flavor.zones {
+                    for spot in [false, true] {
+                        let offer = Offer { flavor: i, zone: zone.clone(), spot };
+                        let blocked = self.fleet.backoff.get(&offer).is_some_and(|b| b.0 > now);
+                        if blocked
+                            || !first.spec.allows(&flavor.name, zone, spot)
+                            || !zone_ok(&first.spec, &first.zones, zone)
+                        {
+                            continue;
+                        }
+                        let mut free = flavor.size;
+                        let mut used = 0;
+                        for w in waiting {
+                            if w.spec.allows(&flavor.name, zone, spot) {
+                                let n = w.spec.need.times_in(&free).min(w.tasks);
+                                free -= w.spec.need.times(n);
+                                used += w.spec.need.cpu.max(1) * n;
+                            }
+                        }
+                        let score = flavor.price_of(spot) / used.max(1) as f64;
+                        if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                            best = Some((score, offer));
+                        }
+                    }
+                }
+            }
+            if let Some((_, offer)) = best {
+                return Some(offer);
+            }
+        }
+        None
+    }
+
+    /// Takes in an answer of the cloud. `None`: no answer came.
+    pub fn cloud_answer(&mut self, call: CloudCall, answer: Option<(u16, &[u8])>, now: Micros) {
+        if matches!(answer, Some((429 | 503, _))) && !no_capacity(answer) {
+            self.fleet.paused_until = now + SECOND;
+        }
+        match call {
+            CloudCall::Flavors => {
+                let flavors =
+                    answer.filter(|a| a.0 == 200).and_then(|a| crate::cloud::parse_flavors(a.1));
+                match flavors {
+                    // Indices into the list are kept, so its order and names must not change.
+                    Some(f) if same_names(&f, &self.flavors) => self.flavors = Arc::new(f),
+                    Some(_) => tracing::info!("machine types changed: used after a takeover"),
+                    None => self.fleet.next_flavors = now + 5 * SECOND,
+                }
+            }
+            CloudCall::List { .. } => self.listed(answer, now),
+            CloudCall::Delete { machines } => {
+                self.fleet.deleting = false;
+                if answer.is_some_and(|a| a.0 == 200) {
+                    for name in machines {
+                        self.fleet.removed.insert(name.clone(), now);
+                        self.remove_machine(&name.as_str().into(), now, "it was returned");
+                    }
+                }
+            }
+            CloudCall::Rent { name, offer, count, tries } => {
+                let rented = answer
+                    .filter(|a| a.0 == 200)
+                    .and_then(|a| serde_json::from_slice::<crate::cloud::Rented>(a.1).ok());
+                if let Some(rented) = rented {
+                    self.fleet.renting.remove(&name);
+                    if rented.machines.len() < count as usize {
+                        self.refused(&offer, now);
+                    } else {
+                        self.fleet.backoff.remove(&offer);
+                    }
+                    let flavor = self.flavors[offer.flavor].name.clone();
+                    for m in rented.machines {
+                        self.machine(&m, &flavor, &offer.zone, offer.spot, now);
+                    }
+                } else if no_capacity(answer) || tries >= 4 {
+                    self.fleet.renting.remove(&name);
+                    self.refused(&offer, now);
+                } else if matches!(answer, Some((400, _))) {
+                    tracing::error!(%name, "the cloud calls a rental request malformed");
+                    self.fleet.renting.remove(&name);
+                    self.refused(&offer, now);
+                } else {
+                    // The same name again: it rents once, however often it is carried out.
+                    let again = CloudCall::Rent { name, offer, count, tries: tries + 1 };
+                    self.fleet.retry.push(again);
+                }
+            }
+        }
+    }
+
+    fn refused(&mut self, offer: &Offer, now: Micros) {
+        let n = self.fleet.backoff.get(offer).map_or(0, |b| b.1);
+        let wait = (8 * SECOND) << n.min(2);
+        self.fleet.backoff.insert(offer.clone(), (now + wait, n + 1));
+    }
+
+    fn listed(&mut self, answer: Option<(u16, &[u8])>, now: Micros) {
+        self.fleet.listing = false;
+        let list = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<crate::cloud::MachineList>(a.1).ok());
+        let Some(list) = list else {
+            self.fleet.list_after.clear();
+            self.fleet.list_seen.clear();
+            self.fleet.next_list = now + 2 * SECOND;
+            return;
+        };
+        let last = list.machines.last().map(|m| m.id.clone());
+        self.fleet.list_seen.extend(list.machines);
+        if let (true, Some(last)) = (list.truncated, last) {
+            self.fleet.list_after = last;
+            return;
+        }
+        self.fleet.list_after.clear();
+        self.fleet.next_list = now + 4 * SECOND;
+        let seen = std::mem::take(&mut self.fleet.list_seen);
+        let lag = 2 * self.settings.list_lag;
+        let limit = crate::cluster::with_drift(self.settings.lease) + crate::cluster::LEASE_MARGIN;
+        let mut gone: Vec<MachineId> = Vec::new();
+        let names: std::collections::HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
+        for m in self.machines.values_mut().filter(|m| !names.contains(&*m.id)) {
+            m.missed_lists += 1;
+            // Lists lag and may be older than the one before; a machine counts as gone only when
+            // it has long been silent as well, so that nothing can be left on it.
+            let old = now > m.known_since + lag + 2 * SECOND;
+            if old && m.missed_lists >= 3 && now > m.answered_at + limit {
+                gone.push(m.id.clone());
+            }
+        }
+        for id in gone {
+            tracing::info!(machine = %id, "machine is gone from the list");
+            self.remove_machine(&id, now, "it is gone");
+        }
+        self.fleet.removed.retain(|_, at| now < *at + lag + 5 * SECOND);
+        for l in &seen {
+            if !self.machines.contains_key(l.id.as_str()) {
+                // A list may still show what was deleted a moment ago.
+                if self.fleet.removed.contains_key(&l.id) {
+                    continue;
+                }
+                tracing::info!(machine = %l.id, status = %l.status, "adopting a listed machine");
+            }
+            let age = micros(l.age_s);
+            let m = self.machine(&l.id, &l.flavor, &l.zone, l.spot, now);
+            m.missed_lists = 0;
+            if !m.listed {
+                m.listed = true;
+                m.rented_at = m.rented_at.min(now.saturating_sub(age));
+            }
+            if l.status == "failed" && !m.deleting {
+                tracing::info!(machine = %m.id, why = "it failed", "returning");
+                m.deleting = true;
+            }
+        }
+    }
+}
+
+fn same_names(a: &[crate::model::Flavor], b: &[crate::model::Flavor]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).all(|(x, y)| x.name == y.name)
+}
+
+fn no_capacity(answer: Option<(u16, &[u8])>) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Reason {
+        #[serde(default)]
+        error: String,
+    }
+    answer.filter(|a| a.0 == 503).is_some_and(|a| {
+        serde_json::from_slice::<Reason>(a.1).is_ok_and(|r| r.error == "no capacity")
+    })
+}
+
+/// Puts as much of the waiting work into the slot as fits.
+fn fill(w: &mut Waiting, slot: &mut Slot) {
+    while w.tasks > 0 && slot.takes(&w.job, &w.spec) && zone_ok(&w.spec, &w.zones, &slot.zone) {
+        slot.free -= w.spec.need;
+        *w.zones.entry(slot.zone.clone()).or_default() += 1;
+        w.tasks -= 1;
+    }
+}
--- /dev/null
+++ b/src/http.rs
@@ -0,0 +1,478 @@
+//! HTTP/1.1 over TCP: a small server, and a client that keeps its connections.
+
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use bytes::{Buf, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// The largest request body the service takes.
+pub const MAX_BODY: usize = 64 * 1024;
+const MAX_HEAD: usize = 8 * 1024;
+/// The state service's watches may answer with much at once.
+const MAX_RESPONSE: usize = 8 * 1024 * 1024;
+const IDLE: Duration = Duration::from_secs(75);
+const SLOW: Duration = Duration::from_secs(8);
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Method {
+    Get,
+    Post,
+    Delete,
+    Other,
+}
+
+impl Method {
+    fn parse(s: &str) -> Method {
+        match s {
+            "GET" => Method::Get,
+            "POST" => Method::Post,
+            "DELETE" => Method::Delete,
+            _ => Method::Other,
+        }
+    }
+
+    fn name(self) -> &'static str {
+        match self {
+            Method::Get => "GET",
+            Method::Post => "POST",
+            Method::Delete => "DELETE",
+            Method::Other => "OPTIONS",
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Request {
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+    /// The client wants the connection closed after the answer.
+    pub close: bool,
+}
+
+#[derive(Clone, Debug, PartialEq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Bytes,
+    /// Whole seconds for `Retry-After`.
+    pub retry_after: Option<u32>,
+}
+
+impl Response {
+    pub fn json(status: u16, body: &impl serde::Serialize) -> Response {
+        let body = serde_json::to_vec(body).unwrap_or_default();
+        Response { status, body: body.into(), retry_after: None }
+    }
+
+    /// An error answer with its reason.
+    pub fn error(status: u16, reason: impl std::fmt::Display) -> Response {
+        #[derive(serde::Serialize)]
+        struct Reason {
+            error: String,
+        }
+        Response::json(status, &Reason { error: reason.to_string() })
+    }
+
+    pub fn retry(mut self, seconds: u32) -> Response {
+        self.retry_after = Some(seconds);
+        self
+    }
+}
+
+/// Why no request could be read. `Bad` is answered before the connection is closed.
+#[derive(Debug)]
+pub enum ReadError {
+    Closed,
+    Bad(u16, &'static str),
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Status",
+    }
+}
+
+#[derive(Default)]
+struct Headers {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    bad: bool,
+}
+
+fn headers(list: &[httparse::Header<'_>]) -> Headers {
+    let mut out = Headers::default();
+    for h in list {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            match value.parse::<usize>() {
+                Ok(n) if out.length.is_none_or(|m| m == n) => out.length = Some(n),
+                _ => out.bad = true,
+            }
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            out.chunked = true;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            out.close |= value.split(',').any(|v| v.trim().eq_ignore_ascii_case("close"));
+        }
+    }
+    out
+}
+
+/// The server's side of one connection.
+pub struct Connection {
+    stream: TcpStream,
+    buf: BytesMut,
+}
+
+impl Connection {
+    pub fn new(stream: TcpStream) -> Connection {
+        Connection { stream, buf: BytesMut::with_capacity(1024) }
+    }
+
+    /// The next request. Idle and slow clients are given up.
+    pub async fn read(&mut self) -> Result<Request, ReadError> {
+        if self.buf.is_empty() {
+            match timeout(IDLE, self.stream.read_buf(&mut self.buf)).await {
+                Ok(Ok(n)) if n > 0 => {}
+                _ => return Err(ReadError::Closed),
+            }
+        }
+        match timeout(SLOW, self.read_request()).await {
+            Ok(result) => result,
+            Err(_) => Err(ReadError::Bad(408, "the request came too slowly")),
+        }
+    }
+
+    async fn more(&mut self) -> Result<(), ReadError> {
+        match self.stream.read_buf(&mut self.buf).await {
+            Ok(n) if n > 0 => Ok(()),
+            _ => Err(ReadError::Closed),
+        }
+    }
+
+    async fn read_request(&mut self) -> Result<Request, ReadError> {
+        let (head, mut request, length) = loop {
+            let mut space = [httparse::EMPTY_HEADER; 48];
+            let mut parsed = httparse::Request::new(&mut space);
+            match parsed.parse(&self.buf) {
+                Ok(httparse::Status::Complete(n)) => {
+                    let h = headers(parsed.headers);
+                    if h.bad {
+                        return Err(ReadError::Bad(400, "content-length is invalid"));
+                    }
+                    if h.chunked {
+                        return Err(ReadError::Bad(411, "a content-length is needed"));
+                    }
+                    let request = Request {
+                        method: Method::parse(parsed.method.unwrap_or("")),
+                        path: parsed.path.unwrap_or("").to_string(),
+                        body: Bytes::new(),
+                        close: h.close || parsed.version == Some(0),
+                    };
+                    break (n, request, h.length.unwrap_or(0));
+                }
+                Ok(httparse::Status::Partial) if self.buf.len() > MAX_HEAD => {
+                    return Err(ReadError::Bad(431, "the head is too large"));
+                }
+                Ok(httparse::Status::Partial) => {}
+                Err(httparse::Error::TooManyHeaders) => {
+                    return Err(ReadError::Bad(431, "too many headers"));
+                }
+                Err(_) => return Err(ReadError::Bad(400, "not an HTTP request")),
+            }
+            self.more().await?;
+        };
+        if length > MAX_BODY {
+            return Err(ReadError::Bad(413, "the body is over 64 KiB"));
+        }
+        self.buf.advance(head);
+        while self.buf.len() < length {
+            self.more().await?;
+        }
+        request.body = self.buf.split_to(length).freeze();
+        if self.buf.is_empty() {
+            // Keeps an idle connection from holding the room of its largest request.
+            self.buf = BytesMut::with_capacity(512);
+        }
+        Ok(request)
+    }
+
+    pub async fn write(&mut self, response: &Response, close: bool) -> std::io::Result<()> {
+        let mut out = Vec::with_capacity(160 + response.body.len());
+        let head = format!(
+            "HTTP/1.1 {} {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
+            response.status,
+            reason(response.status),
+            response.body.len()
+        );
+        out.extend_from_slice(head.as_bytes());
+        if let Some(s) = response.retry_after {
+            out.extend_from_slice(format!("Retry-After: {s}\r\n").as_bytes());
+        }
+        if close {
+            out.extend_from_slice(b"Connection: close\r\n");
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&response.body);
+        match timeout(SLOW, self.stream.write_all(&out)).await {
+            Ok(result) => result,
+            Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Answers what could not be read and lets the client see the answer before the end.
+    pub async fn refuse(&mut self, status: u16, why: &str) {
+        if self.write(&Response::error(status, why), true).await.is_ok() {
+            let _ = self.stream.shutdown().await;
+            // Unread input would turn the close into a reset that destroys the answer.
+            let mut sink = [0u8; 4096];
+            for _ in 0..64 {
+                match timeout(Duration::from_millis(500), self.stream.read(&mut sink)).await {
+                    Ok(Ok(n)) if n > 0 => {}
+                    _ => break,
+                }
+            }
+        }
+    }
+}
+
+/// The client's connections to one server.
+pub struct Client {
+    addr: SocketAddrV4,
+    idle: std::cell::RefCell<Vec<TcpStream>>,
+}
+
+impl Client {
+    pub fn new(addr: SocketAddrV4) -> Client {
+        Client { addr, idle: Default::default() }
+    }
+
+    /// Sends one request. `None`: no answer; it may have been carried out, or may still be.
+    pub async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+        patience: Duration,
+    ) -> Option<(u16, Bytes)> {
+        timeout(patience, self.try_call(method, path, body)).await.ok()?.ok()
+    }
+
+    async fn try_call(
+        &self,
+        method: Method,
+        path: &str,
+        body: &[u8],
+    ) -> std::io::Result<(u16, Bytes)> {
+        let mut out = format!(
+            "{} {path} HTTP/1.1\r\nHost: {}\r\nContent-Length: {}\r\n\r\n",
+            method.name(),
+            self.addr,
+            body.len()
+        )
+        .into_bytes();
+        out.extend_from_slice(body);
+        let pooled = self.idle.borrow_mut().pop();
+        let mut stream = match pooled {
+            Some(s) if still_open(&s) => s,
+            _ => {
+                let s = TcpStream::connect(std::net::SocketAddr::V4(self.addr)).await?;
+                s.set_nodelay(true)?;
+                s
+            }
+        };
+        stream.write_all(&out).await?;
+        let (status, body, close) = read_response(&mut stream).await?;
+        if !close {
+            let mut idle = self.idle.borrow_mut();
+            if idle.len() < 8 {
+                idle.push(stream);
+            }
+        }
+        Ok((status, body))
+    }
+}
+
+/// A kept connection that the server has closed must not cost the next request.
+fn still_open(s: &TcpStream) -> bool {
+    let mut byte = [0u8; 1];
+    matches!(s.try_read(&mut byte), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
+}
+
+async fn read_response(stream: &mut TcpStream) -> std::io::Result<(u16, Bytes, bool)> {
+    use std::io::{Error, ErrorKind};
+    let mut buf = BytesMut::with_capacity(2048);
+    let (head, status, h) = loop {
+        if stream.read_buf(&mut buf).await? == 0 {
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+        let mut space = [httparse::EMPTY_HEADER; 48];
+        let mut parsed = httparse::Response::new(&mut space);
+        match parsed.parse(&buf).map_err(|e| Error::new(ErrorKind::InvalidData, e))? {
+            httparse::Status::Complete(n) => {
+                break (n, parsed.code.unwrap_or(0), headers(parsed.headers));
+            }
+            httparse::Status::Partial if buf.len() > MAX_HEAD => {
+                return Err(ErrorKind::InvalidData.into());
+            }
+            httparse::Status::Partial => {}
+        }
+    };
+    buf.advance(head);
+    if h.chunked {
+        let body = read_chunked(stream, &mut buf).await?;
+        return Ok((status, body, h.close));
+    }
+    let (length, close) = match h.length {
+        Some(n) => (n, h.close),
+        None if status == 204 => (0, h.close),
+        None => (usize::MAX, true),
+    };
+    if length != usize::MAX && length > MAX_RESPONSE {
+        return Err(ErrorKind::InvalidData.into());
+    }
+    while buf.len() < length {
+        if buf.len() > MAX_RESPONSE {
+            return Err(ErrorKind::InvalidData.into());
+        }
+        if stream.read_buf(&mut buf).await? == 0 {
+            if length == usize::MAX {
+                break;
+            }
+            return Err(ErrorKind::UnexpectedEof.into());
+        }
+    }
+    let length = length.min(buf.len());
+    Ok((status, buf.split_to(length).freeze(), close))
+}
+
+async fn read_chunked(stream: &mut TcpStream, buf: &mut BytesMut) -> std::io::Result<Bytes> {
+    use std::io::{Error, ErrorKind};
+    let mut body = BytesMut::new();
+    loop {
+        match httparse::parse_chunk_size(buf) {
+            Ok(httparse::Status::Complete((start, size))) => {
+                let size = usize::try_from(size).unwrap_or(usize::MAX);
+                if size > MAX_RESPONSE || body.len() + size > MAX_RESPONSE {
+                    return Err(ErrorKind::InvalidData.into());
+                }
+                while buf.len() < start + size + 2 {
+                    if stream.read_buf(buf).await? == 0 {
+                        return Err(ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                body.extend_from_slice(&buf[start..start + size]);
+                buf.advance(start + size + 2);
+                if size == 0 {
+                    return Ok(body.freeze());
+                }
+            }
+            Ok(httparse::Status::Partial) => {
+                if stream.read_buf(buf).await? == 0 {
+                    return Err(ErrorKind::UnexpectedEof.into());
+                }
+            }
+            Err(_) => return Err(Error::from(ErrorKind::InvalidData)),
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use tokio::net::TcpListener;
+
+    async fn answer_to(bytes: &[u8]) -> String {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        let serve = async {
+            let (stream, _) = listener.accept().await.unwrap();
+            let mut c = Connection::new(stream);
+            loop {
+                match c.read().await {
+                    Ok(r) => {
+                        let text = format!("{:?} {} {}", r.method, r.path, r.body.len());
+                        c.write(&Response::json(200, &text), r.close).await.unwrap();
+                        if r.close {
+                            return;
+                        }
+                    }
+                    Err(ReadError::Bad(status, why)) => return c.refuse(status, why).await,
+                    Err(ReadError::Closed) => return,
+                }
+            }
+        };
+        let ask = async {
+            let mut s = TcpStream::connect(addr).await.unwrap();
+            s.write_all(bytes).await.unwrap();
+            s.shutdown().await.unwrap();
+            let mut out = Vec::new();
+            let _ = s.read_to_end(&mut out).await;
+            String::from_utf8_lossy(&out).into_owned()
+        };
+        tokio::join!(serve, ask).1
+    }
+
+    #[tokio::test]
+    async fn requests_good_and_bad_get_their_answers() {
+        let two = b"GET /a HTTP/1.1\r\n\r\nPOST /b HTTP/1.1\r\nContent-Length: 3\r\n\r\nxyz";
+        let text = answer_to(two).await;
+        assert!(text.contains("Get /a 0") && text.contains("Post /b 3"), "{text}");
+        let cases: [(&[u8], &str); 6] = [
+            (b"\x00\x01garbage\r\n\r\n", "HTTP/1.1 400"),
+            (b"POST /b HTTP/1.1\r\nContent-Length: -4\r\n\r\n", "HTTP/1.1 400"),
+            (b"POST /b HTTP/1.1\r\nContent-Length: 70000\r\n\r\n", "HTTP/1.1 413"),
+            (b"POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n", "HTTP/1.1 411"),
+            (b"GET /a HTTP/1.1\r\nConnection: close\r\n\r\n", "HTTP/1.1 200"),
+            (b"POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\nshort", ""),
+        ];
+        for (bytes, start) in cases {
+            let text = answer_to(bytes).await;
+            assert!(text.starts_with(start) && (!start.is_empty() || text.is_empty()), "{text}");
+        }
+        let long = format!("GET /{} HTTP/1.1\r\n\r\n", "x".repeat(20_000));
+        assert!(answer_to(long.as_bytes()).await.starts_with("HTTP/1.1 431"));
+    }
+
+    #[tokio::test]
+    async fn the_client_reads_plain_and_chunked_answers_and_reuses_its_connection() {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let std::net::SocketAddr::V4(addr) = listener.local_addr().unwrap() else { panic!() };
+        let serve = async {
+            let (mut s, _) = listener.accept().await.unwrap();
+            let mut sink = [0u8; 1024];
+            for answer in [
+                "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab",
+                "HTTP/1.1 409 X\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ncd\r\n1\r\ne\r\n0\r\n\r\n",
+            ] {
+                assert!(s.read(&mut sink).await.unwrap() > 0);
+                s.write_all(answer.as_bytes()).await.unwrap();
+            }
+        };
+        let ask = async {
+            let client = Client::new(addr);
+            let patience = Duration::from_secs(5);
+            let a = client.call(Method::Get, "/x", b"", patience).await;
+            let b = client.call(Method::Post, "/y", b"{}", patience).await;
+            (a, b)
+        };
+        let (_, (a, b)) = tokio::join!(serve, ask);
+        assert_eq!(a, Some((200, Bytes::from("ab"))));
+        assert_eq!(b, Some((409, Bytes::from("cde"))));
+    }
+}
--- /dev/null
+++ b/src/leadership.rs
@@ -0,0 +1,242 @@
+//! Who leads: grants, terms, and promises that bridge an outage of the state service.
+//!
+//! A leader acts only while its authority is provably valid on its own steady clock. Its grant is
+//! counted from when the renewal was *sent*, less clock drift and a margin. When the state service
+//! is down, all siblings together can extend its authority by promising not to take over for a
+//! bounded time. Whoever takes over needs the leader's key gone and none of its own promises alive;
+//! a process that has just started may have forgotten one, so it first keeps quiet that long.
+
+use std::collections::HashSet;
+
+use crate::model::{Micros, SECOND};
+use crate::store::LeadRecord;
+
+/// How long a grant lasts without renewal.
+pub const TTL: Micros = 3 * SECOND;
+/// How long a promise lasts.
+pub const PROMISE: Micros = 8 * SECOND;
+const MARGIN: Micros = 150_000;
+
+/// The end, on our clock, of something that lasts `d` from `from` on any clock that may run 0.05%
+/// faster, less a margin.
+fn safe_end(from: Micros, d: Micros) -> Micros {
+    from + d - d / 1000 - MARGIN
+}
+
+/// When a grant asked for or renewed at `sent` must be taken to end.
+pub fn grant_end(sent: Micros) -> Micros {
+    safe_end(sent, TTL)
+}
+
+/// A leader's right to act.
+#[derive(Debug)]
+pub struct Authority {
+    grant_until: Micros,
+    promise_until: Micros,
+    round: u64,
+    asked_at: Micros,
+    needed: usize,
+    promised: HashSet<usize>,
+}
+
+impl Authority {
+    pub fn new(grant_until: Micros) -> Authority {
+        Authority {
+            grant_until,
+            promise_until: 0,
+            round: 0,
+            asked_at: 0,
+            needed: 0,
+            promised: HashSet::new(),
+        }
+    }
+
+    pub fn valid(&self, now: Micros) -> bool {
+        now < self.grant_until.max(self.promise_until)
+    }
+
+    /// The grant has missed a renewal or two.
+    pub fn low(&self, now: Micros) -> bool {
+        now + TTL / 2 > self.grant_until
+    }
+
+    pub fn renewed(&mut self, sent: Micros) {
+        self.grant_until = self.grant_until.max(grant_end(sent));
+    }
+
+    /// Begins a round of asking all `siblings`; answers to earlier rounds no longer count.
+    pub fn ask(&mut self, now: Micros, siblings: usize) -> u64 {
+        self.round += 1;
+        self.asked_at = now;
+        self.needed = siblings;
+        self.promised.clear();
+        self.round
+    }
+
+    /// A sibling promised. Only all of them together extend the authority.
+    pub fn promised(&mut self, round: u64, sibling: usize) {
+        if round != self.round {
+            return;
+        }
+        self.promised.insert(sibling);
+        if self.needed > 0 && self.promised.len() >= self.needed {
+            self.promise_until = self.promise_until.max(safe_end(self.asked_at, PROMISE));
+        }
+    }
+}
+
+/// A controller's own chances of leading.
+#[derive(Debug)]
+pub struct Candidacy {
+    name: String,
+    quiet_until: Micros,
+    promise_until: Micros,
+    abstain_until: Micros,
+    /// A takeover that had no answer may still be carried out.
+    unsure: bool,
+    pub trying: bool,
+    /// What the last look at the state service showed.
+    seen: bool,
+    holder: Option<(LeadRecord, u64)>,
+    term: Option<(LeadRecord, u64)>,
+}
+
+impl Candidacy {
+    pub fn new(name: &str, now: Micros) -> Candidacy {
+        Candidacy {
+            name: name.into(),
+            quiet_until: now + PROMISE + PROMISE / 1000 + MARGIN,
+            promise_until: 0,
+            abstain_until: 0,
+            unsure: false,
+            trying: false,
+            seen: false,
+            holder: None,
+            term: None,
+        }
+    }
+
+    /// Takes in what the state service says of the leader and of the last term.
+    pub fn saw(&mut self, holder: Option<(LeadRecord, u64)>, term: Option<(LeadRecord, u64)>) {
+        self.seen = true;
+        self.holder = holder;
+        self.term = term;
+    }
+
+    pub fn may_try(&self, now: Micros) -> bool {
+        !self.trying && !self.unsure && self.still_may(now)
+    }
+
+    /// Whether nothing that is known stands against taking over now.
+    pub fn still_may(&self, now: Micros) -> bool {
+        if !self.seen || now < self.promise_until || now < self.abstain_until {
+            return false;
+        }
+        let mine =
+            |r: &Option<(LeadRecord, u64)>| r.as_ref().is_some_and(|r| r.0.holder == self.name);
+        // Nobody ever led, or the last to lead was this controller itself, before it was
+        // restarted: then no promise to another can be alive.
+        let quiet = now < self.quiet_until && self.term.is_some() && !mine(&self.term);
+        !quiet && (self.holder.is_none() || mine(&self.holder))
+    }
+
+    /// Versions of the leader's and the term's key, and the last term.
+    pub fn versions(&self) -> (u64, u64, u64) {
+        let stamp = |r: &Option<(LeadRecord, u64)>| r.as_ref().map_or(0, |r| r.1);
+        (stamp(&self.holder), stamp(&self.term), self.term.as_ref().map_or(0, |r| r.0.term))
+    }
+
+    /// Promises not to take over, if that can be kept.
+    pub fn promise(&mut self, term: u64, now: Micros, micros: Micros) -> bool {
+        let newer = self.term.as_ref().is_some_and(|t| t.0.term > term);
+        if self.trying || self.unsure || newer {
+            return false;
+        }
+        self.promise_until = self.promise_until.max(now + micros + micros / 1000);
+        true
+    }
+
+    pub fn abstain(&mut self, until: Micros) {
+        self.abstain_until = until;
+    }
+
+    pub fn unsure(&mut self) {
+        self.unsure = true;
+        self.seen = false;
+    }
+
+    pub fn grant_dropped(&mut self) {
+        self.unsure = false;
+    }
+
+    /// The takeover succeeded.
+    pub fn took(&mut self, term: u64, stamp: u64, name: &str) {
+        let record = LeadRecord { holder: name.into(), term };
+        self.holder = Some((record.clone(), stamp));
+        self.term = Some((record, stamp));
+        // What is known now is out of date once leadership has been lost.
+        self.seen = false;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn rec(name: &str, term: u64) -> Option<(LeadRecord, u64)> {
+        Some((LeadRecord { holder: name.into(), term }, term + 10))
+    }
+
+    #[test]
+    fn a_grant_counts_from_when_its_renewal_was_sent() {
+        let mut a = Authority::new(grant_end(0));
+        assert!(a.valid(TTL - 200_000) && !a.valid(TTL - 100_000));
+        a.renewed(SECOND);
+        assert!(a.valid(TTL));
+        assert!(!a.valid(SECOND + TTL - 100_000));
+    }
+
+    #[test]
+    fn only_the_promises_of_all_siblings_in_one_round_extend_authority() {
+        let mut a = Authority::new(grant_end(0));
+        let first = a.ask(SECOND, 2);
+        a.promised(first, 0);
+        let second = a.ask(2 * SECOND, 2);
+        a.promised(first, 1);
+        a.promised(second, 1);
+        a.promised(second, 1);
+        assert!(!a.valid(TTL));
+        a.promised(second, 0);
+        assert!(a.valid(2 * SECOND + PROMISE - 200_000));
+        assert!(!a.valid(2 * SECOND + PROMISE));
+    }
+
+    #[test]
+    fn a_takeover_needs_the_key_gone_and_no_promise_alive() {
+        let mut c = Candidacy::new("n1", 0);
+        let late = 100 * SECOND;
+        assert!(!c.may_try(late), "nothing is known yet");
+        c.saw(rec("n0", 3), rec("n0", 3));
+        assert!(!c.may_try(late));
+        c.saw(None, rec("n0", 3));
+        assert!(c.may_try(late));
+        assert!(c.promise(3, late, PROMISE));
+        assert!(!c.may_try(late + PROMISE) && c.may_try(late + PROMISE + SECOND));
+        c.trying = true;
+        assert!(!c.promise(3, late, PROMISE), "a takeover is under way");
+        c.trying = false;
+        c.unsure();
+        assert!(!c.promise(3, late, PROMISE), "a takeover may still be carried out");
+    }
+
+    #[test]
+    fn a_restarted_process_keeps_quiet_unless_it_was_the_leader_itself() {
+        let mut c = Candidacy::new("n1", 0);
+        c.saw(None, rec("n0", 3));
+        assert!(!c.may_try(SECOND) && c.may_try(PROMISE + SECOND));
+        c.saw(rec("n1", 4), rec("n1", 4));
+        assert!(c.may_try(SECOND), "its own name: its other life is over");
+        c.saw(None, None);
+        assert!(c.may_try(SECOND), "nobody ever led");
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,21 @@
+//! gannethub, a cluster scheduler: jobs run as nested sagas on machines rented from a cloud.
+//!
+//! The [`controller`] owns all state of a process; commands and the time go in, effects come out.
+//! Everything below it is free of input and output; [`daemon`] connects it to sockets and clocks.
+
+pub mod api;
+pub mod block;
+pub mod cloud;
+pub mod cluster;
+pub mod controller;
+pub mod daemon;
+pub mod fleet;
+pub mod http;
+pub mod leadership;
+pub mod model;
+pub mod peer;
+pub mod saga;
+pub mod scheduler;
+pub mod settings;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,166 @@
+//! What controllers say to one another: `prost` messages in length-limited frames.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use prost::Message;
+
+/// A frame longer than this is garbage, and ends the connection.
+pub const MAX_FRAME: usize = 256 * 1024;
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// The sender's name.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7")]
+    pub body: Option<Body>,
+}
+
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    #[prost(message, tag = "2")]
+    Heartbeat(Heartbeat),
+    #[prost(message, tag = "3")]
+    Relay(Relay),
+    #[prost(message, tag = "4")]
+    Relayed(Relayed),
+    #[prost(message, tag = "5")]
+    PromiseAsk(PromiseAsk),
+    #[prost(message, tag = "6")]
+    Promise(Promise),
+    #[prost(message, tag = "7")]
+    Changed(Changed),
+}
+
+/// Sent to every sibling, by every controller, all the time.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// The sender's term if it is the leader, else 0.
+    #[prost(uint64, tag = "1")]
+    pub leading: u64,
+    /// The state service answers the sender.
+    #[prost(bool, tag = "2")]
+    pub state_ok: bool,
+    /// The sender hears workers itself.
+    #[prost(bool, tag = "3")]
+    pub hears_workers: bool,
+    /// From the leader: tasks running now, by job.
+    #[prost(message, repeated, tag = "4")]
+    pub running: Vec<Running>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct Running {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(uint32, tag = "2")]
+    pub tasks: u32,
+    #[prost(uint32, tag = "3")]
+    pub done: u32,
+}
+
+/// A worker's report, passed on to the leader.
+#[derive(Clone, PartialEq, Message)]
+pub struct Relay {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(bytes = "bytes", tag = "2")]
+    pub report: Bytes,
+}
+
+/// The leader's answer to a relayed report.
+#[derive(Clone, PartialEq, Message)]
+pub struct Relayed {
+    #[prost(uint64, tag = "1")]
+    pub id: u64,
+    #[prost(uint32, tag = "2")]
+    pub status: u32,
+    #[prost(bytes = "bytes", tag = "3")]
+    pub body: Bytes,
+}
+
+/// The leader cannot reach the state service and asks not to be replaced for a while.
+#[derive(Clone, PartialEq, Message)]
+pub struct PromiseAsk {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    #[prost(uint64, tag = "3")]
+    pub micros: u64,
+}
+
+/// The sender will not take over from `term` for as long as was asked.
+#[derive(Clone, PartialEq, Message)]
+pub struct Promise {
+    #[prost(uint64, tag = "1")]
+    pub round: u64,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+}
+
+/// A job was accepted or cancelled here: the leader should look at it now.
+#[derive(Clone, PartialEq, Message)]
+pub struct Changed {
+    #[prost(string, tag = "1")]
+    pub job: String,
+}
+
+/// Appends a message to `out` as one frame.
+pub fn encode(message: &Envelope, out: &mut BytesMut) {
+    out.put_u32(message.encoded_len() as u32);
+    // A BytesMut grows, so encoding cannot run out of room.
+    let _ = message.encode(out);
+}
+
+/// A frame that cannot be understood.
+#[derive(Debug, thiserror::Error)]
+pub enum FrameError {
+    #[error("a frame of {0} bytes is over the limit")]
+    TooLong(usize),
+    #[error("not a message: {0}")]
+    Garbled(#[from] prost::DecodeError),
+}
+
+/// Takes the next whole frame off `buf`, if there is one.
+pub fn decode(buf: &mut BytesMut) -> Result<Option<Envelope>, FrameError> {
+    let Some(head) = buf.get(..4) else { return Ok(None) };
+    let n = u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize;
+    if n > MAX_FRAME {
+        return Err(FrameError::TooLong(n));
+    }
+    if buf.len() < 4 + n {
+        return Ok(None);
+    }
+    buf.advance(4);
+    Ok(Some(Envelope::decode(buf.split_to(n).freeze())?))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn frames_survive_splitting_and_garbage_is_refused() {
+        let m = Envelope {
+            from: "n1".into(),
+            body: Some(Body::Relay(Relay { id: 9, report: Bytes::from_static(b"{}") })),
+        };
+        let mut wire = BytesMut::new();
+        encode(&m, &mut wire);
+        encode(&m, &mut wire);
+        let mut buf = BytesMut::new();
+        let mut seen = 0;
+        for b in wire {
+            buf.put_u8(b);
+            while let Some(got) = decode(&mut buf).unwrap() {
+                assert_eq!(got, m);
+                seen += 1;
+            }
+        }
+        assert_eq!(seen, 2);
+        let mut long = BytesMut::from(&[0xff, 0xff, 0xff, 0xff, 1][..]);
+        assert!(matches!(decode(&mut long), Err(FrameError::TooLong(_))));
+        let mut junk = BytesMut::from(&[0, 0, 0, 3, 0xff, 0xff, 0xff][..]);
+        assert!(matches!(decode(&mut junk), Err(FrameError::Garbled(_))));
+    }
+}
--- /dev/null
+++ b/src/scheduler.rs
@@ -0,0 +1,325 @@
+//! What runs where: queue order, quota, first-fit placement, gangs and preemption.
+
+use std::cmp::Reverse;
+use std::collections::HashMap;
+
+use crate::cluster::{Cluster, Job, MachineId, Phase};
+use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, Team};
+use crate::saga::Saga;
+
+/// Room that tasks can be placed in: a machine's, or that of one still to come.
+#[derive(Clone, Debug)]
+pub struct Slot {
+    pub machine: Option<MachineId>,
+    pub flavor: usize,
+    pub flavor_name: String,
+    pub zone: String,
+    pub spot: bool,
+    pub free: Resources,
+    pub reserved: Option<JobId>,
+}
+
+impl Slot {
+    pub fn takes(&self, job: &JobId, spec: &JobSpec) -> bool {
+        spec.need.fits(&self.free)
+            && spec.allows(&self.flavor_name, &self.zone, self.spot)
+            && self.reserved.as_ref().is_none_or(|r| r == job)
+    }
+}
+
+/// How many of a job's tasks are on machines in each zone.
+pub type Zones = HashMap<String, u32>;
+
+/// Whether the job's zone rules let another task into `zone`.
+pub fn zone_ok(spec: &JobSpec, zones: &Zones, zone: &str) -> bool {
+    (!spec.one_zone || zones.keys().all(|z| z == zone))
+        && zones.get(zone).copied().unwrap_or(0) < spec.zone_cap()
+}
+
+impl Cluster {
+    /// Live jobs in the order in which they are served: priority first, then work within its
+    /// team's guarantee, then the order in which they became ready.
+    pub fn queue(&self) -> Vec<JobId> {
+        let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
+        let mut ready: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+        ready.sort_by_key(|j| (j.at, j.id.clone()));
+        let mut keyed: Vec<_> = ready
+            .into_iter()
+            .map(|j| {
+                let remaining = i64::from(j.spec.tasks - j.done.len());
+                let all = j.spec.need.times(remaining);
+                let within = j.team.is_some_and(|t| {
+                    let fits = Team::within(&left[t], &Resources::default(), &all);
+                    left[t] -= all;
+                    fits
+                });
+                (Reverse(j.spec.priority), !within, j.at, j.id.clone())
+            })
+            .collect();
+        keyed.sort();
+        keyed.into_iter().map(|k| k.3).collect()
+    }
+
+    /// Usable machines in first-fit order: the cheapest room first, so that the dear ones empty.
+    fn slots(&self, now: Micros) -> Vec<Slot> {
+        let mut slots: Vec<Slot> = self
+            .machines
+            .values()
+            .filter(|m| m.usable(now, self.settings.report))
+            .filter_map(|m| {
+                let f = m.flavor?;
+                Some(Slot {
+                    machine: Some(m.id.clone()),
+                    flavor: f,
+                    flavor_name: self.flavors[f].name.clone(),
+                    zone: m.zone.clone(),
+                    spot: m.spot,
+                    free: m.free(),
+                    reserved: m.reserved.as_ref().filter(|r| r.1 > now).map(|r| r.0.clone()),
+                })
+            })
+            .collect();
+        slots.sort_by(|a, b| {
+            let price = |s: &Slot| {
+                let f = &self.flavors[s.flavor];
+                f.price_of(s.spot) / f.size.cpu.max(1) as f64
+            };
+            price(a).total_cmp(&price(b)).then_with(|| a.machine.cmp(&b.machine))
+        });
+        slots
+    }
+
+    /// Where the job's tasks are, tasks that still have to exit included.
+    pub fn zones_of(&self, job: &Job) -> Zones {
+        let mut zones = Zones::new();
+        for (machine, _) in job.live.values() {
+            if let Some(m) = self.machines.get(machine) {
+                *zones.entry(m.zone.clone()).or_default() += 1;
+            }
+        }
+        zones
+    }
+
+    /// How many more of the job's tasks its team's limit allows.
+    pub fn headroom(&self, job: &Job) -> i64 {
+        let Some(t) = job.team else { return 0 };
+        let mut free = self.settings.teams[t].limit - self.used[t];
+        free.mem = i64::MAX / 4;
+        let need = Resources { mem: 0, ..job.spec.need };
+        need.times_in(&free)
+    }
+
+    /// Places what can be placed now, and makes room for what must not wait.
+    pub fn schedule(&mut self, now: Micros) {
+        if !self.settled {
+            return;
+        }
+        let mut slots = self.slots(now);
+        for id in self.queue() {
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if job.pending.is_empty() || self.headroom(job) <= 0 {
+                continue;
+            }
+            match job.spec.shape {
+                Shape::Gang => self.place_gang(&id, &mut slots, now),
+                Shape::Array | Shape::Service => self.place_tasks(&id, &mut slots, now),
+            }
+        }
+    }
+
+    fn place_tasks(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        let mut limit = self.headroom(job);
+        if job.suspect() {
+            limit = limit.min(1 - job.live.len() as i64);
+        }
+        let mut zones = self.zones_of(job);
+        if spec.one_zone && zones.is_empty() {
+            // The zone with the most room for it.
+            let mut room: HashMap<&str, i64> = HashMap::new();
+            for s in slots.iter().filter(|s| s.takes(id, &spec)) {
+                *room.entry(&s.zone).or_default() += spec.need.times_in(&s.free);
+            }
+            let best = room.into_iter().max_by_key(|(z, n)| (*n, Reverse(*z)));
+            let Some((zone, _)) = best else { return };
+            zones.insert(zone.to_string(), 0);
+        }
+        let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
+        let tasks: Vec<u32> =
+            job.pending.iter().filter(ready).take(limit.max(0) as usize).collect();
+        let mut tasks = tasks.into_iter();
+        let mut next = tasks.next();
+        // Machines that hold the image first, then the rest, each in first-fit order.
+        for cached in [true, false] {
+            for slot in slots.iter_mut() {
+                let Some(machine) = slot.machine.clone() else { continue };
+                let Some(m) = self.machines.get(&machine) else { continue };
+                if m.failures.contains(id) || m.images.contains(&spec.image) != cached {
+                    continue;
+                }
+                while let Some(index) = next {
+                    if !slot.takes(id, &spec) || !zone_ok(&spec, &zones, &slot.zone) {
+                        break;
+                    }
+                    slot.free -= spec.need;
+                    *zones.entry(slot.zone.clone()).or_default() += 1;
+                    let attempt = self.next_attempt();
+                    self.place(id, index, &machine, attempt, now);
+                    next = tasks.next();
+                }
+                if next.is_none() {
+                    return;
+                }
+            }
+        }
+        self.make_room(id, now);
+    }
+
+    /// Places all missing tasks of a gang's attempt, or none.
+    fn place_gang(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        // The next attempt begins only when nothing of the last one is on a machine any more.
+        let fresh = job.gang.is_none();
+        if (fresh && !job.live.is_empty())
+            || job.gang.as_ref().is_some_and(|g| g.stopping || g.running)
+            || job.backoff.values().any(|b| b.0 > now)
+        {
+            return;
+        }
+        let missing: Vec<u32> = job.pending.iter().collect();
+        if self.headroom(job) < missing.len() as i64 {
+            return;
+        }
+        let zones = self.zones_of(job);
+        let mut choices: Vec<Option<String>> = vec![None];
+        if spec.one_zone && zones.is_empty() {
+            let mut all: Vec<String> = slots.iter().map(|s| s.zone.clone()).collect();
+            all.sort();
+            all.dedup();
+            choices = all.into_iter().map(Some).collect();
+        }
+        for only in choices {
+            let mut zones = zones.clone();
+            if let Some(z) = &only {
+                zones.insert(z.clone(), 0);
+            }
+            let mut taken: Vec<usize> = Vec::with_capacity(missing.len());
+            for cached in [true, false] {
+                for i in 0..slots.len() {
+                    let Some(m) = slots[i].machine.as_ref().and_then(|m| self.machines.get(m))
+                    else {
+                        continue;
+                    };
+                    if m.failures.contains(id) || m.images.contains(&spec.image) != cached {
+                        continue;
+                    }
+                    while taken.len() < missing.len()
+                        && slots[i].takes(id, &spec)
+                        && zone_ok(&spec, &zones, &slots[i].zone)
+                    {
+                        slots[i].free -= spec.need;
+                        *zones.entry(slots[i].zone.clone()).or_default() += 1;
+                        taken.push(i);
+                    }
+                }
+            }
+            if taken.len() < missing.len() {
+                taken.into_iter().for_each(|i| slots[i].free += spec.need);
+                continue;
+            }
+            let attempt = match self.jobs.get(id).and_then(|j| j.gang.as_ref()) {
+                Some(g) => g.attempt,
+                None => self.next_attempt(),
+            };
+            if let Some(j) = self.jobs.get_mut(id).filter(|j| j.gang.is_none()) {
+                let saga = Saga::flat(spec.tasks as usize);
+                j.gang =
+                    Some(crate::cluster::Gang { attempt, saga, running: false, stopping: false });
+            }
+            for (index, slot) in missing.into_iter().zip(taken) {
+                if let Some(machine) = slots[slot].machine.clone() {
+                    self.place(id, index, &machine, attempt, now);
+                }
+            }
+            return;
+        }
+        self.make_room(id, now);
+    }
+
+    /// Preemption: stops work of lower priority, or, for a job within its team's guarantee, work
+    /// that another team runs above its own; the room is kept for the job.
+    fn make_room(&mut self, id: &JobId, now: Micros) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        // Enough room is being made already.
+        let wanted = job.pending.len().min(self.headroom(job).clamp(0, 1000) as u32) as usize;
+        let mut making = self
+            .machines
+            .values()
+            .filter(|m| m.reserved.as_ref().is_some_and(|r| r.0 == *id && r.1 > now))
+            .count();
+        let urgent = spec.priority >= Priority::High;
+        if !urgent {
+            return;
+        }
+        let zones = self.zones_of(job);
+        let mut options = Vec::new();
+        for m in self.machines.values() {
+            let Some(f) = m.flavor else { continue };
+            if !m.usable(now, self.settings.report)
+                || m.reserved.as_ref().is_some_and(|r| r.1 > now)
+                || m.failures.contains(id)
+                || !spec.allows(&self.flavors[f].name, &m.zone, m.spot)
+                || !zone_ok(&spec, &zones, &m.zone)
+            {
+                continue;
+            }
+            let mut victims: Vec<(Micros, JobId, u32, Resources)> = Vec::new();
+            let mut free = m.free();
+            for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
+                if a.stop.is_some() {
+                    free += a.need;
+                    continue;
+                }
+                let Some(j) = self.jobs.get(&task.job) else { continue };
+                if j.spec.priority >= spec.priority || j.spec.shape == Shape::Gang {
+                    continue;
+                }
+                // What stopping it throws away; a task that can save loses only its saving time.
+                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
+                let loss = if j.spec.checkpoint_every > 0 { j.spec.save } else { ran };
+                victims.push((loss, task.job.clone(), task.index, a.need));
+            }
+            victims.sort_by_key(|v| (v.0, v.2));
+            let mut chosen = Vec::new();
+            let mut loss = 0;
+            for v in victims {
+                if spec.need.fits(&free) {
+                    break;
+                }
+                free += v.3;
+                loss += v.0;
+                chosen.push((v.1, v.2));
+            }
+            if spec.need.fits(&free) {
+                options.push((loss, m.id.clone(), chosen));
+            }
+        }
+        options.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
+        for (_, machine, victims) in options {
+            if making >= wanted {
+                break;
+            }
+            making += 1;
+            tracing::info!(job = %id, machine = %machine, victims = victims.len(), "making room");
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.reserved = Some((id.clone(), now + 15 * SECOND));
+            }
+            for (job, index) in victims {
+                self.evict(&job, index);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,386 @@
+//! The platform's settings file: read, checked, and explained when wrong.
+
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+use serde::Deserialize;
+
+use crate::model::{Micros, Resources, Team, micros};
+
+/// Why a settings file cannot be used.
+#[derive(Debug, thiserror::Error)]
+pub enum SettingsError {
+    #[error("{file}: cannot be read: {source}")]
+    Read { file: String, source: std::io::Error },
+    #[error("{file}: {reason}")]
+    Parse { file: String, reason: String },
+    #[error("{file}: {field}: {reason}")]
+    Field { file: String, field: String, reason: String },
+}
+
+/// What users expect of a class of jobs, or of the service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Objective {
+    pub kind: String,
+    pub class: Option<String>,
+    pub within: Micros,
+    pub share: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Sibling {
+    pub name: String,
+    pub zone: String,
+    pub addr: SocketAddrV4,
+}
+
+#[derive(Clone, Debug)]
+pub struct Settings {
+    pub name: String,
+    pub zone: String,
+    pub listen: SocketAddrV4,
+    pub cluster_listen: SocketAddrV4,
+    pub siblings: Vec<Sibling>,
+    pub cloud: SocketAddrV4,
+    pub state: SocketAddrV4,
+    pub zones: Vec<String>,
+    pub teams: Vec<Team>,
+    pub objectives: Vec<Objective>,
+    pub report: Micros,
+    pub lease: Micros,
+    pub gang_wait: Micros,
+    pub gang_peer: Micros,
+    pub cancel: Micros,
+    pub state_rps: f64,
+    pub state_write_rps: f64,
+    pub value_bytes: usize,
+    pub txn_ops: usize,
+    pub cloud_rps: f64,
+    pub list_lag: Micros,
+    pub max_connections: usize,
+}
+
+mod raw {
+    use super::Deserialize;
+
+    #[derive(Deserialize)]
+    pub struct File {
+        pub host_name: String,
+        #[serde(default)]
+        pub area: String,
+        pub bind: String,
+        pub cluster_listen: String,
+        #[serde(default)]
+        pub siblings: Vec<Sibling>,
+        pub outside: Outside,
+        #[serde(default)]
+        pub cluster: Cluster,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Sibling {
+        pub host_name: String,
+        #[serde(default)]
+        pub area: String,
+        pub peer_addr: String,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Outside {
+        pub cloud: String,
+        pub state: String,
+    }
+
+    #[derive(Deserialize, Default)]
+    #[serde(default)]
+    pub struct Cluster {
+        pub zones: Vec<String>,
+        pub teams: Vec<Team>,
+        pub objectives: Vec<Objective>,
+        pub workers: Workers,
+        pub state: State,
+        pub cloud: Cloud,
+        pub quota: Quota,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Team {
+        pub name: String,
+        #[serde(default)]
+        pub cpus: f64,
+        #[serde(default)]
+        pub cpus_max: f64,
+        #[serde(default)]
+        pub gpus: f64,
+        #[serde(default)]
+        pub gpus_max: f64,
+    }
+
+    #[derive(Deserialize)]
+    pub struct Objective {
+        pub kind: String,
+        pub class: Option<String>,
+        #[serde(default)]
+        pub within_s: f64,
+        #[serde(default)]
+        pub share: f64,
+    }
+
+    macro_rules! section {
+        ($name:ident { $($field:ident: $default:expr),* $(,)? }) => {
+            #[derive(Deserialize)]
+            #[serde(default)]
+            pub struct $name { $(pub $field: f64),* }
+            impl Default for $name {
+                fn default() -> Self { $name { $($field: $default),* } }
+            }
+        };
+    }
+
+    section!(Workers {
+        report_s: 2.0,
+        lease_s: 15.0,
+        gang_wait_s: 60.0,
+        gang_peer_s: 5.0,
+        cancel_s: 40.0,
+    });
+    section!(State { rps: 100.0, write_rps: 40.0, value_kb: 16.0, txn_ops: 16.0 });
+    section!(Cloud { rps: 3.0, list_lag_s: 5.0 });
+    section!(Quota { max_connections: 1000.0 });
+}
+
+impl Settings {
+    /// Reads and checks a file. The second part of the result lists what is odd but usable.
+    pub fn load(path: &Path) -> Result<(Settings, Vec<String>), SettingsError> {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| SettingsError::Read { file: file.clone(), source })?;
+        Settings::parse(&text, &file)
+    }
+
+    /// Like [`Settings::load`], from text.
+    pub fn parse(text: &str, file: &str) -> Result<(Settings, Vec<String>), SettingsError> {
+        let raw: raw::File = toml::from_str(text).map_err(|e| SettingsError::Parse {
+            file: file.to_string(),
+            reason: e.to_string().trim_end().to_string(),
+        })?;
+        Check { file, warnings: Vec::new() }.settings(raw)
+    }
+
+    pub fn team(&self, name: &str) -> Option<usize> {
+        self.teams.iter().position(|t| t.name == name)
+    }
+}
+
+struct Check<'a> {
+    file: &'a str,
+    warnings: Vec<String>,
+}
+
+impl Check<'_> {
+    fn bad<T>(&self, field: &str, reason: impl Into<String>) -> Result<T, SettingsError> {
+        Err(SettingsError::Field {
+            file: self.file.to_string(),
+            field: field.to_string(),
+            reason: reason.into(),
+        })
+    }
+
+    fn addr(&self, field: &str, text: &str) -> Result<SocketAddrV4, SettingsError> {
+        match text.parse::<SocketAddrV4>() {
+            Ok(a) if a.port() != 0 => Ok(a),
+            _ => self.bad(field, format!("{text:?} is not an IPv4 address with a port")),
+        }
+    }
+
+    fn amount(&self, field: &str, x: f64) -> Result<f64, SettingsError> {
+        if x.is_finite() && (0.0..=1e9).contains(&x) {
+            Ok(x)
+        } else {
+            self.bad(field, format!("{x} is not a usable amount"))
+        }
+    }
+
+    fn positive(&self, field: &str, x: f64) -> Result<f64, SettingsError> {
+        if self.amount(field, x)? > 0.0 { Ok(x) } else { self.bad(field, "must be above zero") }
+    }
+
+    fn name(&self, field: &str, x: &str) -> Result<String, SettingsError> {
+        if x.is_empty() { self.bad(field, "must not be empty") } else { Ok(x.to_string()) }
+    }
+
+    fn settings(mut self, raw: raw::File) -> Result<(Settings, Vec<String>), SettingsError> {
+        let name = self.name("host_name", &raw.host_name)?;
+        let mut names = HashSet::from([name.clone()]);
+        let mut siblings = Vec::new();
+        for (i, s) in raw.siblings.iter().enumerate() {
+            let at = |f: &str| format!("siblings[{i}].{f}");
+            if s.host_name == name {
+                return self.bad(&at("host_name"), "is this controller's own name");
+            }
+            if !names.insert(s.host_name.clone()) {
+                return self.bad(&at("host_name"), format!("{:?} appears twice", s.host_name));
+            }
+            siblings.push(Sibling {
+                name: self.name(&at("host_name"), &s.host_name)?,
+                zone: s.area.clone(),
+                addr: self.addr(&at("peer_addr"), &s.peer_addr)?,
+            });
+        }
+        let c = raw.cluster;
+        if !c.zones.is_empty() {
+            let own = std::iter::once((&raw.host_name, &raw.area));
+            let all = own.chain(raw.siblings.iter().map(|s| (&s.host_name, &s.area)));
+            for (n, z) in all.filter(|(_, z)| !c.zones.contains(z)) {
+                self.warnings.push(format!("controller {n} is in the unlisted zone {z:?}"));
+            }
+        }
+        let mut teams: Vec<Team> = Vec::new();
+        for (i, t) in c.teams.iter().enumerate() {
+            let at = |f: &str| format!("cluster.teams[{i}].{f}");
+            if teams.iter().any(|x| x.name == t.name) {
+                return self.bad(&at("name"), format!("{:?} appears twice", t.name));
+            }
+            let team = Team {
+                name: self.name(&at("name"), &t.name)?,
+                guarantee: Resources::new(
+                    self.amount(&at("cpus"), t.cpus)?,
+                    self.amount(&at("gpus"), t.gpus)?,
+                    0.0,
+                ),
+                limit: Resources::new(
+                    self.amount(&at("cpus_max"), t.cpus_max)?,
+                    self.amount(&at("gpus_max"), t.gpus_max)?,
+                    0.0,
+                ),
+            };
+            if !Team::within(&team.limit, &Resources::default(), &team.guarantee) {
+                self.warnings.push(format!("team {}: the guarantee is above the limit", t.name));
+            }
+            teams.push(team);
+        }
+        if teams.is_empty() {
+            self.warnings.push("no teams: every submission will be refused".into());
+        }
+        let mut objectives = Vec::new();
+        for (i, o) in c.objectives.iter().enumerate() {
+            let at = |f: &str| format!("cluster.objectives[{i}].{f}");
+            objectives.push(Objective {
+                kind: o.kind.clone(),
+                class: o.class.clone(),
+                within: micros(self.amount(&at("within_s"), o.within_s)?),
+                share: self.amount(&at("share"), o.share)?,
+            });
+        }
+        let w = &c.workers;
+        let duration = |check: &Self, f: &str, x: f64| check.positive(f, x).map(micros);
+        let settings = Settings {
+            name,
+            zone: raw.area,
+            listen: self.addr("bind", &raw.bind)?,
+            cluster_listen: self.addr("cluster_listen", &raw.cluster_listen)?,
+            siblings,
+            cloud: self.addr("outside.cloud", &raw.outside.cloud)?,
+            state: self.addr("outside.state", &raw.outside.state)?,
+            zones: c.zones,
+            teams,
+            objectives,
+            report: duration(&self, "cluster.workers.report_s", w.report_s)?,
+            lease: duration(&self, "cluster.workers.lease_s", w.lease_s)?,
+            gang_wait: duration(&self, "cluster.workers.gang_wait_s", w.gang_wait_s)?,
+            gang_peer: duration(&self, "cluster.workers.gang_peer_s", w.gang_peer_s)?,
+            cancel: duration(&self, "cluster.workers.cancel_s", w.cancel_s)?,
+            state_rps: self.positive("cluster.state.rps", c.state.rps)?,
+            state_write_rps: self.positive("cluster.state.write_rps", c.state.write_rps)?,
+            value_bytes: (self.positive("cluster.state.value_kb", c.state.value_kb)? * 1024.0)
+                as usize,
+            txn_ops: self.positive("cluster.state.txn_ops", c.state.txn_ops)? as usize,
+            cloud_rps: self.positive("cluster.cloud.rps", c.cloud.rps)?,
+            list_lag: micros(self.amount("cluster.cloud.list_lag_s", c.cloud.list_lag_s)?),
+            max_connections: self
+                .positive("cluster.quota.max_connections", c.quota.max_connections)?
+                as usize,
+        };
+        if settings.value_bytes < 2048 {
+            return self.bad("cluster.state.value_kb", "below 2 KiB no job fits");
+        }
+        if settings.txn_ops < 2 {
+            return self.bad("cluster.state.txn_ops", "a takeover writes two keys at once");
+        }
+        if settings.cancel < settings.lease {
+            self.warnings.push(
+                "cancel_s is below lease_s: a silent machine may keep cancelled tasks too long"
+                    .into(),
+            );
+        }
+        Ok((settings, self.warnings))
+    }
+}
+
+#[cfg(test)]
+pub(crate) mod tests {
+    use super::*;
+
+    pub const SAMPLE: &str = r#"
+host_name = "n0"
+area = "a"
+bind = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+future_field = 3
+[[siblings]]
+host_name = "n1"
+area = "b"
+peer_addr = "10.0.0.2:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[cluster]
+zones = ["a", "b"]
+[[cluster.teams]]
+name = "red"
+cpus = 8.0
+cpus_max = 16.0
+[[cluster.teams]]
+name = "blue"
+cpus = 4.0
+cpus_max = 12.0
+gpus_max = 8.0
+[cluster.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 35.0
+"#;
+
+    #[test]
+    fn a_good_file_loads_and_missing_sections_take_defaults() {
+        let (s, warnings) = Settings::parse(SAMPLE, "f").unwrap();
+        assert_eq!(warnings, Vec::<String>::new());
+        assert_eq!(s.lease, 10_000_000);
+        assert_eq!(s.value_bytes, 16 * 1024);
+        assert_eq!(s.team("blue"), Some(1));
+    }
+
+    #[test]
+    fn impossible_values_are_refused_with_their_field() {
+        let cases = [
+            ("cpus_max = 16.0", "cpus_max = -1.0", "cluster.teams[0].cpus_max"),
+            ("name = \"blue\"", "name = \"red\"", "cluster.teams[1].name"),
+            ("host_name = \"n1\"", "host_name = \"n0\"", "siblings[0].host_name"),
+            ("bind = \"10.0.0.1:8080\"", "bind = \"here\"", "bind"),
+            ("lease_s = 10.0", "lease_s = nan", "cluster.workers.lease_s"),
+        ];
+        for (from, to, field) in cases {
+            let error = Settings::parse(&SAMPLE.replace(from, to), "f").unwrap_err().to_string();
+            assert!(error.starts_with(&format!("f: {field}: ")), "{error}");
+        }
+        assert!(Settings::parse("host_name = 3", "f").is_err());
+    }
+
+    #[test]
+    fn what_is_odd_but_usable_is_only_a_warning() {
+        let odd = SAMPLE.replace("cpus = 8.0", "cpus = 80.0").replace("\"b\"\n", "\"zz\"\n");
+        let (_, warnings) = Settings::parse(&odd, "f").unwrap();
+        assert_eq!(warnings.len(), 2, "{warnings:?}");
+    }
+}
--- /dev/null
+++ b/src/store.rs
@@ -0,0 +1,408 @@
+//! The state service: its wire format, the records kept in it, and the budget for using it.
+//!
+//! | key | value |
+//! | --- | --- |
+//! | `gh/lead/holder` | the leader, under its grant |
+//! | `gh/lead/term` | the highest term ever taken, and by whom |
+//! | `gh/live/<job>` | a pipeline that is not over |
+//! | `gh/part/<job>/<n>` | finished tasks of a large array beyond its first part |
+//! | `gh/over/<job>` | a pipeline that is done or was cancelled and has no task left |
+//! | `gh/block/<block>/<chunk>` | machines of a block, written before the first launch on them |
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use crate::http::Method;
+use crate::model::{JobSpec, Micros, Ranges, SECOND};
+
+pub const HOLDER: &str = "gh/lead/holder";
+pub const TERM: &str = "gh/lead/term";
+pub const LEAD: &str = "gh/lead/";
+pub const LIVE: &str = "gh/live/";
+pub const PART: &str = "gh/part/";
+pub const OVER: &str = "gh/over/";
+pub const BLOCK: &str = "gh/block/";
+
+/// The value of both keys under [`LEAD`].
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct LeadRecord {
+    pub holder: String,
+    pub term: u64,
+}
+
+/// The value of a live pipeline.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct JobRecord {
+    pub spec: JobSpec,
+    /// Time of day at acceptance, in microseconds.
+    pub at: u64,
+    #[serde(default)]
+    pub done: String,
+    #[serde(default)]
+    pub cancelled: bool,
+}
+
+/// What is kept of a pipeline that is over.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct OverRecord {
+    pub cancelled: bool,
+    pub tasks: u32,
+}
+
+/// Finished tasks of one part of an array.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct PartRecord {
+    pub done: String,
+}
+
+/// Tasks whose completions share one value. A bitmap of this many always fits into 2 KiB.
+pub const PART_TASKS: u32 = 4096;
+
+/// Writes the members of `done` within part `part`: as ranges, or as a bitmap when that is shorter.
+pub fn encode_done(done: &Ranges, part: u32) -> String {
+    use std::fmt::Write;
+    let lo = part * PART_TASKS;
+    let slice = done.slice(lo, lo + PART_TASKS);
+    let mut out = String::new();
+    for &(a, b) in slice.as_slice() {
+        let sep = if out.is_empty() { "" } else { "," };
+        // Writing to a String cannot fail.
+        let _ = if a == b { write!(out, "{sep}{a}") } else { write!(out, "{sep}{a}-{b}") };
+        if out.len() > PART_TASKS as usize / 4 {
+            let mut map = vec![0u8; PART_TASKS as usize / 8];
+            slice.iter().for_each(|x| map[(x - lo) as usize / 8] |= 1 << ((x - lo) % 8));
+            out = String::from("x");
+            map.iter().for_each(|b| {
+                let _ = write!(out, "{b:02x}");
+            });
+            break;
+        }
+    }
+    out
+}
+
+/// Adds what [`encode_done`] wrote to `done`. Numbers outside the part are ignored.
+pub fn decode_done(text: &str, part: u32, done: &mut Ranges) {
+    let lo = part * PART_TASKS;
+    if let Some(hex) = text.strip_prefix('x') {
+        for (i, pair) in hex.as_bytes().chunks(2).enumerate().take(PART_TASKS as usize / 8) {
+            let byte = std::str::from_utf8(pair).ok().and_then(|p| u8::from_str_radix(p, 16).ok());
+            let byte = byte.unwrap_or(0);
+            for bit in (0..8).filter(|bit| byte & (1 << bit) != 0) {
+                done.insert(lo + i as u32 * 8 + bit);
+            }
+        }
+        return;
+    }
+    for item in text.split(',') {
+        let (a, b) = item.split_once('-').unwrap_or((item, item));
+        if let (Ok(a), Ok(b)) = (a.parse::<u32>(), b.parse::<u32>()) {
+            (a.max(lo)..=b.min(lo + PART_TASKS - 1)).for_each(|x| {
+                done.insert(x);
+            });
+        }
+    }
+}
+
+/// A request to the state service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct StoreRequest {
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+    pub patience: Micros,
+    /// Puts and deletes it carries.
+    pub changes: u32,
+}
+
+impl StoreRequest {
+    fn new(method: Method, path: String, body: Bytes) -> StoreRequest {
+        StoreRequest { method, path, body, patience: 2 * SECOND, changes: 0 }
+    }
+
+    pub fn get(key: &str) -> StoreRequest {
+        StoreRequest::new(Method::Get, format!("/kv/{key}"), Bytes::new())
+    }
+
+    pub fn list(prefix: &str, after: &str) -> StoreRequest {
+        let from = if after.is_empty() { String::new() } else { format!("&from={after}") };
+        let path = format!("/kv?starts={prefix}{from}&page=200");
+        StoreRequest::new(Method::Get, path, Bytes::new())
+    }
+
+    pub fn follow(prefix: &str, after: u64) -> StoreRequest {
+        let path = format!("/follow?starts={prefix}&from={after}&block_ms=10000");
+        let mut r = StoreRequest::new(Method::Get, path, Bytes::new());
+        r.patience = 13 * SECOND;
+        r
+    }
+
+    pub fn grant(ttl: Micros) -> StoreRequest {
+        #[derive(Serialize)]
+        struct Grant {
+            ttl_ms: u64,
+        }
+        StoreRequest::new(Method::Post, "/grants".into(), json(&Grant { ttl_ms: ttl / 1000 }))
+    }
+
+    pub fn renew(grant: u64) -> StoreRequest {
+        let mut r = StoreRequest::new(Method::Post, format!("/grants/{grant}/renew"), Bytes::new());
+        r.body = Bytes::from_static(b"{}");
+        r.patience = SECOND;
+        r
+    }
+
+    pub fn drop_grant(grant: u64) -> StoreRequest {
+        StoreRequest::new(Method::Delete, format!("/grants/{grant}"), Bytes::new())
+    }
+}
+
+fn json(value: &impl Serialize) -> Bytes {
+    serde_json::to_vec(value).unwrap_or_default().into()
+}
+
+/// A value as it goes into a transaction.
+pub fn raw(value: &impl Serialize) -> Box<RawValue> {
+    // Our records have string keys only and finite numbers, so they always serialize.
+    serde_json::value::to_raw_value(value).unwrap_or_else(|_| RawValue::NULL.to_owned())
+}
+
+#[derive(Serialize, Debug, Clone)]
+struct Guard {
+    k: String,
+    stamp: u64,
+}
+
+#[derive(Serialize, Debug, Clone)]
+#[serde(untagged)]
+enum Write {
+    Put {
+        write: String,
+        v: Box<RawValue>,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        permit: Option<u64>,
+    },
+    Delete {
+        delete: String,
+    },
+}
+
+/// A conditional transaction being put together.
+#[derive(Serialize, Debug, Clone, Default)]
+pub struct Commit {
+    guards: Vec<Guard>,
+    writes: Vec<Write>,
+}
+
+impl Commit {
+    /// Requires `key` to have version `stamp`; 0: not to exist.
+    pub fn guard(&mut self, key: &str, stamp: u64) {
+        self.guards.push(Guard { k: key.into(), stamp });
+    }
+
+    pub fn put(&mut self, key: &str, value: Box<RawValue>, grant: Option<u64>) {
+        self.writes.push(Write::Put { write: key.into(), v: value, permit: grant });
+    }
+
+    pub fn delete(&mut self, key: &str) {
+        self.writes.push(Write::Delete { delete: key.into() });
+    }
+
+    pub fn changes(&self) -> usize {
+        self.writes.len()
+    }
+
+    pub fn request(&self) -> StoreRequest {
+        let mut r = StoreRequest::new(Method::Post, "/commit".into(), json(self));
+        r.changes = self.writes.len() as u32;
+        r
+    }
+}
+
+/// An item read from the store.
+#[derive(Deserialize, Debug)]
+pub struct Item {
+    pub k: String,
+    pub v: Box<RawValue>,
+    pub stamp: u64,
+    #[serde(default)]
+    pub permit: Option<u64>,
+}
+
+impl Item {
+    /// The value as a record, if it is one.
+    pub fn record<'a, T: Deserialize<'a>>(&'a self) -> Option<T> {
+        let parsed = serde_json::from_str(self.v.get());
+        if let Err(e) = &parsed {
+            tracing::error!(key = %self.k, error = %e, "a value in the state service is not ours");
+        }
+        parsed.ok()
+    }
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Listing {
+    pub items: Vec<Item>,
+    #[serde(default)]
+    pub truncated: bool,
+    pub ledger_no: u64,
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Committed {
+    pub ledger_no: u64,
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Granted {
+    pub permit: u64,
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Followed {
+    pub ledger_no: u64,
+    #[serde(default)]
+    pub log: Vec<Change>,
+}
+
+#[derive(Deserialize, Debug)]
+pub struct Change {
+    pub write: Option<String>,
+    pub delete: Option<String>,
+    pub v: Option<Box<RawValue>>,
+    pub stamp: u64,
+}
+
+/// Tokens that refill over time, up to one second's worth.
+#[derive(Debug)]
+struct Bucket {
+    rate: f64,
+    level: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate.max(1.0), at: 0 }
+    }
+
+    fn refill(&mut self, now: Micros) {
+        let earned = now.saturating_sub(self.at) as f64 / SECOND as f64 * self.rate;
+        self.level = (self.level + earned).min(self.rate.max(1.0));
+        self.at = now;
+    }
+}
+
+/// How urgent a request is. Renewals are never held up by the rest.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Urgency {
+    Renewal,
+    User,
+    Commit,
+    Rest,
+}
+
+/// Keeps one controller's requests within its share of what the service allows.
+#[derive(Debug)]
+pub struct Budget<T> {
+    requests: Bucket,
+    changes: Bucket,
+    queues: [VecDeque<(u32, T)>; 4],
+}
+
+impl<T> Budget<T> {
+    pub fn new(rps: f64, write_rps: f64) -> Budget<T> {
+        Budget {
+            requests: Bucket::new(rps),
+            changes: Bucket::new(write_rps),
+            queues: Default::default(),
+        }
+    }
+
+    /// Changes the share, as when leadership comes or goes.
+    pub fn set_share(&mut self, rps: f64, write_rps: f64) {
+        self.requests.rate = rps;
+        self.changes.rate = write_rps;
+    }
+
+    pub fn push(&mut self, urgency: Urgency, changes: u32, item: T) {
+        self.queues[urgency as usize].push_back((changes, item));
+    }
+
+    /// The next request that may go now.
+    pub fn pop(&mut self, now: Micros) -> Option<T> {
+        self.requests.refill(now);
+        self.changes.refill(now);
+        for (urgency, queue) in self.queues.iter_mut().enumerate() {
+            let Some(&(changes, _)) = queue.front() else { continue };
+            let changes = f64::from(changes);
+            // A transaction larger than the bucket goes when the bucket is full.
+            let room = self.changes.level >= changes.min(self.changes.rate.max(1.0));
+            if urgency != Urgency::Renewal as usize && (self.requests.level < 1.0 || !room) {
+                return None;
+            }
+            self.requests.level -= 1.0;
+            self.changes.level -= changes;
+            return queue.pop_front().map(|(_, item)| item);
+        }
+        None
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queues.iter().map(VecDeque::len).sum()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn finished_tasks_fold_into_ranges_or_a_bitmap_and_come_back() {
+        let mut sparse = Ranges::default();
+        [0, 1, 2, 9, 5000, 5001].into_iter().for_each(|x| {
+            sparse.insert(x);
+        });
+        assert_eq!(encode_done(&sparse, 0), "0-2,9");
+        assert_eq!(encode_done(&sparse, 1), "5000-5001");
+        let mut dense = Ranges::default();
+        (0..10_000).filter(|x| x % 2 == 0).for_each(|x| {
+            dense.insert(x);
+        });
+        for set in [sparse, dense] {
+            let mut back = Ranges::default();
+            for part in 0..3 {
+                let text = encode_done(&set, part);
+                assert!(text.len() <= 1100, "{}", text.len());
+                decode_done(&text, part, &mut back);
+            }
+            assert_eq!(back, set);
+        }
+    }
+
+    #[test]
+    fn the_budget_lets_renewals_pass_and_holds_the_rest_to_its_rates() {
+        let mut b = Budget::new(4.0, 2.0);
+        for i in 0..10 {
+            b.push(Urgency::Rest, 1, i);
+        }
+        b.push(Urgency::Renewal, 0, 100);
+        let mut first = Vec::new();
+        while let Some(x) = b.pop(SECOND) {
+            first.push(x);
+        }
+        assert_eq!(first, [100, 0, 1], "the renewal first, then two changes a second");
+        let later = std::iter::from_fn(|| b.pop(2 * SECOND)).count();
+        assert_eq!(later, 2);
+        assert_eq!(b.queued(), 6);
+    }
+}
