--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -148,32 +148,46 @@
         let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
         let tasks: Vec<u32> =
             job.pending.iter().filter(ready).take(limit.max(0) as usize).collect();
-        let mut tasks = tasks.into_iter();
-        let mut next = tasks.next();
-        // Machines that hold the image first, then the rest, each in first-fit order.
+        let taken = self.fit(id, &spec, slots, &mut zones, tasks.len());
+        let short = taken.len() < tasks.len();
+        for (index, machine) in tasks.into_iter().zip(taken) {
+            let attempt = self.next_attempt();
+            if let Some(machine) = slots[machine].machine.clone() {
+                self.place(id, index, &machine, attempt, now);
+            }
+        }
+        if short {
+            self.make_room(id, now);
+        }
+    }
+
+    /// Takes room for up to `n` tasks of a job: in machines that hold its image first, then in the
+    /// rest, each first-fit. Returns a slot for each task.
+    fn fit(
+        &self,
+        id: &JobId,
+        spec: &JobSpec,
+        slots: &mut [Slot],
+        zones: &mut Zones,
+        n: usize,
+    ) -> Vec<usize> {
+        let mut taken = Vec::new();
         for cached in [true, false] {
-            for slot in slots.iter_mut() {
-                let Some(machine) = slot.machine.clone() else { continue };
-                let Some(m) = self.machines.get(&machine) else { continue };
+            for (i, slot) in slots.iter_mut().enumerate() {
+                let Some(m) = slot.machine.as_ref().and_then(|m| self.machines.get(m)) else {
+                    continue;
+                };
                 if m.failures.contains(id) || m.images.contains(&spec.image) != cached {
                     continue;
                 }
-                while let Some(index) = next {
-                    if !slot.takes(id, &spec) || !zone_ok(&spec, &zones, &slot.zone) {
-                        break;
-                    }
+                while taken.len() < n && slot.takes(id, spec) && zone_ok(spec, zones, &slot.zone) {
                     slot.free -= spec.need;
                     *zones.entry(slot.zone.clone()).or_default() += 1;
-                    let attempt = self.next_attempt();
-                    self.place(id, index, &machine, attempt, now);
-                    next = tasks.next();
-                }
-                if next.is_none() {
-                    return;
+                    taken.push(i);
                 }
             }
         }
-        self.make_room(id, now);
+        taken
     }
 
     /// Places all missing tasks of a gang's attempt, or none.
@@ -205,26 +219,7 @@
             if let Some(z) = &only {
                 zones.insert(z.clone(), 0);
             }
-            let mut taken: Vec<usize> = Vec::with_capacity(missing.len());
-            for cached in [true, false] {
-                for i in 0..slots.len() {
-                    let Some(m) = slots[i].machine.as_ref().and_then(|m| self.machines.get(m))
-                    else {
-                        continue;
-                    };
-                    if m.failures.contains(id) || m.images.contains(&spec.image) != cached {
-                        continue;
-                    }
-                    while taken.len() < missing.len()
-                        && slots[i].takes(id, &spec)
-                        && zone_ok(&spec, &zones, &slots[i].zone)
-                    {
-                        slots[i].free -= spec.need;
-                        *zones.entry(slots[i].zone.clone()).or_default() += 1;
-                        taken.push(i);
-                    }
-                }
-            }
+            let taken = self.fit(id, &spec, slots, &mut zones, missing.len());
             if taken.len() < missing.len() {
                 taken.into_iter().for_each(|i| slots[i].free += spec.need);
                 continue;
