Place by price first, then by image

Cause: tasks went wherever their image was, so dear machines kept a task or two and were never returned.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -225,6 +225,7 @@
             spot: offer.spot,
             free,
             reserved: None,
+            price_rank: 0,
         };
         for m in self.machines.values() {
             let Some(flavor) = m.flavor else { continue };
@@ -284,6 +285,7 @@
                 spot: offer.spot,
                 free: self.flavors[offer.flavor].size,
                 reserved: None,
+                price_rank: 0,
             };
             let mut slot = slot;
             waiting.iter_mut().for_each(|w| fill(w, &mut slot));
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -17,6 +17,8 @@
     pub spot: bool,
     pub free: Resources,
     pub reserved: Option<JobId>,
+    /// Slots of one rank cost the same; the cheapest room has the lowest rank.
+    pub price_rank: usize,
 }
 
 impl Slot {
@@ -76,16 +78,19 @@
                     spot: m.spot,
                     free: m.free(),
                     reserved: m.reserved.as_ref().filter(|r| r.1 > now).map(|r| r.0.clone()),
+                    price_rank: 0,
                 })
             })
             .collect();
-        slots.sort_by(|a, b| {
-            let price = |s: &Slot| {
-                let f = &self.flavors[s.flavor];
-                f.price_of(s.spot) / f.size.cpu.max(1) as f64
-            };
-            price(a).total_cmp(&price(b)).then_with(|| a.machine.cmp(&b.machine))
-        });
+        let price = |s: &Slot| {
+            let f = &self.flavors[s.flavor];
+            f.price_of(s.spot) / f.size.cpu.max(1) as f64
+        };
+        slots.sort_by(|a, b| price(a).total_cmp(&price(b)).then_with(|| a.machine.cmp(&b.machine)));
+        for i in 1..slots.len() {
+            let same = price(&slots[i]) <= price(&slots[i - 1]) * 1.01;
+            slots[i].price_rank = slots[i - 1].price_rank + usize::from(!same);
+        }
         slots
     }
 
@@ -161,8 +166,9 @@
         }
     }
 
-    /// Takes room for up to `n` tasks of a job: in machines that hold its image first, then in the
-    /// rest, each first-fit. Returns a slot for each task.
+    /// Takes room for up to `n` tasks of a job, first-fit in the order of [`Cluster::slots`]; among
+    /// machines whose room costs the same, those that hold the job's image come first. Returns a
+    /// slot for each task.
     fn fit(
         &self,
         id: &JobId,
@@ -172,19 +178,22 @@
         n: usize,
     ) -> Vec<usize> {
         let mut taken = Vec::new();
-        for cached in [true, false] {
-            for (i, slot) in slots.iter_mut().enumerate() {
-                let Some(m) = slot.machine.as_ref().and_then(|m| self.machines.get(m)) else {
-                    continue;
-                };
-                if m.failures.contains(id) || m.images.contains(&spec.image) != cached {
-                    continue;
-                }
-                while taken.len() < n && slot.takes(id, spec) && zone_ok(spec, zones, &slot.zone) {
-                    slot.free -= spec.need;
-                    *zones.entry(slot.zone.clone()).or_default() += 1;
-                    taken.push(i);
-                }
+        let mut order: Vec<(usize, bool, usize)> = Vec::with_capacity(slots.len());
+        for (i, slot) in slots.iter().enumerate() {
+            let Some(m) = slot.machine.as_ref().and_then(|m| self.machines.get(m)) else {
+                continue;
+            };
+            if !m.failures.contains(id) && slot.takes(id, spec) {
+                order.push((slot.price_rank, !m.images.contains(&spec.image), i));
+            }
+        }
+        order.sort();
+        for (_, _, i) in order {
+            let slot = &mut slots[i];
+            while taken.len() < n && slot.takes(id, spec) && zone_ok(spec, zones, &slot.zone) {
+                slot.free -= spec.need;
+                *zones.entry(slot.zone.clone()).or_default() += 1;
+                taken.push(i);
             }
         }
         taken
