Order equal priorities by slack plus work, late jobs last

Cause: moisture-log wants more than its team's limit, so in arrival order nearly every job waits past its objective.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -244,8 +244,7 @@
             let mut free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 let Some(j) = self.jobs.get(&task.job) else { continue };
-                let pace = self.pace.get(&j.spec.class).copied().unwrap_or(1.0);
-                let whole = (j.spec.estimate as f64 * pace) as Micros;
+                let whole = self.expected_run(&j.spec);
                 let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
                 if j.spec.shape != Shape::Service && whole.saturating_sub(ran) < horizon {
                     free += a.need;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -1,7 +1,7 @@
 //! What runs where: queue order, quota, first-fit placement, gangs and preemption.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::cluster::{Cluster, Job, MachineId, Phase};
 use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, Team};
@@ -40,26 +40,80 @@
 
 impl Cluster {
     /// Live jobs in the order in which they are served: priority first, then work within its
-    /// team's guarantee, then the order in which they became ready.
+    /// team's guarantee, then what can still be in time; among these the time left until a task
+    /// has to start, lengthened by the work the job brings, and at last the order in which they
+    /// became ready.
     pub fn queue(&self) -> Vec<JobId> {
-        let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
         let mut ready: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         ready.sort_by_key(|j| (j.at, j.id.clone()));
+        let within = self.within_guarantee(&ready);
         let mut keyed: Vec<_> = ready
             .into_iter()
             .map(|j| {
-                let remaining = i64::from(j.spec.tasks - j.done.len());
-                let all = j.spec.need.times(remaining);
-                let within = j.team.is_some_and(|t| {
-                    let fits = Team::within(&left[t], &Resources::default(), &all);
-                    left[t] -= all;
-                    fits
-                });
-                (Reverse(j.spec.priority), !within, j.at, j.id.clone())
+                let within = within.contains(&j.id);
+                let (late, score) = match self.latest_start(j, within) {
+                    Some(t) => (false, t.saturating_sub(self.wall) + 3 * self.share_of_work(j)),
+                    None => (true, j.at),
+                };
+                (Reverse(j.spec.priority), !within, late, score, j.at, j.id.clone())
             })
             .collect();
         keyed.sort();
-        keyed.into_iter().map(|k| k.3).collect()
+        keyed.into_iter().map(|k| k.5).collect()
+    }
+
+    /// Jobs that fit into their teams' guarantees together with the teams' earlier jobs.
+    fn within_guarantee(&self, ready: &[&Job]) -> HashSet<JobId> {
+        let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
+        let mut within = HashSet::new();
+        for j in ready {
+            let Some(t) = j.team else { continue };
+            let all = j.spec.need.times(i64::from(j.spec.tasks - j.done.len()));
+            if Team::within(&left[t], &Resources::default(), &all) {
+                within.insert(j.id.clone());
+            }
+            left[t] -= all;
+        }
+        within
+    }
+
+    /// How long one of the job's tasks is expected to run: its owner's estimate, corrected by what
+    /// tasks of its class have shown.
+    pub fn expected_run(&self, spec: &JobSpec) -> Micros {
+        let pace = self.pace.get(&spec.class).copied().unwrap_or(1.0);
+        (spec.estimate as f64 * pace) as Micros
+    }
+
+    /// The time of day by which the job's tasks have to start to meet the next objective that can
+    /// still be met; `None` if none can.
+    pub fn latest_start(&self, job: &Job, within: bool) -> Option<u64> {
+        let run = self.expected_run(&job.spec) * 5 / 4;
+        let starts = self.settings.objectives.iter().filter_map(|o| {
+            if o.class.as_ref().is_some_and(|c| *c != job.spec.class) {
+                return None;
+            }
+            match o.kind.as_str() {
+                "wait" => Some(job.at + o.within),
+                "guarantee" if within => Some(job.at + o.within),
+                "finished" => Some((job.at + o.within).saturating_sub(run)),
+                "deadline" => {
+                    let due = (job.spec.deadline? as f64 * o.times) as Micros;
+                    Some((job.at + due).saturating_sub(run))
+                }
+                _ => None,
+            }
+        });
+        starts.filter(|t| *t >= self.wall).min()
+    }
+
+    /// The time the job's remaining work takes when its team uses all that it may.
+    fn share_of_work(&self, job: &Job) -> Micros {
+        let Some(t) = job.team else { return 0 };
+        let limit = &self.settings.teams[t].limit;
+        let part = |need: i64, limit: i64| if limit > 0 { need as f64 / limit as f64 } else { 0.0 };
+        let each = part(job.spec.need.cpu, limit.cpu).max(part(job.spec.need.gpu, limit.gpu));
+        let left = f64::from(job.spec.tasks - job.done.len());
+        (left * each * self.expected_run(&job.spec) as f64) as Micros
     }
 
     /// Usable machines in first-fit order: the cheapest room first, so that the dear ones empty.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -26,6 +26,8 @@
     pub class: Option<String>,
     pub within: Micros,
     pub share: f64,
+    /// For deadlines: how many times the deadline counts as in time.
+    pub times: f64,
 }
 
 #[derive(Clone, Debug)]
@@ -125,6 +127,12 @@
         pub within_s: f64,
         #[serde(default)]
         pub share: f64,
+        #[serde(default = "one")]
+        pub times: f64,
+    }
+
+    fn one() -> f64 {
+        1.0
     }
 
     macro_rules! section {
@@ -271,6 +279,7 @@
                 class: o.class.clone(),
                 within: micros(self.amount(&at("within_s"), o.within_s)?),
                 share: self.amount(&at("share"), o.share)?,
+                times: self.amount(&at("times"), o.times)?,
             });
         }
         let w = &c.workers;
