Rent by playing the queue forward

Cause: machines were rented for work that the running ones would have taken in time. The plan now starts waiting tasks on the room as it comes free, and rents only for what would start too late.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -87,7 +87,7 @@
     pub failures: HashSet<JobId>,
     pub failure_count: u32,
     pub images: HashSet<String>,
-    /// Room that is being made for a job.
+    /// Room that is being kept for a job, and until when.
     pub reserved: Option<(JobId, Micros)>,
     pub refused_until: Micros,
 }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,17 +1,22 @@
 //! The fleet: renting, returning, and noticing machines that have gone bad.
 
-use std::collections::{BTreeMap, HashMap};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
 
 use crate::cloud::{CloudRequest, Listed};
 use crate::cluster::{Cluster, MachineId, Phase};
 use crate::model::{JobId, JobSpec, Micros, Resources, SECOND, Shape, micros};
 use crate::scheduler::{Slot, Zones, zone_ok};
-use std::sync::Arc;
 
 /// What the cloud charges at least for a machine that is deleted.
 const MIN_CHARGE: Micros = 60 * SECOND;
 const MAX_RENT: u32 = 50;
 const MAX_DELETE: usize = 100;
+/// Tasks that a plan looks at, in queue order; it is made anew all the time.
+const PLANNED_TASKS: usize = 600;
+/// How long a job that can no longer be in time may wait for cheap room.
+const LATE_PATIENCE: Micros = 60 * SECOND;
 
 /// A kind of machine that can be asked for.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
@@ -98,12 +103,61 @@
     }
 }
 
-/// Work that found no room: a job, its spec, how many tasks, and where its tasks are.
+/// Work of a job that found no room: how many tasks, and where its other tasks are.
 struct Waiting {
-    job: JobId,
     spec: Arc<JobSpec>,
     tasks: i64,
     zones: Zones,
+    run: Micros,
+    /// When its tasks have to start, on our clock.
+    limit: Micros,
+}
+
+/// A machine's future as the plan sees it: its room, and when more of it comes free.
+struct Lane {
+    slot: Slot,
+    ready: Micros,
+    releases: BinaryHeap<Reverse<(Micros, i64, i64, i64)>>,
+}
+
+impl Lane {
+    /// The earliest start of a task that needs `need`.
+    fn earliest(&self, need: &Resources) -> Micros {
+        let mut free = self.slot.free;
+        if need.fits(&free) {
+            return self.ready;
+        }
+        let mut releases = self.releases.clone();
+        while let Some(Reverse((at, cpu, gpu, mem))) = releases.pop() {
+            free += Resources { cpu, gpu, mem };
+            if need.fits(&free) {
+                return at.max(self.ready);
+            }
+        }
+        Micros::MAX
+    }
+
+    fn allows(&self, w: &Waiting) -> bool {
+        let s = &self.slot;
+        w.spec.allows(&s.flavor_name, &s.zone, s.spot) && zone_ok(&w.spec, &w.zones, &s.zone)
+    }
+
+    /// Takes a task that starts at `start`.
+    fn take(&mut self, w: &mut Waiting, start: Micros) {
+        while let Some(Reverse((at, cpu, gpu, mem))) = self.releases.peek().copied() {
+            if at > start || w.spec.need.fits(&self.slot.free) {
+                break;
+            }
+            self.releases.pop();
+            self.slot.free += Resources { cpu, gpu, mem };
+        }
+        self.ready = self.ready.max(start);
+        self.slot.free -= w.spec.need;
+        let n = w.spec.need;
+        self.releases.push(Reverse((start + w.run.max(SECOND), n.cpu, n.gpu, n.mem)));
+        *w.zones.entry(self.slot.zone.clone()).or_default() += 1;
+        w.tasks -= 1;
+    }
 }
 
 impl Cluster {
@@ -115,7 +169,8 @@
         self.fleet.refilled = now;
         let mut calls = Vec::new();
         if now < self.fleet.paused_until {
-            return calls;
+            // Nothing can be asked for; what is there is still planned with.
+            self.fleet.tokens = 0.0;
         }
         while let Some(call) = self.fleet.retry.pop() {
             if !self.fleet.may_call(0.0) {
@@ -191,7 +246,7 @@
         let mut spare: Vec<Resources> =
             (0..self.used.len()).map(|t| self.settings.teams[t].limit - self.used[t]).collect();
         let mut out = Vec::new();
-        for id in self.queue() {
+        for (id, within) in self.queue() {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(t) = job.team else { continue };
             if job.pending.is_empty() || job.suspect() {
@@ -209,94 +264,128 @@
             }
             spare[t] -= need.times(tasks);
             let zones = self.zones_of(job);
-            out.push(Waiting { job: id, spec: job.spec.clone(), tasks, zones });
+            let run = self.expected_run(&job.spec);
+            let slack = match self.latest_start(job, within) {
+                // Estimates are rough: only a part of the time left is counted on.
+                Some(t) => t.saturating_sub(self.wall) * 4 / 10,
+                None => LATE_PATIENCE,
+            };
+            let limit = now + slack;
+            out.push(Waiting { spec: job.spec.clone(), tasks, zones, run, limit });
         }
         out
     }
 
-    /// Room that will be there about as soon as a machine rented now would be.
-    fn coming(&self, now: Micros) -> Vec<Slot> {
-        let mut slots = Vec::new();
-        let slot = |machine: Option<MachineId>, offer: &Offer, free: Resources| Slot {
+    fn lane(&self, machine: Option<MachineId>, offer: &Offer, ready: Micros) -> Lane {
+        let flavor = &self.flavors[offer.flavor];
+        let slot = Slot {
             machine,
             flavor: offer.flavor,
-            flavor_name: self.flavors[offer.flavor].name.clone(),
+            flavor_name: flavor.name.clone(),
             zone: offer.zone.clone(),
             spot: offer.spot,
-            free,
+            free: flavor.size,
             reserved: None,
             price_rank: 0,
+            price: self.room_price(offer.flavor, offer.spot),
         };
+        Lane { slot, ready, releases: BinaryHeap::new() }
+    }
+
+    /// The machines there are or that are on their way, and when their room comes free.
+    fn lanes(&self, now: Micros) -> Vec<Lane> {
+        let mut lanes = Vec::new();
         for m in self.machines.values() {
             let Some(flavor) = m.flavor else { continue };
             if m.deleting || m.bad || m.notice {
                 continue;
             }
             let offer = Offer { flavor, zone: m.zone.clone(), spot: m.spot };
+            let boot = self.flavors[flavor].boot;
             if !m.up {
-                let late = now > m.rented_at + 2 * self.flavors[flavor].boot;
+                let late = now > m.rented_at + 2 * boot;
                 if !late {
-                    slots.push(slot(Some(m.id.clone()), &offer, m.size));
+                    let ready = (m.rented_at + boot).max(now + 2 * SECOND);
+                    lanes.push(self.lane(Some(m.id.clone()), &offer, ready));
                 }
                 continue;
             }
-            let horizon = self.flavors[flavor].boot;
-            let mut free = m.free();
+            let mut lane = self.lane(Some(m.id.clone()), &offer, now);
+            lane.slot.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 let Some(j) = self.jobs.get(&task.job) else { continue };
-                let whole = self.expected_run(&j.spec);
-                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
-                if j.spec.shape != Shape::Service && whole.saturating_sub(ran) < horizon {
-                    free += a.need;
+                if j.spec.shape == Shape::Service {
+                    continue;
                 }
+                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
+                // What runs longer than expected is expected to run for a while yet.
+                let left = self.expected_run(&j.spec).saturating_sub(ran).max(ran / 4);
+                let n = a.need;
+                lane.releases.push(Reverse((now + left, n.cpu, n.gpu, n.mem)));
             }
-            slots.push(slot(Some(m.id.clone()), &offer, free));
+            lanes.push(lane);
         }
         for (offer, count) in self.fleet.renting.values() {
-            for _ in 0..*count {
-                slots.push(slot(None, offer, self.flavors[offer.flavor].size));
-            }
+            let ready = now + self.flavors[offer.flavor].boot;
+            (0..*count).for_each(|_| lanes.push(self.lane(None, offer, ready)));
         }
-        slots
+        lanes.sort_by(|a, b| a.slot.price.total_cmp(&b.slot.price));
+        lanes
     }
 
+    /// Plays the queue forward on the machines there are. What would start too late gets a new one.
     fn rent(&mut self, now: Micros, calls: &mut Vec<CloudCall>) {
         let mut waiting = self.waiting(now);
-        if waiting.is_empty() {
-            return;
-        }
-        let mut slots = self.coming(now);
-        for w in &mut waiting {
-            for slot in &mut slots {
-                fill(w, slot);
-            }
-        }
-        waiting.retain(|w| w.tasks > 0);
+        let mut lanes = self.lanes(now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        let mut rented = 0;
-        while rented < 200 {
-            let Some(offer) = self.best_offer(&waiting, now) else { break };
-            let slot = Slot {
-                machine: None,
-                flavor: offer.flavor,
-                flavor_name: self.flavors[offer.flavor].name.clone(),
-                zone: offer.zone.clone(),
-                spot: offer.spot,
-                free: self.flavors[offer.flavor].size,
-                reserved: None,
-                price_rank: 0,
-            };
-            let mut slot = slot;
-            waiting.iter_mut().for_each(|w| fill(w, &mut slot));
-            waiting.retain(|w| w.tasks > 0);
-            *wanted.entry(offer).or_default() += 1;
-            rented += 1;
+        let mut budget = PLANNED_TASKS;
+        for i in 0..waiting.len() {
+            let (head, rest) = waiting.split_at_mut(i + 1);
+            let w = &mut head[i];
+            while w.tasks > 0 && budget > 0 {
+                budget -= 1;
+                let mut best: Option<(usize, Micros)> = None;
+                for (i, lane) in lanes.iter().enumerate() {
+                    // Lanes are in order of price: a dearer one only if no cheaper one is in time.
+                    if best.is_some_and(|(b, t)| {
+                        t <= w.limit && lane.slot.price > lanes[b].slot.price * 1.01
+                    }) {
+                        break;
+                    }
+                    if !lane.allows(w) {
+                        continue;
+                    }
+                    let start = lane.earliest(&w.spec.need);
+                    if start < best.map_or(Micros::MAX, |b| b.1) {
+                        best = Some((i, start));
+                    }
+                }
+                if let Some((i, start)) = best.filter(|b| b.1 <= w.limit) {
+                    lanes[i].take(w, start);
+                    continue;
+                }
+                let offer = self.best_offer(w, rest, now);
+                let ready = offer.as_ref().map(|o| now + self.flavors[o.flavor].boot);
+                match (best, offer, ready) {
+                    // A new machine would be there no sooner than the room there is.
+                    (Some((i, start)), _, ready) if ready.is_none_or(|r| start <= r) => {
+                        lanes[i].take(w, start);
+                    }
+                    (_, Some(offer), Some(ready)) if wanted.values().sum::<u32>() < MAX_RENT => {
+                        let mut lane = self.lane(None, &offer, ready);
+                        lane.take(w, ready);
+                        let at = lanes.partition_point(|l| l.slot.price <= lane.slot.price);
+                        lanes.insert(at, lane);
+                        *wanted.entry(offer).or_default() += 1;
+                    }
+                    _ => break,
+                }
+            }
         }
         for (offer, count) in wanted {
             if !self.fleet.may_call(0.0) {
                 break;
             }
-            let count = count.min(MAX_RENT);
             self.fleet.requests += 1;
             // The term in the name keeps it from ever being used by another leader.
             let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
@@ -307,45 +396,39 @@
         }
     }
 
-    /// The offer that serves the first waiting job at the least price for the room it uses.
-    fn best_offer(&self, waiting: &[Waiting], now: Micros) -> Option<Offer> {
-        for first in waiting {
-            let mut best: Option<(f64, Offer)> = None;
-            for (i, flavor) in self.flavors.iter().enumerate() {
-                if !first.spec.need.fits(&flavor.size) {
+    /// The offer that serves a waiting job at the least price for the room that it and those
+    /// behind it use.
+    fn best_offer(&self, first: &Waiting, rest: &[Waiting], now: Micros) -> Option<Offer> {
+        let mut best: Option<(f64, Offer)> = None;
+        for (i, flavor) in self.flavors.iter().enumerate() {
+            if !first.spec.need.fits(&flavor.size) {
+                continue;
+            }
+            for (zone, spot) in flavor.zones.iter().flat_map(|z| [(z, false), (z, true)]) {
+                let offer = Offer { flavor: i, zone: zone.clone(), spot };
+                let blocked = self.fleet.backoff.get(&offer).is_some_and(|b| b.0 > now);
+                if blocked
+                    || !first.spec.allows(&flavor.name, zone, spot)
+                    || !zone_ok(&first.spec, &first.zones, zone)
+                {
                     continue;
                 }
-                for zone in &flavor.zones {
-                    for spot in [false, true] {
-                        let offer = Offer { flavor: i, zone: zone.clone(), spot };
-                        let blocked = self.fleet.backoff.get(&offer).is_some_and(|b| b.0 > now);
-                        if blocked
-                            || !first.spec.allows(&flavor.name, zone, spot)
-                            || !zone_ok(&first.spec, &first.zones, zone)
-                        {
-                            continue;
-                        }
-                        let mut free = flavor.size;
-                        let mut used = 0;
-                        for w in waiting {
-                            if w.spec.allows(&flavor.name, zone, spot) {
-                                let n = w.spec.need.times_in(&free).min(w.tasks);
-                                free -= w.spec.need.times(n);
-                                used += w.spec.need.cpu.max(1) * n;
-                            }
-                        }
-                        let score = flavor.price_of(spot) / used.max(1) as f64;
-                        if best.as_ref().is_none_or(|(s, _)| score < *s) {
-                            best = Some((score, offer));
-                        }
+                let mut free = flavor.size;
+                let mut used = 0;
+                for w in std::iter::once(first).chain(rest) {
+                    if w.spec.allows(&flavor.name, zone, spot) {
+                        let n = w.spec.need.times_in(&free).min(w.tasks);
+                        free -= w.spec.need.times(n);
+                        used += w.spec.need.cpu.max(1) * n;
                     }
                 }
-            }
-            if let Some((_, offer)) = best {
-                return Some(offer);
+                let score = flavor.price_of(spot) / used.max(1) as f64;
+                if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                    best = Some((score, offer));
+                }
             }
         }
-        None
+        best.map(|b| b.1)
     }
 
     /// Takes in an answer of the cloud. `None`: no answer came.
@@ -434,7 +517,7 @@
         let lag = 2 * self.settings.list_lag;
         let limit = crate::cluster::with_drift(self.settings.lease) + crate::cluster::LEASE_MARGIN;
         let mut gone: Vec<MachineId> = Vec::new();
-        let names: std::collections::HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
+        let names: HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
         for m in self.machines.values_mut().filter(|m| !names.contains(&*m.id)) {
             m.missed_lists += 1;
             // Lists lag and may be older than the one before; a machine counts as gone only when
@@ -486,12 +569,3 @@
         serde_json::from_slice::<Reason>(a.1).is_ok_and(|r| r.error == "no capacity")
     })
 }
-
-/// Puts as much of the waiting work into the slot as fits.
-fn fill(w: &mut Waiting, slot: &mut Slot) {
-    while w.tasks > 0 && slot.takes(&w.job, &w.spec) && zone_ok(&w.spec, &w.zones, &slot.zone) {
-        slot.free -= w.spec.need;
-        *w.zones.entry(slot.zone.clone()).or_default() += 1;
-        w.tasks -= 1;
-    }
-}
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -4,7 +4,7 @@
 use std::collections::{HashMap, HashSet};
 
 use crate::cluster::{Cluster, Job, MachineId, Phase};
-use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, Team};
+use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, Team, micros};
 use crate::saga::Saga;
 
 /// Room that tasks can be placed in: a machine's, or that of one still to come.
@@ -19,6 +19,8 @@
     pub reserved: Option<JobId>,
     /// Slots of one rank cost the same; the cheapest room has the lowest rank.
     pub price_rank: usize,
+    /// Per hour and thousandth of a CPU.
+    pub price: f64,
 }
 
 impl Slot {
@@ -42,8 +44,8 @@
     /// Live jobs in the order in which they are served: priority first, then work within its
     /// team's guarantee, then what can still be in time; among these the time left until a task
     /// has to start, lengthened by the work the job brings, and at last the order in which they
-    /// became ready.
-    pub fn queue(&self) -> Vec<JobId> {
+    /// became ready. With each comes whether it lies within its team's guarantee.
+    pub fn queue(&self) -> Vec<(JobId, bool)> {
         let mut ready: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
         ready.sort_by_key(|j| (j.at, j.id.clone()));
         let within = self.within_guarantee(&ready);
@@ -59,7 +61,7 @@
             })
             .collect();
         keyed.sort();
-        keyed.into_iter().map(|k| k.5).collect()
+        keyed.into_iter().map(|k| (k.5, !k.1)).collect()
     }
 
     /// Jobs that fit into their teams' guarantees together with the teams' earlier jobs.
@@ -84,10 +86,18 @@
         (spec.estimate as f64 * pace) as Micros
     }
 
+    /// How long a machine without the job's image takes to fetch it.
+    pub fn fetch_time(&self, spec: &JobSpec) -> Micros {
+        let fits = self.flavors.iter().filter(|f| spec.need.fits(&f.size));
+        let rate = fits.map(|f| f.fetch_gb_per_s).fold(f64::INFINITY, f64::min);
+        micros(spec.image_gb / rate)
+    }
+
     /// The time of day by which the job's tasks have to start to meet the next objective that can
     /// still be met; `None` if none can.
     pub fn latest_start(&self, job: &Job, within: bool) -> Option<u64> {
         let run = self.expected_run(&job.spec) * 5 / 4;
+        let fetch = self.fetch_time(&job.spec);
         let starts = self.settings.objectives.iter().filter_map(|o| {
             if o.class.as_ref().is_some_and(|c| *c != job.spec.class) {
                 return None;
@@ -103,7 +113,7 @@
                 _ => None,
             }
         });
-        starts.filter(|t| *t >= self.wall).min()
+        starts.map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall).min()
     }
 
     /// The time the job's remaining work takes when its team uses all that it may.
@@ -116,6 +126,12 @@
         (left * each * self.expected_run(&job.spec) as f64) as Micros
     }
 
+    /// What a thousandth of a CPU of such a machine costs an hour.
+    pub fn room_price(&self, flavor: usize, spot: bool) -> f64 {
+        let f = &self.flavors[flavor];
+        f.price_of(spot) / f.size.cpu.max(1) as f64
+    }
+
     /// Usable machines in first-fit order: the cheapest room first, so that the dear ones empty.
     fn slots(&self, now: Micros) -> Vec<Slot> {
         let mut slots: Vec<Slot> = self
@@ -133,16 +149,13 @@
                     free: m.free(),
                     reserved: m.reserved.as_ref().filter(|r| r.1 > now).map(|r| r.0.clone()),
                     price_rank: 0,
+                    price: self.room_price(f, m.spot),
                 })
             })
             .collect();
-        let price = |s: &Slot| {
-            let f = &self.flavors[s.flavor];
-            f.price_of(s.spot) / f.size.cpu.max(1) as f64
-        };
-        slots.sort_by(|a, b| price(a).total_cmp(&price(b)).then_with(|| a.machine.cmp(&b.machine)));
+        slots.sort_by(|a, b| a.price.total_cmp(&b.price).then_with(|| a.machine.cmp(&b.machine)));
         for i in 1..slots.len() {
-            let same = price(&slots[i]) <= price(&slots[i - 1]) * 1.01;
+            let same = slots[i].price <= slots[i - 1].price * 1.01;
             slots[i].price_rank = slots[i - 1].price_rank + usize::from(!same);
         }
         slots
@@ -174,7 +187,7 @@
             return;
         }
         let mut slots = self.slots(now);
-        for id in self.queue() {
+        for (id, _) in self.queue() {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.pending.is_empty() || self.headroom(job) <= 0 {
                 continue;
