Gather room for a waiting gang

Cause: a gang that needs a nearly whole machine never found one that small tasks kept filling. What comes free on the soonest machine is now kept for it, unless a machine that boots will serve it. Kept: without it a gang could wait for ever.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use crate::cloud::{CloudRequest, Listed};
-use crate::cluster::{Cluster, MachineId, Phase};
-use crate::model::{JobId, JobSpec, Micros, Resources, SECOND, Shape, micros};
+use crate::cluster::{Cluster, MachineId};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros};
 use crate::scheduler::{Slot, Zones, zone_ok};
 
 /// What the cloud charges at least for a machine that is deleted.
@@ -313,15 +313,8 @@
             let mut lane = self.lane(Some(m.id.clone()), &offer, now);
             lane.slot.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
-                let Some(j) = self.jobs.get(&task.job) else { continue };
-                if j.spec.shape == Shape::Service {
-                    continue;
-                }
-                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
-                // What runs longer than expected is expected to run for a while yet.
-                let left = self.expected_run(&j.spec).saturating_sub(ran).max(ran / 4);
-                let n = a.need;
-                lane.releases.push(Reverse((now + left, n.cpu, n.gpu, n.mem)));
+                let (end, n) = (self.expected_end(task, a, now), a.need);
+                lane.releases.push(Reverse((end, n.cpu, n.gpu, n.mem)));
             }
             lanes.push(lane);
         }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,8 +3,10 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
-use crate::cluster::{Cluster, Job, MachineId, Phase};
-use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, Team, micros};
+use crate::cluster::{Attempt, Cluster, Job, MachineId, Phase};
+use crate::model::{
+    JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros,
+};
 use crate::saga::Saga;
 
 /// Room that tasks can be placed in: a machine's, or that of one still to come.
@@ -16,7 +18,8 @@
     pub zone: String,
     pub spot: bool,
     pub free: Resources,
-    pub reserved: Option<JobId>,
+    /// The job that room is kept for, and how much of it.
+    pub reserved: Option<(JobId, Resources)>,
     /// Slots of one rank cost the same; the cheapest room has the lowest rank.
     pub price_rank: usize,
     /// Per hour and thousandth of a CPU.
@@ -27,7 +30,10 @@
     pub fn takes(&self, job: &JobId, spec: &JobSpec) -> bool {
         spec.need.fits(&self.free)
             && spec.allows(&self.flavor_name, &self.zone, self.spot)
-            && self.reserved.as_ref().is_none_or(|r| r == job)
+            && self
+                .reserved
+                .as_ref()
+                .is_none_or(|(holder, kept)| holder == job || spec.need.fits(&(self.free - *kept)))
     }
 }
 
@@ -147,7 +153,11 @@
                     zone: m.zone.clone(),
                     spot: m.spot,
                     free: m.free(),
-                    reserved: m.reserved.as_ref().filter(|r| r.1 > now).map(|r| r.0.clone()),
+                    reserved: m
+                        .reserved
+                        .as_ref()
+                        .filter(|r| r.1 > now)
+                        .and_then(|(id, _)| Some((id.clone(), self.jobs.get(id)?.spec.need))),
                     price_rank: 0,
                     price: self.room_price(f, m.spot),
                 })
@@ -309,7 +319,7 @@
                 j.gang =
                     Some(crate::cluster::Gang { attempt, saga, running: false, stopping: false });
             }
-            for (index, slot) in missing.into_iter().zip(taken) {
+            for (index, slot) in missing.iter().copied().zip(taken) {
                 if let Some(machine) = slots[slot].machine.clone() {
                     self.place(id, index, &machine, attempt, now);
                 }
@@ -317,6 +327,81 @@
             return;
         }
         self.make_room(id, now);
+        self.gather(id, missing.len(), now);
+    }
+
+    /// Gathers room for a waiting gang: on the machines that will have it soonest, what comes free
+    /// is kept. Kept room lapses unless it is asked for again.
+    fn gather(&mut self, id: &JobId, tasks: usize, now: Micros) {
+        let Some(job) = self.jobs.get(id) else { return };
+        let spec = job.spec.clone();
+        let zones = self.zones_of(job);
+        // What boots now will serve it, and nobody has to wait for that.
+        let coming = self.machines.values().filter(|m| {
+            let flavor = m.flavor.map(|f| &self.flavors[f]);
+            !m.up
+                && !m.deleting
+                && spec.need.fits(&m.size)
+                && flavor.is_some_and(|f| {
+                    now < m.rented_at + 2 * f.boot && spec.allows(&f.name, &m.zone, m.spot)
+                })
+        });
+        let tasks = tasks.saturating_sub(coming.count());
+        let mut soonest: Vec<(Micros, MachineId)> = Vec::new();
+        for m in self.machines.values().filter(|m| m.usable(now, self.settings.report)) {
+            let Some(f) = m.flavor else { continue };
+            if m.failures.contains(id)
+                || !spec.need.fits(&m.size)
+                || !spec.allows(&self.flavors[f].name, &m.zone, m.spot)
+                || !zone_ok(&spec, &zones, &m.zone)
+            {
+                continue;
+            }
+            match &m.reserved {
+                Some((holder, until)) if *until > now && holder != id => continue,
+                Some((holder, until)) if *until > now && holder == id => {
+                    soonest.push((0, m.id.clone()));
+                    continue;
+                }
+                _ => {}
+            }
+            let mut ends: Vec<(Micros, Resources)> = m
+                .attempts
+                .iter()
+                .filter(|(_, a)| a.holds)
+                .map(|((t, _), a)| (self.expected_end(t, a, now), a.need))
+                .collect();
+            ends.sort_by_key(|e| e.0);
+            let mut free = m.free();
+            let mut at = now;
+            for (end, need) in ends {
+                if spec.need.fits(&free) {
+                    break;
+                }
+                free += need;
+                at = end;
+            }
+            soonest.push((at, m.id.clone()));
+        }
+        soonest.sort();
+        for (_, machine) in soonest.into_iter().take(tasks) {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                let until = m.reserved.as_ref().map_or(0, |r| r.1);
+                m.reserved = Some((id.clone(), until.max(now + 2 * SECOND)));
+            }
+        }
+    }
+
+    /// When an attempt is expected to end.
+    pub fn expected_end(&self, task: &TaskId, attempt: &Attempt, now: Micros) -> Micros {
+        let Some(job) = self.jobs.get(&task.job) else { return now };
+        if job.spec.shape == Shape::Service {
+            return Micros::MAX;
+        }
+        let running = attempt.phase == Phase::Running;
+        let ran = if running { now.saturating_sub(attempt.since) } else { 0 };
+        // What runs longer than expected is expected to run for a while yet.
+        now + self.expected_run(&job.spec).saturating_sub(ran).max(ran / 4)
     }
 
     /// Preemption: stops work of lower priority, or, for a job within its team's guarantee, work
