Small machines first among similar prices; wait longer for many tasks

Cause: a gang was planned onto a machine whose thirty tasks were each expected to end soon, but the last of them ends late, so nothing was rented for it.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -121,17 +121,21 @@
 }
 
 impl Lane {
-    /// The earliest start of a task that needs `need`.
-    fn earliest(&self, need: &Resources) -> Micros {
+    /// The earliest start of a task that needs `need`. Waiting for several tasks to end takes
+    /// longer than each is expected to run: the last of k is late by about the logarithm of k.
+    fn earliest(&self, need: &Resources, now: Micros) -> Micros {
         let mut free = self.slot.free;
         if need.fits(&free) {
             return self.ready;
         }
         let mut releases = self.releases.clone();
+        let mut k = 0;
         while let Some(Reverse((at, cpu, gpu, mem))) = releases.pop() {
             free += Resources { cpu, gpu, mem };
+            k += 1;
             if need.fits(&free) {
-                return at.max(self.ready);
+                let wait = at.saturating_sub(now) as f64 * (1.0 + 0.25 * f64::from(k).log2());
+                return (now + wait as Micros).max(self.ready);
             }
         }
         Micros::MAX
@@ -281,6 +285,7 @@
         let slot = Slot {
             machine,
             flavor: offer.flavor,
+            flavor_size: flavor.size.cpu,
             flavor_name: flavor.name.clone(),
             zone: offer.zone.clone(),
             spot: offer.spot,
@@ -348,7 +353,7 @@
                     if !lane.allows(w) {
                         continue;
                     }
-                    let start = lane.earliest(&w.spec.need);
+                    let start = lane.earliest(&w.spec.need, now);
                     if start < best.map_or(Micros::MAX, |b| b.1) {
                         best = Some((i, start));
                     }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -9,11 +9,16 @@
 };
 use crate::saga::Saga;
 
+/// Room up to this many times as dear as the cheapest of its rank counts as costing the same.
+const SIMILAR_PRICE: f64 = 1.5;
+
 /// Room that tasks can be placed in: a machine's, or that of one still to come.
 #[derive(Clone, Debug)]
 pub struct Slot {
     pub machine: Option<MachineId>,
     pub flavor: usize,
+    /// The type's CPUs, in thousandths.
+    pub flavor_size: i64,
     pub flavor_name: String,
     pub zone: String,
     pub spot: bool,
@@ -149,6 +154,7 @@
                 Some(Slot {
                     machine: Some(m.id.clone()),
                     flavor: f,
+                    flavor_size: self.flavors[f].size.cpu,
                     flavor_name: self.flavors[f].name.clone(),
                     zone: m.zone.clone(),
                     spot: m.spot,
@@ -163,11 +169,23 @@
                 })
             })
             .collect();
-        slots.sort_by(|a, b| a.price.total_cmp(&b.price).then_with(|| a.machine.cmp(&b.machine)));
+        slots.sort_by(|a, b| a.price.total_cmp(&b.price));
+        let mut first = 0;
         for i in 1..slots.len() {
-            let same = slots[i].price <= slots[i - 1].price * 1.01;
+            let same = slots[i].price <= slots[first].price * SIMILAR_PRICE;
+            if !same {
+                first = i;
+            }
             slots[i].price_rank = slots[i - 1].price_rank + usize::from(!same);
         }
+        // Among room of a price, small machines first: large tasks need the large ones whole.
+        slots.sort_by(|a, b| {
+            (a.price_rank, a.flavor_size, &a.machine).cmp(&(
+                b.price_rank,
+                b.flavor_size,
+                &b.machine,
+            ))
+        });
         slots
     }
 
@@ -255,17 +273,18 @@
         n: usize,
     ) -> Vec<usize> {
         let mut taken = Vec::new();
-        let mut order: Vec<(usize, bool, usize)> = Vec::with_capacity(slots.len());
+        let mut order: Vec<(usize, i64, bool, usize)> = Vec::with_capacity(slots.len());
         for (i, slot) in slots.iter().enumerate() {
             let Some(m) = slot.machine.as_ref().and_then(|m| self.machines.get(m)) else {
                 continue;
             };
             if !m.failures.contains(id) && slot.takes(id, spec) {
-                order.push((slot.price_rank, !m.images.contains(&spec.image), i));
+                let cached = m.images.contains(&spec.image);
+                order.push((slot.price_rank, slot.flavor_size, !cached, i));
             }
         }
         order.sort();
-        for (_, _, i) in order {
+        for (.., i) in order {
             let slot = &mut slots[i];
             while taken.len() < n && slot.takes(id, spec) && zone_ok(spec, zones, &slot.zone) {
                 slot.free -= spec.need;
