--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -15,8 +15,9 @@
 const MAX_DELETE: usize = 100;
 /// Tasks that a plan looks at, in queue order; it is made anew all the time.
 const PLANNED_TASKS: usize = 600;
-/// How long a job that can no longer be in time may wait for cheap room.
-const LATE_PATIENCE: Micros = 60 * SECOND;
+/// How long after its submission a job may wait for cheap room that no objective hurries, or that
+/// is late for all of them. Counted from now instead, it would never be over.
+const PATIENCE: Micros = 60 * SECOND;
 
 /// A kind of machine that can be asked for.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
@@ -134,6 +135,10 @@
             free += Resources { cpu, gpu, mem };
             k += 1;
             if need.fits(&free) {
+                if at == Micros::MAX {
+                    // Replicas run until they are cancelled; adding to their end would overflow.
+                    return Micros::MAX;
+                }
                 let wait = at.saturating_sub(now) as f64 * (1.0 + 0.25 * f64::from(k).log2());
                 return (now + wait as Micros).max(self.ready);
             }
@@ -272,7 +277,7 @@
             let slack = match self.latest_start(job, within) {
                 // Estimates are rough: only a part of the time left is counted on.
                 Some(t) => t.saturating_sub(self.wall) * 4 / 10,
-                None => LATE_PATIENCE,
+                None => (job.at + PATIENCE).saturating_sub(self.wall),
             };
             let limit = now + slack;
             out.push(Waiting { spec: job.spec.clone(), tasks, zones, run, limit });
--- /dev/null
+++ b/tests/sim/mod.rs
@@ -0,0 +1,714 @@
+//! A small world for stories: controllers, workers, cloud, state service and users on one
+//! simulated clock, and an independent checker of the rules.
+
+pub mod state;
+pub mod worker;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+
+use bytes::Bytes;
+use gannethub::controller::{Clock, Command, Controller, Effect};
+use gannethub::http::{Method, Request, Response};
+use gannethub::peer::Envelope;
+use gannethub::settings::Settings;
+use gannethub::store::StoreRequest;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+
+use state::{Outcome, State};
+use worker::Worker;
+
+pub const SECOND: u64 = 1_000_000;
+const STEP: u64 = 10_000;
+pub const LEASE: u64 = 10 * SECOND;
+pub const CANCEL: u64 = 35 * SECOND;
+
+/// Who sent an HTTP request.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    User { job: String, what: &'static str, asked: u64 },
+    Worker { name: String, sent: u64 },
+}
+
+pub enum Event {
+    Command { node: usize, life: u32, command: Command },
+    Store { node: usize, life: u32, id: u64, request: StoreRequest, asked: u64 },
+    Cloud { node: usize, life: u32, id: u64, path: String, body: Bytes },
+    Peer { from: usize, to: usize, message: Envelope },
+    Answer { origin: Origin, node: usize, response: Response },
+    Restart { node: usize },
+}
+
+/// A job as its user sees it.
+#[derive(Debug)]
+pub struct UserJob {
+    pub body: Value,
+    pub accepted: Option<u64>,
+    pub cancel_asked: bool,
+    pub told_cancelled: Option<u64>,
+    pub told_done: Option<u64>,
+    pub status: String,
+    pub polls: usize,
+}
+
+pub struct Node {
+    pub controller: Option<Controller>,
+    pub life: u32,
+    born: u64,
+}
+
+pub struct World {
+    pub now: u64,
+    pub rng: StdRng,
+    pub nodes: Vec<Node>,
+    settings: Vec<Arc<Settings>>,
+    pub state: State,
+    /// Nodes that the state service refuses.
+    pub refused: HashSet<usize>,
+    /// Pairs of siblings that cannot reach one another; messages are held and come late.
+    pub cut: HashSet<(usize, usize)>,
+    held: Vec<(usize, usize, Envelope)>,
+    /// Workers that a node cannot hear: (node, zone).
+    pub deaf: HashSet<(usize, String)>,
+    /// The share of transactions that are carried out late, with no answer.
+    pub late_commits: f64,
+    pub workers: BTreeMap<String, Worker>,
+    pub capacity: usize,
+    /// The cloud fails to delete machines.
+    pub no_deletes: bool,
+    rentals: HashMap<String, Vec<String>>,
+    rented: usize,
+    events: BinaryHeap<Reverse<(u64, u64)>>,
+    queue: HashMap<u64, Event>,
+    seq: u64,
+    watches: Vec<(usize, u32, u64, String, u64, u64)>,
+    conns: HashMap<u64, (Origin, usize, u32)>,
+    pub jobs: BTreeMap<String, UserJob>,
+    pub broken: Vec<String>,
+    pub starts: usize,
+    pub gang_peer: u64,
+}
+
+pub fn settings(i: usize, n: usize, lease_s: f64) -> Arc<Settings> {
+    let mut text = format!(
+        "host_name = \"n{i}\"\narea = \"z{i}\"\nbind = \"10.0.0.{i}:80\"\n\
+         cluster_listen = \"10.0.0.{i}:81\"\n[outside]\ncloud = \"10.1.0.1:1\"\n\
+         state = \"10.1.0.2:1\"\n[cluster]\n[cluster.workers]\nreport_s = 1.0\n\
+         lease_s = {lease_s:.1}\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = 35.0\n\
+         [cluster.state]\nrps = 200.0\nwrite_rps = 100.0\nvalue_kb = 16.0\ntxn_ops = 8\n\
+         [cluster.cloud]\nrps = 5.0\nlist_lag_s = 2.0\n"
+    );
+    for (name, limit) in [("red", 16.0), ("blue", 40.0)] {
+        text +=
+            &format!("[[cluster.teams]]\nname = \"{name}\"\ncpus = 8.0\ncpus_max = {limit:.1}\n");
+        text += "gpus = 2.0\ngpus_max = 8.0\n";
+    }
+    for j in (0..n).filter(|j| *j != i) {
+        text += &format!("[[siblings]]\nhost_name = \"n{j}\"\narea = \"z{j}\"\n");
+        text += &format!("peer_addr = \"10.0.0.{j}:81\"\n");
+    }
+    Arc::new(Settings::parse(&text, "story").expect("the story's settings are fine").0)
+}
+
+/// A submission's body. `more` overrides fields.
+pub fn job(id: u32, tasks: u32, more: Value) -> Value {
+    let mut body = json!({
+        "id": format!("j-{id:06}"), "jobclass": "c", "crew": "blue", "shape": "array",
+        "rank": "normal", "pieces": tasks, "vcpus": 1.0, "cards": 0.0, "mem_gb": 1.0,
+        "build": "img", "size_gb": 1.0, "rigs": null, "yard": null, "together": false,
+        "scatter": false, "loaners": true, "guess_s": 5.0, "stamp_every_s": 0.0, "stamp_s": 0.0,
+        "due_s": null
+    });
+    if let (Some(body), Some(more)) = (body.as_object_mut(), more.as_object()) {
+        body.extend(more.clone());
+    }
+    body
+}
+
+impl World {
+    pub fn new(nodes: usize, seed: u64) -> World {
+        World::with_lease(nodes, seed, LEASE as f64 / SECOND as f64)
+    }
+
+    /// Controllers that believe in another lease than the workers'.
+    pub fn with_lease(nodes: usize, seed: u64, believed_s: f64) -> World {
+        worker::DONE.with(|d| d.borrow_mut().clear());
+        let mut world = World {
+            now: 0,
+            rng: StdRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            settings: (0..nodes).map(|i| settings(i, nodes, believed_s)).collect(),
+            state: State::default(),
+            refused: HashSet::new(),
+            cut: HashSet::new(),
+            held: Vec::new(),
+            deaf: HashSet::new(),
+            late_commits: 0.0,
+            workers: BTreeMap::new(),
+            capacity: 12,
+            no_deletes: false,
+            rentals: HashMap::new(),
+            rented: 0,
+            events: BinaryHeap::new(),
+            queue: HashMap::new(),
+            seq: 0,
+            watches: Vec::new(),
+            conns: HashMap::new(),
+            jobs: BTreeMap::new(),
+            broken: Vec::new(),
+            starts: 0,
+            gang_peer: 5 * SECOND,
+        };
+        for i in 0..nodes {
+            world.nodes.push(Node { controller: None, life: 0, born: 0 });
+            world.restart(i);
+        }
+        world
+    }
+
+    fn clock(&self, node: usize) -> Clock {
+        // Steady clocks drift by a little, each in its own direction.
+        let t = self.now - self.nodes[node].born;
+        let drift = (t / 2000) * (node as u64 % 2);
+        Clock { now: t + drift, wall: 1_700_000_000 * SECOND + self.now }
+    }
+
+    pub fn restart(&mut self, node: usize) {
+        self.nodes[node].life += 1;
+        self.nodes[node].born = self.now;
+        let clock = self.clock(node);
+        self.nodes[node].controller = Some(Controller::new(self.settings[node].clone(), clock));
+    }
+
+    pub fn crash(&mut self, node: usize, back_after: u64) {
+        self.nodes[node].controller = None;
+        self.nodes[node].life += 1;
+        self.at(back_after, Event::Restart { node });
+    }
+
+    /// The controller that leads, if one does.
+    pub fn leader(&self) -> Option<usize> {
+        (0..self.nodes.len())
+            .filter(|&i| self.nodes[i].controller.as_ref().is_some_and(|c| c.cluster().is_some()))
+            .max_by_key(|&i| {
+                let controller = self.nodes[i].controller.as_ref();
+                controller.and_then(|c| c.cluster()).map_or(0, |c| c.term)
+            })
+    }
+
+    fn at(&mut self, delay: u64, event: Event) {
+        self.seq += 1;
+        self.events.push(Reverse((self.now + delay, self.seq)));
+        self.queue.insert(self.seq, event);
+    }
+
+    fn jitter(&mut self) -> u64 {
+        self.rng.random_range(1_000..12_000)
+    }
+
+    pub fn run(&mut self, seconds: u64) {
+        let end = self.now + seconds * SECOND;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Runs until `done` holds; fails the story after `seconds`.
+    pub fn run_until(&mut self, seconds: u64, what: &str, mut done: impl FnMut(&World) -> bool) {
+        let end = self.now + seconds * SECOND;
+        while !done(self) {
+            if self.now >= end {
+                let open: Vec<_> =
+                    self.jobs.iter().filter(|(_, j)| j.told_done.is_none()).collect();
+                panic!("not within {seconds} s: {what}; broken: {:?}; open: {open:?}", self.broken);
+            }
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        self.state.tick(self.now);
+        self.wake_watches();
+        let cut = self.cut.clone();
+        let (still, free): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.held).into_iter().partition(|h| cut.contains(&(h.0, h.1)));
+        self.held = still;
+        for (from, to, message) in free {
+            let delay = self.jitter();
+            self.at(delay, Event::Peer { from, to, message });
+        }
+        while self.events.peek().is_some_and(|e| e.0.0 <= self.now) {
+            let Some(Reverse((_, seq))) = self.events.pop() else { break };
+            if let Some(event) = self.queue.remove(&seq) {
+                self.handle(event);
+            }
+        }
+        if self.now.is_multiple_of(50_000) {
+            for node in 0..self.nodes.len() {
+                let life = self.nodes[node].life;
+                self.command(node, life, Command::Tick);
+            }
+            self.step_workers();
+            self.poll_jobs();
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Command { node, life, command } => self.command(node, life, command),
+            Event::Store { node, life, id, request, asked } => {
+                let own = self.nodes[node].life == life;
+                if own && self.refused.contains(&node) {
+                    return self.store_answer(node, life, id, Some((503, json!({}))));
+                }
+                match self.state.handle(&request, self.now) {
+                    Outcome::Answer(status, body) => {
+                        let lost = self.now > asked + request.patience;
+                        let answer = (!lost).then_some((status, body));
+                        self.store_answer(node, life, id, answer);
+                    }
+                    Outcome::Wait { prefix, after, until } => {
+                        self.watches.push((node, life, id, prefix, after, until));
+                    }
+                }
+            }
+            Event::Cloud { node, life, id, path, body } => {
+                let (status, body) = self.cloud(&path, &body);
+                let answer = Some((status, Bytes::from(body.to_string())));
+                self.at(
+                    20_000,
+                    Event::Command { node, life, command: Command::Cloud { id, answer } },
+                );
+            }
+            Event::Peer { from, to, message } => {
+                if self.cut.contains(&(from, to)) {
+                    self.held.push((from, to, message));
+                } else {
+                    let life = self.nodes[to].life;
+                    self.command(to, life, Command::Peer(message));
+                }
+            }
+            Event::Answer { origin, node, response } => match origin {
+                Origin::User { job, what, asked } => {
+                    self.user_answer(&job, what, asked, &response);
+                }
+                Origin::Worker { name, sent } => {
+                    let mut worker = self.workers.remove(&name);
+                    if let Some(w) = worker.as_mut().filter(|w| !w.hung(self.now)) {
+                        w.answered(self, node, sent, &response);
+                    }
+                    worker.map(|w| self.workers.insert(name, w));
+                }
+            },
+            Event::Restart { node } => self.restart(node),
+        }
+    }
+
+    fn store_answer(&mut self, node: usize, life: u32, id: u64, answer: Option<(u16, Value)>) {
+        let answer = answer.map(|(s, b)| (s, Bytes::from(b.to_string())));
+        let delay = self.jitter();
+        self.at(delay, Event::Command { node, life, command: Command::Store { id, answer } });
+    }
+
+    fn wake_watches(&mut self) {
+        if self.state.down {
+            return;
+        }
+        for (node, life, id, prefix, after, until) in std::mem::take(&mut self.watches) {
+            match self.state.changes(&prefix, after) {
+                Some(changes) => self.store_answer(node, life, id, Some((200, changes))),
+                None if until <= self.now => {
+                    let quiet = self.state.quiet();
+                    self.store_answer(node, life, id, Some((200, quiet)));
+                }
+                None => self.watches.push((node, life, id, prefix, after, until)),
+            }
+        }
+    }
+
+    fn command(&mut self, node: usize, life: u32, command: Command) {
+        if self.nodes[node].life != life {
+            return;
+        }
+        let clock = self.clock(node);
+        let Some(controller) = self.nodes[node].controller.as_mut() else { return };
+        let effects = controller.step(clock, [command]);
+        for effect in effects {
+            let delay = self.jitter();
+            match effect {
+                Effect::Reply { conn, response } => {
+                    if let Some((origin, node, _)) = self.conns.remove(&conn) {
+                        self.at(delay, Event::Answer { origin, node, response });
+                    }
+                }
+                Effect::Store { id, request } => {
+                    let late = request.path == "/commit" && self.rng.random_bool(self.late_commits);
+                    if late {
+                        let asked = 0;
+                        let long = self.rng.random_range(SECOND..20 * SECOND);
+                        let patience = request.patience;
+                        self.at(long, Event::Store { node, life: 0, id, request, asked });
+                        let command = Command::Store { id, answer: None };
+                        self.at(patience, Event::Command { node, life, command });
+                    } else {
+                        let asked = self.now;
+                        self.at(delay, Event::Store { node, life, id, request, asked });
+                    }
+                }
+                Effect::Cloud { id, request } => {
+                    let (path, body) = (request.path, request.body);
+                    self.at(delay, Event::Cloud { node, life, id, path, body });
+                }
+                Effect::Peer { to, message } => {
+                    let name = self.settings[node].siblings[to].name.clone();
+                    let to = self.settings.iter().position(|s| s.name == name).expect("known");
+                    self.at(delay, Event::Peer { from: node, to, message });
+                }
+            }
+        }
+    }
+
+    /// Sends an HTTP request; no answer ever comes from a dead node.
+    pub fn http(&mut self, origin: Origin, node: usize, method: Method, path: &str, body: Bytes) {
+        self.seq += 1;
+        let conn = self.seq;
+        let life = self.nodes[node].life;
+        self.conns.insert(conn, (origin, node, life));
+        let request = Request { method, path: path.into(), body, close: false };
+        let delay = self.jitter();
+        let command = Command::Request { conn, request };
+        self.at(delay, Event::Command { node, life, command });
+    }
+
+    // ---- The cloud ----
+
+    fn cloud(&mut self, path: &str, body: &Bytes) -> (u16, Value) {
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        let path = path.split('?').next().unwrap_or("");
+        match path {
+            "/flavors" => (
+                200,
+                json!({"rigs": [
+                    {"label": "small", "vcpus": 4, "cards": 0, "mem_gb": 16, "cache_gb": 50,
+                     "fetch_gb_per_s": 1.0, "price": 0.2, "spot_price": 0.1, "boot_s": 3,
+                     "yards": ["a", "b"]},
+                    {"label": "gpu", "vcpus": 8, "cards": 4, "mem_gb": 64, "cache_gb": 50,
+                     "fetch_gb_per_s": 1.0, "price": 1.0, "spot_price": 0.4, "boot_s": 3,
+                     "yards": ["a", "b"]}]}),
+            ),
+            "/rentals/delete" if self.no_deletes => (500, json!({"error": "trouble"})),
+            "/rentals/delete" => {
+                for name in body["hosts"].as_array().into_iter().flatten() {
+                    self.workers.remove(name.as_str().unwrap_or(""));
+                }
+                (200, json!({}))
+            }
+            "/rentals" if !body.is_null() => {
+                let name = body["hire"].as_str().unwrap_or("").to_string();
+                if let Some(hosts) = self.rentals.get(&name) {
+                    return (200, json!({"hosts": hosts}));
+                }
+                let room = self.capacity.saturating_sub(self.workers.len());
+                let count = (body["how_many"].as_u64().unwrap_or(0) as usize).min(room);
+                if count == 0 {
+                    return (503, json!({"error": "no capacity"}));
+                }
+                let mut hosts = Vec::new();
+                for _ in 0..count {
+                    self.rented += 1;
+                    let id = format!("host-{:06}", self.rented);
+                    let boots = self.now + self.rng.random_range(SECOND..4 * SECOND);
+                    let nodes = self.nodes.len();
+                    let first = self.rng.random_range(0..nodes);
+                    let worker = Worker::new(&id, &body, boots, first);
+                    self.workers.insert(id.clone(), worker);
+                    hosts.push(id);
+                }
+                self.rentals.insert(name, hosts.clone());
+                (200, json!({"hosts": hosts}))
+            }
+            _ => {
+                let hosts: Vec<Value> = self
+                    .workers
+                    .values()
+                    .filter(|w| self.now > w.boots_at + 2 * SECOND)
+                    .map(|w| {
+                        let status = if w.dead { "failed" } else { "running" };
+                        json!({"id": w.name, "addr": "10.9.0.1:9000", "rig": w.flavor,
+                               "yard": w.zone, "loaners": w.spot, "status": status, "held_s": 5.0})
+                    })
+                    .collect();
+                (200, json!({"hosts": hosts, "truncated": false}))
+            }
+        }
+    }
+
+    // ---- Workers ----
+
+    fn step_workers(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            let Some(mut w) = self.workers.remove(&name) else { continue };
+            w.step(self);
+            self.workers.insert(name, w);
+        }
+        self.step_gangs();
+    }
+
+    fn step_gangs(&mut self) {
+        let mut gangs: HashMap<(String, u64), Vec<(String, String)>> = HashMap::new();
+        for w in self.workers.values().filter(|w| !w.dead) {
+            for t in w.tasks.values().filter(|t| t.gang && !t.ended()) {
+                let job = t.name.split('/').next().unwrap_or("").to_string();
+                gangs.entry((job, t.attempt)).or_default().push((w.name.clone(), t.name.clone()));
+            }
+        }
+        for ((job, _), members) in gangs {
+            let Some(body) = self.jobs.get(&job).map(|j| j.body.clone()) else { continue };
+            let whole = members.len() as u64 == body["pieces"].as_u64().unwrap_or(0);
+            let phase = |world: &World, (w, t): &(String, String)| {
+                world.workers[w].tasks.get(t).map(|t| t.phase)
+            };
+            let ready = members.iter().all(|m| phase(self, m) == Some(worker::Phase::Waiting));
+            let run = self.run_time();
+            let (now, peer) = (self.now, self.gang_peer);
+            // A hung machine holds the whole gang up, and the others leave after a while.
+            let moving = members.iter().all(|(w, _)| !self.workers[w].hung(now));
+            let over = whole
+                && moving
+                && members.iter().all(|(w, t)| {
+                    let t = &self.workers[w].tasks[t];
+                    t.phase == worker::Phase::Running && now >= t.until
+                });
+            for (w, t) in members {
+                let Some(task) = self.workers.get_mut(&w).and_then(|w| w.tasks.get_mut(&t)) else {
+                    continue;
+                };
+                if whole && ready {
+                    task.phase = worker::Phase::Running;
+                    task.until = now + run;
+                } else if over {
+                    task.end("done");
+                    worker::DONE.with(|d| d.borrow_mut().insert(t));
+                } else if (!whole || !moving) && task.phase == worker::Phase::Running {
+                    let since = *task.lonely.get_or_insert(now);
+                    if now > since + peer {
+                        task.end("mates_gone");
+                    }
+                }
+            }
+        }
+    }
+
+    pub fn run_time(&mut self) -> u64 {
+        self.rng.random_range(2 * SECOND..8 * SECOND)
+    }
+
+    // ---- Users ----
+
+    pub fn submit(&mut self, body: Value) {
+        let id = body["id"].as_str().unwrap_or("").to_string();
+        self.jobs.insert(
+            id.clone(),
+            UserJob {
+                body,
+                accepted: None,
+                cancel_asked: false,
+                told_cancelled: None,
+                told_done: None,
+                status: String::new(),
+                polls: 0,
+            },
+        );
+        self.ask(&id, "submit");
+    }
+
+    pub fn cancel(&mut self, id: u32) {
+        let id = format!("j-{id:06}");
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.cancel_asked = true;
+        }
+        self.ask(&id, "cancel");
+    }
+
+    /// Sends a user's request to some node.
+    pub fn ask(&mut self, id: &str, what: &'static str) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        let origin = Origin::User { job: id.into(), what, asked: self.now };
+        let body = match what {
+            "submit" => Bytes::from(self.jobs[id].body.to_string()),
+            _ => Bytes::new(),
+        };
+        let (method, path) = match what {
+            "submit" => (Method::Post, "/api/jobs".to_string()),
+            "cancel" => (Method::Post, format!("/api/jobs/{id}/cancel")),
+            _ => (Method::Get, format!("/api/jobs/{id}")),
+        };
+        self.http(origin, node, method, &path, body);
+    }
+
+    /// Every job is polled, and what has not been answered is asked again.
+    fn poll_jobs(&mut self) {
+        if !self.now.is_multiple_of(2 * SECOND) {
+            return;
+        }
+        let ids: Vec<String> = self.jobs.keys().cloned().collect();
+        for id in ids {
+            let j = &self.jobs[&id];
+            if j.accepted.is_none() {
+                self.ask(&id, "submit");
+            } else if j.cancel_asked && j.told_cancelled.is_none() && j.told_done.is_none() {
+                self.ask(&id, "cancel");
+            }
+            if self.jobs[&id].accepted.is_some() {
+                self.ask(&id, "poll");
+            }
+        }
+    }
+
+    fn user_answer(&mut self, id: &str, what: &str, asked: u64, response: &Response) {
+        let body: Value = serde_json::from_slice(&response.body).unwrap_or(Value::Null);
+        let status = body["status"].as_str().unwrap_or("").to_string();
+        let now = self.now;
+        let all_done = self.completed(id);
+        let Some(j) = self.jobs.get_mut(id) else { return };
+        let mut broken = Vec::new();
+        match response.status {
+            200 | 201 => {
+                if what == "submit" {
+                    j.accepted.get_or_insert(now);
+                }
+                if what == "poll" {
+                    j.polls += 1;
+                }
+                // Answers may overtake one another: only what was asked after being told counts.
+                let knew = |told: Option<u64>| told.is_some_and(|t| t < asked);
+                if (knew(j.told_done) && status != "done")
+                    || (knew(j.told_cancelled) && status != "cancelled")
+                    || (status == "cancelled" && !j.cancel_asked)
+                {
+                    broken.push(format!("went_back: {id} is {status}"));
+                }
+                if status == "done" {
+                    if !all_done {
+                        broken.push(format!("not_done: {id}"));
+                    }
+                    j.told_done.get_or_insert(now);
+                }
+                if status == "cancelled" {
+                    j.told_cancelled.get_or_insert(now);
+                }
+                j.status = status;
+            }
+            404 | 400 | 422 if j.accepted.is_some_and(|t| t < asked) => {
+                broken.push(format!("forgotten: {id} gets {}", response.status));
+            }
+            _ => {}
+        }
+        self.broken.extend(broken);
+    }
+
+    /// Whether each of the job's tasks has completed on some machine at some time.
+    fn completed(&self, id: &str) -> bool {
+        let n = self.jobs.get(id).and_then(|j| j.body["pieces"].as_u64()).unwrap_or(0);
+        worker::DONE.with(|d| {
+            let d = d.borrow();
+            (0..n).all(|i| d.contains(&format!("{id}/{i}")))
+        })
+    }
+
+    pub fn all_over(&self) -> bool {
+        self.jobs.values().all(|j| {
+            j.told_done.is_some()
+                || j.told_cancelled.is_some()
+                || j.body["shape"].as_str() == Some("service")
+        })
+    }
+
+    // ---- The checker ----
+
+    /// A task of `w` starts to count as on its machine now.
+    pub fn check_start(&mut self, w: &Worker, name: &str) {
+        self.starts += 1;
+        let id = name.split('/').next().unwrap_or("").to_string();
+        let Some(job) = self.jobs.get(&id) else {
+            self.broken.push(format!("unknown job started: {name}"));
+            return;
+        };
+        let body = &job.body;
+        let mut broken = Vec::new();
+        let others = || self.workers.values().filter(|o| !o.dead && o.name != w.name);
+        if others().any(|o| o.tasks.get(name).is_some_and(|t| t.on_machine())) {
+            broken.push(format!("ran_twice: {name} on {}", w.name));
+        }
+        if job.told_cancelled.is_some_and(|t| self.now > t + CANCEL) {
+            broken.push(format!("ran_cancelled: {name}"));
+        }
+        let allowed = |field: &str, value: &str| match &body[field] {
+            Value::Array(list) => list.iter().any(|v| v == value),
+            Value::String(s) => s == value,
+            _ => true,
+        };
+        if !allowed("rigs", &w.flavor)
+            || !allowed("yard", &w.zone)
+            || (w.spot && body["loaners"] == json!(false))
+        {
+            broken.push(format!("wrong_place: {name} on {}", w.name));
+        }
+        let mut zones: HashMap<&str, u64> = HashMap::new();
+        let mut used: f64 = 0.0;
+        for o in others().chain([w]) {
+            for t in o.tasks.values().filter(|t| t.on_machine()) {
+                let other = t.name.split('/').next().unwrap_or("");
+                let Some(j) = self.jobs.get(other) else { continue };
+                if other == id {
+                    *zones.entry(&o.zone).or_default() += 1;
+                }
+                if j.body["crew"] == body["crew"] {
+                    used += j.body["vcpus"].as_f64().unwrap_or(0.0);
+                }
+            }
+        }
+        if body["together"] == json!(true) && zones.len() > 1 {
+            broken.push(format!("wrong_place: {name} splits its job over zones"));
+        }
+        let half = body["pieces"].as_u64().unwrap_or(0).div_ceil(2);
+        if body["scatter"] == json!(true) && zones.values().any(|n| *n > half) {
+            broken.push(format!("wrong_place: {name} crowds a zone"));
+        }
+        let limit = if body["crew"] == "red" { 16.0 } else { 40.0 };
+        if used > limit + 1e-6 {
+            broken.push(format!("quota: {} uses {used}", body["crew"]));
+        }
+        self.broken.extend(broken);
+    }
+
+    /// Cancelled jobs must be gone from all machines in time.
+    pub fn check_cancelled(&mut self) {
+        let mut broken = Vec::new();
+        for w in self.workers.values().filter(|w| !w.dead) {
+            for t in w.tasks.values().filter(|t| t.on_machine()) {
+                let id = t.name.split('/').next().unwrap_or("");
+                let told = self.jobs.get(id).and_then(|j| j.told_cancelled);
+                if told.is_some_and(|at| self.now > at + CANCEL) {
+                    broken.push(format!("ran_cancelled: {} is still on {}", t.name, w.name));
+                }
+            }
+        }
+        self.broken.extend(broken);
+    }
+
+    /// Ends a story: the rules held, and something ran.
+    pub fn finish(mut self) {
+        self.check_cancelled();
+        assert_eq!(self.broken, Vec::<String>::new());
+        assert!(self.starts > 0, "nothing ran");
+        let untold: Vec<&String> =
+            self.jobs.iter().filter(|(_, j)| j.accepted.is_none()).map(|(id, _)| id).collect();
+        assert!(untold.is_empty(), "never accepted: {untold:?}");
+    }
+}
--- /dev/null
+++ b/tests/sim/state.rs
@@ -0,0 +1,194 @@
+//! A stand-in for the state service, in memory, by its published protocol.
+
+use std::collections::BTreeMap;
+
+use gannethub::http::Method;
+use gannethub::store::StoreRequest;
+use serde_json::{Value, json};
+
+#[derive(Clone)]
+struct Entry {
+    value: Value,
+    stamp: u64,
+    grant: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct State {
+    entries: BTreeMap<String, Entry>,
+    log: Vec<(u64, String, Option<Value>)>,
+    grants: BTreeMap<u64, (u64, u64)>,
+    revision: u64,
+    next_grant: u64,
+    pub down: bool,
+}
+
+/// What a request comes to: an answer, or a watch that waits.
+pub enum Outcome {
+    Answer(u16, Value),
+    Wait { prefix: String, after: u64, until: u64 },
+}
+
+impl State {
+    fn change(&mut self, key: &str, value: Option<(Value, Option<u64>)>) {
+        let revision = self.revision;
+        match value {
+            Some((value, grant)) => {
+                self.log.push((revision, key.into(), Some(value.clone())));
+                self.entries.insert(key.into(), Entry { value, stamp: revision, grant });
+            }
+            None => {
+                if self.entries.remove(key).is_some() {
+                    self.log.push((revision, key.into(), None));
+                }
+            }
+        }
+    }
+
+    fn end_grant(&mut self, id: u64) {
+        self.grants.remove(&id);
+        let keys: Vec<String> = self
+            .entries
+            .iter()
+            .filter(|(_, e)| e.grant == Some(id))
+            .map(|(k, _)| k.clone())
+            .collect();
+        if !keys.is_empty() {
+            self.revision += 1;
+            keys.iter().for_each(|k| self.change(k, None));
+        }
+    }
+
+    /// Lets grants run out. In an outage none does, and afterwards each has its full time again.
+    pub fn tick(&mut self, now: u64) {
+        if self.down {
+            self.grants.values_mut().for_each(|g| g.1 = now + g.0);
+            return;
+        }
+        let over: Vec<u64> = self.grants.iter().filter(|(_, g)| g.1 <= now).map(|g| *g.0).collect();
+        over.into_iter().for_each(|id| self.end_grant(id));
+    }
+
+    pub fn changes(&self, prefix: &str, after: u64) -> Option<Value> {
+        let log: Vec<Value> = self
+            .log
+            .iter()
+            .filter(|(r, k, _)| *r > after && k.starts_with(prefix))
+            .map(|(r, k, v)| match v {
+                Some(v) => json!({"write": k, "v": v, "stamp": r}),
+                None => json!({"delete": k, "stamp": r}),
+            })
+            .collect();
+        (!log.is_empty()).then(|| json!({"ledger_no": self.revision, "log": log}))
+    }
+
+    pub fn quiet(&self) -> Value {
+        json!({"ledger_no": self.revision, "log": []})
+    }
+
+    pub fn handle(&mut self, request: &StoreRequest, now: u64) -> Outcome {
+        if self.down {
+            return Outcome::Answer(503, json!({"error": "down"}));
+        }
+        let (path, query) = request.path.split_once('?').unwrap_or((&request.path, ""));
+        let arg = |name: &str| {
+            query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == name).map(|p| p.1)
+        };
+        let body: Value = serde_json::from_slice(&request.body).unwrap_or(Value::Null);
+        let (status, answer) = match (request.method, path) {
+            (Method::Get, "/follow") => {
+                let prefix = arg("starts").unwrap_or("").to_string();
+                let after = arg("from").and_then(|a| a.parse().ok()).unwrap_or(0);
+                if let Some(changes) = self.changes(&prefix, after) {
+                    return Outcome::Answer(200, changes);
+                }
+                let block: u64 = arg("block_ms").and_then(|b| b.parse().ok()).unwrap_or(0);
+                return Outcome::Wait { prefix, after, until: now + block * 1000 };
+            }
+            (Method::Get, "/kv") => {
+                let (prefix, from) = (arg("starts").unwrap_or(""), arg("from").unwrap_or(""));
+                // Small pages, so that paging is always at work.
+                let all: Vec<Value> = self
+                    .entries
+                    .iter()
+                    .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from)
+                    .map(
+                        |(k, e)| json!({"k": k, "v": e.value, "stamp": e.stamp, "permit": e.grant}),
+                    )
+                    .collect();
+                let page: Vec<Value> = all.iter().take(5).cloned().collect();
+                let more = page.len() < all.len();
+                (200, json!({"items": page, "truncated": more, "ledger_no": self.revision}))
+            }
+            (Method::Get, p) => match self.entries.get(p.trim_start_matches("/kv/")) {
+                Some(e) => {
+                    let key = p.trim_start_matches("/kv/");
+                    (200, json!({"k": key, "v": e.value, "stamp": e.stamp, "permit": e.grant}))
+                }
+                None => (404, json!({"ledger_no": self.revision})),
+            },
+            (Method::Post, "/grants") => {
+                let ttl = body["ttl_ms"].as_u64().unwrap_or(0) * 1000;
+                self.next_grant += 1;
+                self.grants.insert(self.next_grant, (ttl, now + ttl));
+                (200, json!({"permit": self.next_grant}))
+            }
+            (Method::Post, "/commit") => self.commit(&body),
+            (Method::Post, p) => {
+                let id = p.trim_start_matches("/grants/").trim_end_matches("/renew").parse();
+                match id.ok().and_then(|id: u64| self.grants.get_mut(&id)) {
+                    Some(g) => {
+                        g.1 = now + g.0;
+                        (200, json!({}))
+                    }
+                    None => (404, json!({"error": "no such lease"})),
+                }
+            }
+            (Method::Delete, p) => {
+                let id = p.trim_start_matches("/grants/").parse().unwrap_or(0);
+                let known = self.grants.contains_key(&id);
+                self.end_grant(id);
+                (if known { 200 } else { 404 }, json!({}))
+            }
+            _ => (400, json!({"error": "malformed"})),
+        };
+        Outcome::Answer(status, answer)
+    }
+
+    fn commit(&mut self, body: &Value) -> (u16, Value) {
+        let empty = Vec::new();
+        let guards = body["guards"].as_array().unwrap_or(&empty);
+        let writes = body["writes"].as_array().unwrap_or(&empty);
+        for w in writes {
+            if w["permit"].as_u64().is_some_and(|g| !self.grants.contains_key(&g)) {
+                return (400, json!({"error": "no such lease"}));
+            }
+            assert!(w["v"].to_string().len() <= 16 * 1024, "a value outgrew the limit");
+        }
+        assert!(writes.len() <= 8, "too many operations in one transaction");
+        let stamp = |k: &str| self.entries.get(k).map_or(0, |e| e.stamp);
+        let failed: Vec<&str> = guards
+            .iter()
+            .filter_map(|g| Some((g["k"].as_str()?, g["stamp"].as_u64()?)))
+            .filter(|(k, s)| stamp(k) != *s)
+            .map(|g| g.0)
+            .collect();
+        if !failed.is_empty() {
+            return (409, json!({"failed": failed, "ledger_no": self.revision}));
+        }
+        self.revision += 1;
+        for w in writes {
+            if let Some(k) = w["write"].as_str() {
+                self.change(k, Some((w["v"].clone(), w["permit"].as_u64())));
+            } else if let Some(k) = w["delete"].as_str() {
+                self.change(k, None);
+            }
+        }
+        (200, json!({"ledger_no": self.revision}))
+    }
+
+    /// Keys with a prefix, for the tests to look at.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.entries.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
+    }
+}
