Gather only the room that a gang's zone rule lets it use

Cause: a spread gang kept every idle machine of one zone; none was returned, and the cloud had none left for the other zone.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -354,7 +354,7 @@
     fn gather(&mut self, id: &JobId, tasks: usize, now: Micros) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        let zones = self.zones_of(job);
+        let mut zones = self.zones_of(job);
         // What boots now will serve it, and nobody has to wait for that.
         let coming = self.machines.values().filter(|m| {
             let flavor = m.flavor.map(|f| &self.flavors[f]);
@@ -403,8 +403,19 @@
             soonest.push((at, m.id.clone()));
         }
         soonest.sort();
-        for (_, machine) in soonest.into_iter().take(tasks) {
-            if let Some(m) = self.machines.get_mut(&machine) {
+        // Only as much as the gang can use under its zone rules: room kept beyond that would never
+        // be given back, and the cloud would have none left where the gang still needs some.
+        let mut tasks = tasks;
+        for (_, machine) in soonest {
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
+            let room = spec.need.times_in(&m.size).min(tasks as i64);
+            let mut took = 0;
+            while took < room && zone_ok(&spec, &zones, &m.zone) {
+                *zones.entry(m.zone.clone()).or_default() += 1;
+                took += 1;
+            }
+            if took > 0 {
+                tasks -= took as usize;
                 let until = m.reserved.as_ref().map_or(0, |r| r.1);
                 m.reserved = Some((id.clone(), until.max(now + 2 * SECOND)));
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -243,6 +243,19 @@
     w.finish();
 }
 
+#[test]
+fn a_gathered_gang_does_not_keep_room_that_its_zone_rule_forbids() {
+    // All the capacity stands idle in one zone, and half the gang needs the other: keeping all of
+    // it for the gang would leave the cloud without a machine to rent there, for ever.
+    let mut w = World::new(3, 17);
+    w.run(2);
+    w.submit(job(1, 48, json!({"yard": "a"})));
+    w.run_until(60, "the zone is full", |w| w.workers.len() == w.capacity);
+    w.submit(job(2, 13, json!({"shape": "group", "scatter": true, "rank": "urgent"})));
+    w.run_until(200, "both are done", World::all_over);
+    w.finish();
+}
+
 #[test]
 fn a_repeated_submission_gets_the_jobs_state_even_when_it_would_now_be_refused() {
     let mut w = World::new(3, 15);
