Plan a gang's tasks side by side, never one after another

Cause: the plan let the tasks of a large gang follow one another on the same room, so too few machines were rented and the gang never started.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -163,7 +163,16 @@
         self.ready = self.ready.max(start);
         self.slot.free -= w.spec.need;
         let n = w.spec.need;
-        self.releases.push(Reverse((start + w.run.max(SECOND), n.cpu, n.gpu, n.mem)));
+        // Replicas do not end, and the tasks of a gang need all their room at the same time: one
+        // must not be planned to follow another.
+        let ends = match w.spec.shape {
+            Shape::Array => true,
+            Shape::Gang => w.spec.tasks == 1,
+            Shape::Service => false,
+        };
+        if ends {
+            self.releases.push(Reverse((start + w.run.max(SECOND), n.cpu, n.gpu, n.mem)));
+        }
         *w.zones.entry(self.slot.zone.clone()).or_default() += 1;
         w.tasks -= 1;
     }
