Operators' policy: a small typed expression language with a checker

Queue weight, counted slack, patience, spot use, idle time, grant length and block chunk are now expressions; the built-in policy is written in the same language and reproduces what was in code.

--- a/src/block.rs
+++ b/src/block.rs
@@ -47,9 +47,9 @@
 }
 
 impl Block {
-    pub fn new(id: u32, term: u64, holder: &str, value_bytes: usize) -> Block {
+    pub fn new(id: u32, term: u64, holder: &str, value_bytes: usize, chunk: usize) -> Block {
         // A member takes some 130 bytes with the longest plausible names.
-        let per_chunk = (value_bytes / 160).clamp(4, 200);
+        let per_chunk = (value_bytes / 160).min(chunk).max(4);
         let place = HashMap::new();
         Block { id, term, holder: holder.into(), per_chunk, chunks: Vec::new(), place }
     }
@@ -138,12 +138,12 @@
     #[test]
     fn machines_spread_over_chunks_and_a_successor_reads_them_all() {
         let member = Member { flavor: "g8".into(), zone: "a".into(), spot: false };
-        let mut block = Block::new(0, 1, "n0", 1024);
+        let mut block = Block::new(0, 1, "n0", 1024, 100);
         for i in 0..14 {
             block.add(&format!("host-{i}"), member.clone());
         }
         block.remove("host-3");
-        let mut next = Block::new(0, 2, "n1", 1024);
+        let mut next = Block::new(0, 2, "n1", 1024, 100);
         while let Some((chunk, _, record)) = block.dirty() {
             assert!(serde_json::to_string(&record).unwrap().len() <= 1024);
             assert_eq!(next.chunk_of_key(&block.key(chunk)), Some(chunk));
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -8,7 +8,10 @@
 
 use crate::block::{Block, ChunkRecord, Member};
 use crate::fleet::Fleet;
-use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, Resources, SECOND, Shape, TaskId};
+use crate::model::{
+    Flavor, JobId, JobSpec, Micros, Priority, Ranges, Resources, SECOND, Shape, TaskId,
+};
+use crate::policy::Setting;
 use crate::saga::{Action, Saga, State};
 use crate::settings::Settings;
 use crate::store::{self, Commit, JobRecord, OverRecord, PART_TASKS, PartRecord};
@@ -90,6 +93,8 @@
     /// Room that is being kept for a job, and until when.
     pub reserved: Option<(JobId, Micros)>,
     pub refused_until: Micros,
+    /// When work of high priority was last placed here.
+    pub urgent_at: Option<Micros>,
 }
 
 impl Machine {
@@ -127,7 +132,9 @@
 #[derive(Debug)]
 pub struct Job {
     pub id: JobId,
+    /// What placing goes by: as submitted, but for what policy forbids.
     pub spec: Arc<JobSpec>,
+    submitted: Arc<JobSpec>,
     pub team: Option<usize>,
     pub at: u64,
     pub stamp: u64,
@@ -231,7 +238,8 @@
         now: Micros,
         wall: u64,
     ) -> Cluster {
-        let block = Block::new(0, term, &settings.name, settings.value_bytes);
+        let chunk = settings.policy.number(Setting::BlockChunk, &[]) as usize;
+        let block = Block::new(0, term, &settings.name, settings.value_bytes, chunk);
         Cluster {
             term,
             used: vec![Resources::default(); settings.teams.len()],
@@ -276,8 +284,10 @@
         done.iter().for_each(|x| {
             pending.remove(x);
         });
-        let job = Job {
+        let submitted = spec.clone();
+        let mut job = Job {
             id: id.into(),
+            submitted,
             team: self.settings.team(&spec.team),
             at: record.at,
             stamp,
@@ -296,6 +306,13 @@
             unsure: false,
             spec,
         };
+        if job.spec.spot {
+            let within = self.within_guarantee(&[&job]).contains(&job.id);
+            let spot = self.job_truth(Setting::UseSpot, &job, within);
+            if !spot {
+                job.spec = Arc::new(JobSpec { spot, ..(*job.submitted).clone() });
+            }
+        }
         self.jobs.insert(job.id.clone(), job);
         if record.cancelled {
             self.cancel(id);
@@ -443,7 +460,7 @@
                     continue;
                 }
                 let record = JobRecord {
-                    spec: (*job.spec).clone(),
+                    spec: (*job.submitted).clone(),
                     at: job.at,
                     done,
                     cancelled: job.cancelled,
@@ -569,6 +586,7 @@
             images: HashSet::new(),
             reserved: None,
             refused_until: 0,
+            urgent_at: None,
         })
     }
 
@@ -1003,6 +1021,9 @@
         j.pending.remove(index);
         j.live.insert(index, (machine.clone(), attempt));
         let need = j.spec.need;
+        if j.spec.priority >= Priority::High {
+            m.urgent_at = Some(now);
+        }
         m.used += need;
         if m.reserved.as_ref().is_some_and(|r| r.0 == *job) {
             m.reserved = None;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -11,11 +11,12 @@
 use crate::cluster::{Batch, Cluster, Outcome};
 use crate::fleet::CloudCall;
 use crate::http::{Request, Response};
-use crate::leadership::{Authority, Candidacy, PROMISE, TTL};
-use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, SECOND, valid_job_id};
+use crate::leadership::{Authority, Candidacy, PROMISE};
+use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, SECOND, micros, valid_job_id};
 use crate::peer::{
     Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
 };
+use crate::policy::Setting;
 use crate::settings::Settings;
 use crate::store::{
     self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
@@ -24,7 +25,6 @@
 use crate::worker::{Report, ReportAnswer, ReportElsewhere};
 
 const PROBE_EVERY: Micros = 500_000;
-const RENEW_EVERY: Micros = 800_000;
 const BEAT_EVERY: Micros = 500_000;
 /// A sibling that was not heard for this long does not count as reachable.
 const HEARD: Micros = 1_800_000;
@@ -69,7 +69,7 @@
 enum Purpose {
     Probe,
     Grant { sent: Micros },
-    Takeover { term: u64, grant: u64, until: Micros },
+    Takeover { term: u64, grant: u64, sent: Micros },
     DropGrant,
     Renew { sent: Micros, term: u64 },
     Load { term: u64, stage: usize },
@@ -278,6 +278,11 @@
         self.effects.push(Effect::Peer { to, message });
     }
 
+    /// How long this controller's grants last without renewal.
+    fn ttl(&self) -> Micros {
+        micros(self.settings.policy.number(Setting::Grant, &[]))
+    }
+
     fn state_ok(&self) -> bool {
         self.state_ok_at.is_some_and(|t| self.clock.now < t + 3 * PROBE_EVERY)
     }
@@ -354,7 +359,7 @@
             if !self.flavors.is_empty() && self.candidacy.may_try(now) {
                 self.candidacy.trying = true;
                 let purpose = Purpose::Grant { sent: now };
-                self.send(Urgency::Renewal, StoreRequest::grant(TTL), purpose);
+                self.send(Urgency::Renewal, StoreRequest::grant(self.ttl()), purpose);
             }
         }
     }
@@ -386,6 +391,7 @@
         let now = self.clock.now;
         let wall = self.clock.wall;
         let siblings = self.siblings.len();
+        let ttl = self.ttl();
         let Some(lead) = &mut self.lead else { return };
         if siblings > 0 && lead.heard_at.is_some_and(|t| now > t + DEAF) {
             self.candidacy.abstain(now + ABSTAIN);
@@ -393,7 +399,7 @@
             return;
         }
         if now >= lead.renew_at {
-            lead.renew_at = now + RENEW_EVERY;
+            lead.renew_at = now + ttl / 4;
             let (grant, term) = (lead.grant, lead.term);
             let purpose = Purpose::Renew { sent: now, term };
             self.send(Urgency::Renewal, StoreRequest::renew(grant), purpose);
@@ -887,7 +893,7 @@
         match purpose {
             Purpose::Probe => self.probed(answer),
             Purpose::Grant { sent } => self.granted(sent, answer),
-            Purpose::Takeover { term, grant, until } => self.taken_over(term, grant, until, answer),
+            Purpose::Takeover { term, grant, sent } => self.taken_over(term, grant, sent, answer),
             Purpose::DropGrant => {
                 if matches!(status, Some(200 | 204 | 404)) {
                     self.candidacy.grant_dropped();
@@ -966,12 +972,11 @@
         commit.guard(TERM, term);
         commit.put(HOLDER, store::raw(&record), Some(granted.permit));
         commit.put(TERM, store::raw(&record), None);
-        let until = crate::leadership::grant_end(sent);
-        let purpose = Purpose::Takeover { term: record.term, grant: granted.permit, until };
+        let purpose = Purpose::Takeover { term: record.term, grant: granted.permit, sent };
         self.send(Urgency::Renewal, commit.request(), purpose);
     }
 
-    fn taken_over(&mut self, term: u64, grant: u64, until: Micros, answer: Option<(u16, Bytes)>) {
+    fn taken_over(&mut self, term: u64, grant: u64, sent: Micros, answer: Option<(u16, Bytes)>) {
         let now = self.clock.now;
         self.candidacy.trying = false;
         let stamp = match &answer {
@@ -999,7 +1004,7 @@
             term,
             grant,
             holder: stamp.ledger_no,
-            authority: Authority::new(until),
+            authority: Authority::new(sent, self.ttl()),
             cluster,
             stage: 0,
             loaded_once: false,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,8 @@
 
 use crate::cloud::{CloudRequest, Listed};
 use crate::cluster::{Cluster, MachineId};
-use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros, seconds};
+use crate::policy::{Setting, Value};
 use crate::scheduler::{Slot, Zones, zone_ok};
 
 /// What the cloud charges at least for a machine that is deleted.
@@ -15,9 +16,6 @@
 const MAX_DELETE: usize = 100;
 /// Tasks that a plan looks at, in queue order; it is made anew all the time.
 const PLANNED_TASKS: usize = 600;
-/// How long after its submission a job may wait for cheap room that no objective hurries, or that
-/// is late for all of them. Counted from now instead, it would never be over.
-const PATIENCE: Micros = 60 * SECOND;
 
 /// A kind of machine that can be asked for.
 #[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
@@ -246,13 +244,28 @@
         }
     }
 
-    /// An idle machine is kept for as long as replacing it would cost, as in the ski-rental rule.
+    /// Gives back machines that have been idle for as long as policy keeps them.
     fn return_idle(&mut self, now: Micros) {
         for m in self.machines.values_mut().filter(|m| m.up && !m.deleting) {
             let Some(f) = m.flavor else { continue };
-            let keep = self.flavors[f].boot;
             let empty = m.attempts.is_empty() && m.reserved.as_ref().is_none_or(|r| r.1 <= now);
-            if empty && now > m.idle_since + keep && now + SECOND > m.rented_at + MIN_CHARGE {
+            // The first minute is charged anyway.
+            if !empty || now + SECOND <= m.rented_at + MIN_CHARGE {
+                continue;
+            }
+            let flavor = &self.flavors[f];
+            let urgent = m.urgent_at.map_or(1e9, |t| seconds(now.saturating_sub(t)));
+            let facts = [
+                Value::Text(&flavor.name),
+                Value::Text(&m.zone),
+                Value::Bool(m.spot),
+                Value::Number(flavor.size.cpu as f64 / 1000.0),
+                Value::Number(flavor.price_of(m.spot)),
+                Value::Number(seconds(flavor.boot)),
+                Value::Number(urgent),
+            ];
+            let keep = micros(self.settings.policy.number(Setting::Idle, &facts));
+            if now > m.idle_since + keep {
                 tracing::info!(machine = %m.id, why = "it is idle", "returning");
                 m.deleting = true;
             }
@@ -283,10 +296,16 @@
             spare[t] -= need.times(tasks);
             let zones = self.zones_of(job);
             let run = self.expected_run(&job.spec);
+            // Estimates are rough: only a part of the time left is counted on.
             let slack = match self.latest_start(job, within) {
-                // Estimates are rough: only a part of the time left is counted on.
-                Some(t) => t.saturating_sub(self.wall) * 4 / 10,
-                None => (job.at + PATIENCE).saturating_sub(self.wall),
+                Some(t) => {
+                    let part = self.job_number(Setting::PlanSlack, job, within);
+                    (t.saturating_sub(self.wall) as f64 * part) as Micros
+                }
+                None => {
+                    let patience = self.job_number(Setting::Patience, job, within);
+                    (job.at + micros(patience)).saturating_sub(self.wall)
+                }
             };
             let limit = now + slack;
             out.push(Waiting { spec: job.spec.clone(), tasks, zones, run, limit });
--- a/src/leadership.rs
+++ b/src/leadership.rs
@@ -11,8 +11,6 @@
 use crate::model::{Micros, SECOND};
 use crate::store::LeadRecord;
 
-/// How long a grant lasts without renewal.
-pub const TTL: Micros = 3 * SECOND;
 /// How long a promise lasts.
 pub const PROMISE: Micros = 8 * SECOND;
 const MARGIN: Micros = 150_000;
@@ -24,13 +22,14 @@
 }
 
 /// When a grant asked for or renewed at `sent` must be taken to end.
-pub fn grant_end(sent: Micros) -> Micros {
-    safe_end(sent, TTL)
+pub fn grant_end(sent: Micros, ttl: Micros) -> Micros {
+    safe_end(sent, ttl)
 }
 
 /// A leader's right to act.
 #[derive(Debug)]
 pub struct Authority {
+    ttl: Micros,
     grant_until: Micros,
     promise_until: Micros,
     round: u64,
@@ -40,9 +39,11 @@
 }
 
 impl Authority {
-    pub fn new(grant_until: Micros) -> Authority {
+    /// The authority of a grant of `ttl` that was asked for at `sent`.
+    pub fn new(sent: Micros, ttl: Micros) -> Authority {
         Authority {
-            grant_until,
+            ttl,
+            grant_until: grant_end(sent, ttl),
             promise_until: 0,
             round: 0,
             asked_at: 0,
@@ -57,11 +58,11 @@
 
     /// The grant has missed a renewal or two.
     pub fn low(&self, now: Micros) -> bool {
-        now + TTL / 2 > self.grant_until
+        now + self.ttl / 2 > self.grant_until
     }
 
     pub fn renewed(&mut self, sent: Micros) {
-        self.grant_until = self.grant_until.max(grant_end(sent));
+        self.grant_until = self.grant_until.max(grant_end(sent, self.ttl));
     }
 
     /// Begins a round of asking all `siblings`; answers to earlier rounds no longer count.
@@ -183,13 +184,15 @@
 mod tests {
     use super::*;
 
+    const TTL: Micros = 3 * SECOND;
+
     fn rec(name: &str, term: u64) -> Option<(LeadRecord, u64)> {
         Some((LeadRecord { holder: name.into(), term }, term + 10))
     }
 
     #[test]
     fn a_grant_counts_from_when_its_renewal_was_sent() {
-        let mut a = Authority::new(grant_end(0));
+        let mut a = Authority::new(0, TTL);
         assert!(a.valid(TTL - 200_000) && !a.valid(TTL - 100_000));
         a.renewed(SECOND);
         assert!(a.valid(TTL));
@@ -198,7 +201,7 @@
 
     #[test]
     fn only_the_promises_of_all_siblings_in_one_round_extend_authority() {
-        let mut a = Authority::new(grant_end(0));
+        let mut a = Authority::new(0, TTL);
         let first = a.ask(SECOND, 2);
         a.promised(first, 0);
         let second = a.ask(2 * SECOND, 2);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod leadership;
 pub mod model;
 pub mod peer;
+pub mod policy;
 pub mod saga;
 pub mod scheduler;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,26 +1,49 @@
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use tracing::Level;
 
 use gannethub::daemon;
+use gannethub::policy::Policy;
 use gannethub::settings::Settings;
 
 /// A controller of the gannethub cluster scheduler.
 #[derive(Parser)]
-#[command(version, about)]
+#[command(version, about, args_conflicts_with_subcommands = true, subcommand_negates_reqs = true)]
 struct Options {
     /// The platform's settings file
+    #[arg(long, value_name = "FILE", required = true)]
+    config: Option<PathBuf>,
+    /// The operators' policy; the built-in one where it says nothing
     #[arg(long, value_name = "FILE")]
-    config: PathBuf,
-    /// Check the settings and exit
+    policy: Option<PathBuf>,
+    /// Check the settings and the policy and exit
     #[arg(long)]
     check: bool,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Check a policy file and print each setting's result on a sample
+    CheckPolicy { file: PathBuf },
 }
 
 fn main() -> ExitCode {
     let options = Options::parse();
+    start_logging();
+    match run(options) {
+        Ok(code) => code,
+        Err(reason) => {
+            eprintln!("gannethub: {reason}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn start_logging() {
     let wanted = std::env::var("LOG_LEVEL").unwrap_or_else(|_| "info".into());
     let level = match wanted.as_str() {
         "error" => Some(Level::ERROR),
@@ -37,25 +60,37 @@
     if level.is_none() {
         tracing::warn!(LOG_LEVEL = wanted, "unknown level; using info");
     }
-    let settings = match Settings::load(&options.config) {
-        Ok((settings, warnings)) => {
-            warnings.iter().for_each(|w| tracing::warn!("{w}"));
-            settings
-        }
-        Err(e) => {
-            eprintln!("gannethub: {e}");
-            return ExitCode::from(2);
+}
+
+fn read_policy(file: &Path) -> Result<Policy, String> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
+    Policy::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+}
+
+/// Does what the command line asks; an error is about the files it names.
+fn run(options: Options) -> Result<ExitCode, String> {
+    if let Some(Command::CheckPolicy { file }) = options.command {
+        for (name, result) in read_policy(&file)?.on_sample() {
+            println!("{name} = {result}");
         }
-    };
+        return Ok(ExitCode::SUCCESS);
+    }
+    let config = options.config.ok_or("--config is missing")?;
+    let (mut settings, warnings) = Settings::load(&config).map_err(|e| e.to_string())?;
+    warnings.iter().for_each(|w| tracing::warn!("{w}"));
+    if let Some(file) = &options.policy {
+        settings.policy = read_policy(file)?;
+    }
     if options.check {
-        println!("{}: fine", options.config.display());
-        return ExitCode::SUCCESS;
+        println!("{}: fine", config.display());
+        return Ok(ExitCode::SUCCESS);
     }
-    match daemon::run(settings) {
+    Ok(match daemon::run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!(error = %e, "cannot serve");
             ExitCode::FAILURE
         }
-    }
+    })
 }
--- a/src/model.rs
+++ b/src/model.rs
@@ -21,6 +21,11 @@
     }
 }
 
+/// Microseconds as seconds, for a wire or a policy.
+pub fn seconds(t: Micros) -> f64 {
+    t as f64 / SECOND as f64
+}
+
 /// A job's id, as its user chose it.
 pub type JobId = Arc<str>;
 
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -5,8 +5,9 @@
 
 use crate::cluster::{Attempt, Cluster, Job, MachineId, Phase};
 use crate::model::{
-    JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros,
+    JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros, seconds,
 };
+use crate::policy::{Setting, Value};
 use crate::saga::Saga;
 
 /// Room up to this many times as dear as the cheapest of its rank counts as costing the same.
@@ -64,19 +65,55 @@
             .into_iter()
             .map(|j| {
                 let within = within.contains(&j.id);
-                let (late, score) = match self.latest_start(j, within) {
-                    Some(t) => (false, t.saturating_sub(self.wall) + 3 * self.share_of_work(j)),
-                    None => (true, j.at),
-                };
-                (Reverse(j.spec.priority), !within, late, score, j.at, j.id.clone())
+                let late = self.latest_start(j, within).is_none();
+                // As whole thousandths, so that the order is total.
+                let weight = (self.job_number(Setting::QueueWeight, j, within) * 1000.0) as i64;
+                (Reverse(j.spec.priority), !within, late, weight, j.at, j.id.clone())
             })
             .collect();
         keyed.sort();
         keyed.into_iter().map(|k| (k.5, !k.1)).collect()
     }
 
+    /// What a policy may know of a job, in the order of [`JOB_FIELDS`](crate::policy::JOB_FIELDS).
+    fn facts<'a>(&self, job: &'a Job, within: bool) -> [Value<'a>; 12] {
+        let latest = self.latest_start(job, within);
+        let spec = &job.spec;
+        let priority = match spec.priority {
+            Priority::Low => "low",
+            Priority::Normal => "normal",
+            Priority::High => "high",
+            Priority::Production => "production",
+        };
+        let number = |t: Micros| Value::Number(seconds(t));
+        [
+            Value::Text(&spec.class),
+            Value::Text(&spec.team),
+            Value::Text(priority),
+            Value::Number(f64::from(spec.tasks)),
+            Value::Number(f64::from(job.done.len())),
+            Value::Number(spec.need.cpu as f64 / 1000.0),
+            number(self.wall.saturating_sub(job.at)),
+            number(latest.unwrap_or(0).saturating_sub(self.wall)),
+            number(self.share_of_work(job)),
+            number(self.expected_run(spec)),
+            Value::Bool(latest.is_none()),
+            Value::Bool(within),
+        ]
+    }
+
+    /// What policy says of a job.
+    pub fn job_number(&self, setting: Setting, job: &Job, within: bool) -> f64 {
+        self.settings.policy.number(setting, &self.facts(job, within))
+    }
+
+    /// What policy says of a job, where it is a yes or a no.
+    pub fn job_truth(&self, setting: Setting, job: &Job, within: bool) -> bool {
+        self.settings.policy.truth(setting, &self.facts(job, within))
+    }
+
     /// Jobs that fit into their teams' guarantees together with the teams' earlier jobs.
-    fn within_guarantee(&self, ready: &[&Job]) -> HashSet<JobId> {
+    pub fn within_guarantee(&self, ready: &[&Job]) -> HashSet<JobId> {
         let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
         let mut within = HashSet::new();
         for j in ready {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 
 use crate::model::{Micros, Resources, Team, micros};
+use crate::policy::Policy;
 
 /// Why a settings file cannot be used.
 #[derive(Debug, thiserror::Error)]
@@ -61,6 +62,8 @@
     pub cloud_rps: f64,
     pub list_lag: Micros,
     pub max_connections: usize,
+    /// The operators' own settings.
+    pub policy: Policy,
 }
 
 mod raw {
@@ -310,6 +313,7 @@
             max_connections: self
                 .positive("cluster.quota.max_connections", c.quota.max_connections)?
                 as usize,
+            policy: Policy::default(),
         };
         if settings.value_bytes < 2048 {
             return self.bad("cluster.state.value_kb", "below 2 KiB no job fits");
