--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -228,6 +228,8 @@
     pub wall: u64,
     /// Jobs that are over, and the version at which they ended: a watch may still bring older news.
     buried: HashMap<JobId, u64>,
+    /// Room came free since the last report was answered.
+    freed: bool,
 }
 
 impl Cluster {
@@ -256,6 +258,7 @@
             pace: HashMap::new(),
             wall,
             buried: HashMap::new(),
+            freed: false,
         }
     }
 
@@ -642,6 +645,10 @@
         if self.machines.get(&id).is_some_and(|m| m.notice) {
             self.drain(&id);
         }
+        if std::mem::take(&mut self.freed) {
+            // What came free is used at once: the launches go out with this very answer.
+            self.schedule(now);
+        }
         Outcome::Orders(self.orders(&id))
     }
 
@@ -788,6 +795,7 @@
         let Some(m) = self.machines.get_mut(id) else { return };
         let Some(a) = m.attempts.get_mut(key).filter(|a| a.holds) else { return };
         a.holds = false;
+        self.freed = true;
         let (need, team) = (a.need, a.team);
         m.used -= need;
         if !m.holds_any() {
