--- a/src/controller.rs
+++ b/src/controller.rs
@@ -150,6 +150,7 @@
     heard_at: Option<Micros>,
     leading: u64,
     state_ok: bool,
+    takes_reports: bool,
 }
 
 pub struct Controller {
@@ -365,7 +366,6 @@
     }
 
     fn beat(&mut self) {
-        let now = self.clock.now;
         let mut running = Vec::new();
         if let Some(lead) = &self.lead {
             for job in lead.cluster.jobs.values().filter(|j| j.running() > 0).take(2000) {
@@ -379,7 +379,7 @@
         let beat = Heartbeat {
             leading: self.lead.as_ref().map_or(0, |l| l.term),
             state_ok: self.state_ok(),
-            hears_workers: self.relays.values().any(|r| r.1 > now),
+            takes_reports: self.lead.is_some() || self.leader().is_some(),
             running,
         };
         for i in 0..self.siblings.len() {
@@ -787,8 +787,14 @@
                 self.say(i, Body::Relay(Relay { id, report: body }));
             }
             None => {
-                let elsewhere = ReportElsewhere { report_to: None };
-                self.reply(conn, Response::json(421, &elsewhere));
+                // A sibling that still hears the leader is told by name, which spares the worker
+                // the wait before it would try that one itself.
+                let other = (0..self.siblings.len())
+                    .find(|&i| self.heard(i) && self.siblings[i].takes_reports);
+                let report_to = other.map(|i| self.settings.siblings[i].name.as_str());
+                let elsewhere = ReportElsewhere { report_to };
+                let response = Response::json(421, &elsewhere);
+                self.reply(conn, response);
             }
         }
     }
@@ -841,6 +847,7 @@
             Some(Body::Heartbeat(beat)) => {
                 self.siblings[i].leading = beat.leading;
                 self.siblings[i].state_ok = beat.state_ok;
+                self.siblings[i].takes_reports = beat.takes_reports;
                 if beat.leading > 0 {
                     self.running =
                         beat.running.into_iter().map(|r| (r.job, (r.tasks, r.done))).collect();
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -40,9 +40,9 @@
     /// The state service answers the sender.
     #[prost(bool, tag = "2")]
     pub state_ok: bool,
-    /// The sender hears workers itself.
+    /// The sender leads, or can pass reports on to the leader.
     #[prost(bool, tag = "3")]
-    pub hears_workers: bool,
+    pub takes_reports: bool,
     /// From the leader: tasks running now, by job.
     #[prost(message, repeated, tag = "4")]
     pub running: Vec<Running>,
--- a/tests/sim/worker.rs
+++ b/tests/sim/worker.rs
@@ -61,7 +61,7 @@
     /// Every task fails here.
     pub faulty: bool,
     pub tasks: BTreeMap<String, Task>,
-    session: u64,
+    pub session: u64,
     seq: u64,
     pub token: u64,
     lease_from: u64,
@@ -194,6 +194,13 @@
             return;
         }
         self.waiting = None;
+        let named: Value = serde_json::from_slice(&response.body).unwrap_or(Value::Null);
+        let named = named["foreman"].as_str().and_then(|n| n.strip_prefix('n')?.parse().ok());
+        if let Some(other) = named.filter(|n| response.status == 421 && *n != self.node) {
+            self.node = other;
+            self.next = world.now + SECOND / 4;
+            return;
+        }
         if response.status != 200 {
             self.node = (self.node + 1) % world.nodes.len();
             self.next = world.now + SECOND;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -125,6 +125,29 @@
     w.finish();
 }
 
+#[test]
+fn a_zone_cut_from_the_leader_keeps_its_leases_through_the_third_controller() {
+    let mut w = busy(18);
+    let leader = w.leader().expect("someone leads");
+    let near = (leader + 1) % 3;
+    // The workers and one controller are on the far side of a cut.
+    w.cut.extend([(leader, near), (near, leader)]);
+    w.deaf.insert((leader, "a".into()));
+    w.deaf.insert((leader, "b".into()));
+    let sessions: Vec<(String, u64)> =
+        w.workers.values().map(|m| (m.name.clone(), m.session)).collect();
+    w.run(30);
+    assert_eq!(w.leader(), Some(leader));
+    for (name, session) in sessions {
+        let now = w.workers.get(&name).map(|m| m.session);
+        assert!(now.is_none_or(|s| s == session), "{name} lost its lease");
+    }
+    w.cut.clear();
+    w.deaf.clear();
+    w.run_until(120, "all are done", World::all_over);
+    w.finish();
+}
+
 #[test]
 fn a_leader_that_hears_nobody_makes_way() {
     let mut w = busy(10);
