--- a/src/controller.rs
+++ b/src/controller.rs
@@ -175,7 +175,6 @@
     accept_specs: HashMap<u64, Box<JobSpec>>,
     deadlines: HashMap<u64, Micros>,
     relays: HashMap<u64, (u64, Micros)>,
-    retries: Vec<(Micros, JobId, Waiter)>,
     over: HashMap<JobId, JobView>,
     effects: Vec<Effect>,
     next_tick: Micros,
@@ -206,7 +205,6 @@
             accept_specs: HashMap::new(),
             deadlines: HashMap::new(),
             relays: HashMap::new(),
-            retries: Vec::new(),
             over: HashMap::new(),
             effects: Vec::new(),
             next_tick: 0,
@@ -332,15 +330,9 @@
             self.deadlines.iter().filter(|(_, t)| **t <= now).map(|(c, _)| *c).collect();
         for conn in late {
             self.accept_specs.remove(&conn);
-            self.reply(conn, Response::error(503, "the state service does not answer").retry(2));
+            self.unavailable(conn);
         }
         self.relays.retain(|_, r| r.1 > now);
-        let due: Vec<_> = self.retries.extract_if(.., |r| r.0 <= now).collect();
-        for (_, job, waiter) in due {
-            if self.deadlines.contains_key(&waiter.conn()) {
-                self.look(job, waiter);
-            }
-        }
         if now >= self.beat_at {
             self.beat_at = now + BEAT_EVERY;
             self.beat();
@@ -610,10 +602,7 @@
                 Some(409) => self.look(id, Waiter::Submit(conn, Ok(spec))),
                 // Perhaps carried out, perhaps later: only reading tells.
                 None => self.look(id, Waiter::Confirm(conn)),
-                Some(_) => {
-                    let at = self.clock.now + 300_000;
-                    self.retries.push((at, id, Waiter::Submit(conn, Ok(spec))));
-                }
+                Some(_) => self.unavailable(conn),
             }
         }
     }
@@ -695,12 +684,17 @@
     }
 
     fn look_failed(&mut self, job: JobId) {
-        let at = self.clock.now + 300_000;
         for w in self.take_waiters(&job) {
-            self.retries.push((at, job.clone(), w));
+            self.unavailable(w.conn());
         }
     }
 
+    /// What cannot be answered is refused at once, with the time to come back: another controller
+    /// may be able to.
+    fn unavailable(&mut self, conn: u64) {
+        self.reply(conn, Response::error(503, "the state service does not answer").retry(1));
+    }
+
     /// Those whom the finished read may answer; starts the next read for the rest.
     fn take_waiters(&mut self, job: &JobId) -> Vec<Waiter> {
         let Some(lookup) = self.lookups.get_mut(job) else { return Vec::new() };
@@ -763,11 +757,14 @@
             }
             return self.changed(&job);
         }
-        // The job changed meanwhile, or nothing is certain: look again.
-        let wait = if status == Some(409) { 0 } else { 300_000 };
-        let at = self.clock.now + wait;
         for c in conns {
-            self.retries.push((at, job.clone(), Waiter::Cancel(c)));
+            match status {
+                // The job changed meanwhile, or nothing is certain: only looking again tells.
+                Some(409) | None if self.deadlines.contains_key(&c) => {
+                    self.look(job.clone(), Waiter::Cancel(c));
+                }
+                _ => self.unavailable(c),
+            }
         }
     }
 
