Clean up after rereading: one check, one limit, one look at a job's slack

No behaviour is meant to change. A job's latest start was worked out twice for each ordering, which runs with reports; the lease limit stood in three places, the test whether a machine may host a job in two. The plan's lanes carried a placement slot of which they used half, so slots had a machine that was never missing but optional. A comment claimed preemption for guarantees, which does not exist.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -22,10 +22,10 @@
 /// Orders in one answer: keeps its line below 64 KiB.
 const MAX_ORDERS: usize = 300;
 /// Added to every lease that is waited out.
-pub const LEASE_MARGIN: Micros = 250_000;
+const LEASE_MARGIN: Micros = 250_000;
 
 /// A duration as a clock that runs 0.1% fast against ours would need it.
-pub fn with_drift(d: Micros) -> Micros {
+fn with_drift(d: Micros) -> Micros {
     d + d / 1000
 }
 
@@ -311,7 +311,8 @@
         };
         if job.spec.spot {
             let within = self.within_guarantee(&[&job]).contains(&job.id);
-            let spot = self.job_truth(Setting::UseSpot, &job, within);
+            let facts = self.facts(&job, within, self.latest_start(&job, within));
+            let spot = self.settings.policy.truth(Setting::UseSpot, &facts);
             if !spot {
                 job.spec = Arc::new(JobSpec { spot, ..(*job.submitted).clone() });
             }
@@ -548,6 +549,11 @@
 
     // ---- Machines ----
 
+    /// After this long without an answer a worker's lease has run out, whatever its clock.
+    pub fn lease_limit(&self) -> Micros {
+        with_drift(self.settings.lease) + LEASE_MARGIN
+    }
+
     /// The machine of that name; one not known yet is adopted.
     pub fn machine(
         &mut self,
@@ -1060,7 +1066,7 @@
     /// Runs out leases of silent machines, and finds out whether placing may begin.
     pub fn tick(&mut self, now: Micros, wall: u64) {
         self.wall = wall;
-        let limit = with_drift(self.settings.lease) + LEASE_MARGIN;
+        let limit = self.lease_limit();
         let silent: Vec<MachineId> = self
             .machines
             .values()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -8,7 +8,7 @@
 use crate::cluster::{Cluster, Machine, MachineId};
 use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros, seconds};
 use crate::policy::{Setting, Value};
-use crate::scheduler::{Slot, Zones, zone_ok};
+use crate::scheduler::{Zones, zone_ok};
 
 /// What the cloud charges at least for a machine that is deleted.
 const MIN_CHARGE: Micros = 60 * SECOND;
@@ -127,7 +127,12 @@
 
 /// A machine's future as the plan sees it: its room, and when more of it comes free.
 struct Lane {
-    slot: Slot,
+    flavor_name: String,
+    zone: String,
+    spot: bool,
+    /// Per hour and thousandth of a CPU.
+    price: f64,
+    free: Resources,
     ready: Micros,
     releases: BinaryHeap<Reverse<(Micros, i64, i64, i64)>>,
 }
@@ -136,7 +141,7 @@
     /// The earliest start of a task that needs `need`. Waiting for several tasks to end takes
     /// longer than each is expected to run: the last of k is late by about the logarithm of k.
     fn earliest(&self, need: &Resources, now: Micros) -> Micros {
-        let mut free = self.slot.free;
+        let mut free = self.free;
         if need.fits(&free) {
             return self.ready;
         }
@@ -158,21 +163,21 @@
     }
 
     fn allows(&self, w: &Waiting) -> bool {
-        let s = &self.slot;
-        w.spec.allows(&s.flavor_name, &s.zone, s.spot) && zone_ok(&w.spec, &w.zones, &s.zone)
+        w.spec.allows(&self.flavor_name, &self.zone, self.spot)
+            && zone_ok(&w.spec, &w.zones, &self.zone)
     }
 
     /// Takes a task that starts at `start`.
     fn take(&mut self, w: &mut Waiting, start: Micros) {
         while let Some(Reverse((at, cpu, gpu, mem))) = self.releases.peek().copied() {
-            if at > start || w.spec.need.fits(&self.slot.free) {
+            if at > start || w.spec.need.fits(&self.free) {
                 break;
             }
             self.releases.pop();
-            self.slot.free += Resources { cpu, gpu, mem };
+            self.free += Resources { cpu, gpu, mem };
         }
         self.ready = self.ready.max(start);
-        self.slot.free -= w.spec.need;
+        self.free -= w.spec.need;
         let n = w.spec.need;
         // Replicas do not end, and the tasks of a gang need all their room at the same time: one
         // must not be planned to follow another.
@@ -184,7 +189,7 @@
         if ends {
             self.releases.push(Reverse((start + w.run.max(SECOND), n.cpu, n.gpu, n.mem)));
         }
-        *w.zones.entry(self.slot.zone.clone()).or_default() += 1;
+        *w.zones.entry(self.zone.clone()).or_default() += 1;
         w.tasks -= 1;
     }
 }
@@ -233,7 +238,7 @@
 
     /// Machines that stay silent, never boot or have been judged faulty are given back.
     fn find_bad(&mut self, now: Micros) {
-        let limit = crate::cluster::with_drift(self.settings.lease) + crate::cluster::LEASE_MARGIN;
+        let limit = self.lease_limit();
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
             let boot = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
             let stuck = !m.up && now > m.rented_at.max(m.known_since) + 3 * boot + 20 * SECOND;
@@ -310,13 +315,16 @@
             let zones = self.zones_of(job);
             let run = self.expected_run(&job.spec);
             // Estimates are rough: only a part of the time left is counted on.
-            let slack = match self.latest_start(job, within) {
+            let latest = self.latest_start(job, within);
+            let facts = self.facts(job, within, latest);
+            let policy = &self.settings.policy;
+            let slack = match latest {
                 Some(t) => {
-                    let part = self.job_number(Setting::PlanSlack, job, within);
+                    let part = policy.number(Setting::PlanSlack, &facts);
                     (t.saturating_sub(self.wall) as f64 * part) as Micros
                 }
                 None => {
-                    let patience = self.job_number(Setting::Patience, job, within);
+                    let patience = policy.number(Setting::Patience, &facts);
                     (job.at + micros(patience)).saturating_sub(self.wall)
                 }
             };
@@ -326,21 +334,17 @@
         out
     }
 
-    fn lane(&self, machine: Option<MachineId>, offer: &Offer, ready: Micros) -> Lane {
+    fn lane(&self, offer: &Offer, ready: Micros) -> Lane {
         let flavor = &self.flavors[offer.flavor];
-        let slot = Slot {
-            machine,
-            flavor: offer.flavor,
-            flavor_size: flavor.size.cpu,
+        Lane {
             flavor_name: flavor.name.clone(),
             zone: offer.zone.clone(),
             spot: offer.spot,
-            free: flavor.size,
-            reserved: None,
-            price_rank: 0,
             price: self.room_price(offer.flavor, offer.spot),
-        };
-        Lane { slot, ready, releases: BinaryHeap::new() }
+            free: flavor.size,
+            ready,
+            releases: BinaryHeap::new(),
+        }
     }
 
     /// The machines there are or that are on their way, and when their room comes free.
@@ -357,12 +361,12 @@
                 let late = now > m.rented_at + 2 * boot;
                 if !late {
                     let ready = (m.rented_at + boot).max(now + 2 * SECOND);
-                    lanes.push(self.lane(Some(m.id.clone()), &offer, ready));
+                    lanes.push(self.lane(&offer, ready));
                 }
                 continue;
             }
-            let mut lane = self.lane(Some(m.id.clone()), &offer, now);
-            lane.slot.free = m.free();
+            let mut lane = self.lane(&offer, now);
+            lane.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 let (end, n) = (self.expected_end(task, a, now), a.need);
                 lane.releases.push(Reverse((end, n.cpu, n.gpu, n.mem)));
@@ -371,9 +375,9 @@
         }
         for (offer, count) in self.fleet.renting.values() {
             let ready = now + self.flavors[offer.flavor].boot;
-            (0..*count).for_each(|_| lanes.push(self.lane(None, offer, ready)));
+            (0..*count).for_each(|_| lanes.push(self.lane(offer, ready)));
         }
-        lanes.sort_by(|a, b| a.slot.price.total_cmp(&b.slot.price));
+        lanes.sort_by(|a, b| a.price.total_cmp(&b.price));
         lanes
     }
 
@@ -391,9 +395,8 @@
                 let mut best: Option<(usize, Micros)> = None;
                 for (i, lane) in lanes.iter().enumerate() {
                     // Lanes are in order of price: a dearer one only if no cheaper one is in time.
-                    if best.is_some_and(|(b, t)| {
-                        t <= w.limit && lane.slot.price > lanes[b].slot.price * 1.01
-                    }) {
+                    if best.is_some_and(|(b, t)| t <= w.limit && lane.price > lanes[b].price * 1.01)
+                    {
                         break;
                     }
                     if !lane.allows(w) {
@@ -416,9 +419,9 @@
                         lanes[i].take(w, start);
                     }
                     (_, Some(offer), Some(ready)) if wanted.values().sum::<u32>() < MAX_RENT => {
-                        let mut lane = self.lane(None, &offer, ready);
+                        let mut lane = self.lane(&offer, ready);
                         lane.take(w, ready);
-                        let at = lanes.partition_point(|l| l.slot.price <= lane.slot.price);
+                        let at = lanes.partition_point(|l| l.price <= lane.price);
                         lanes.insert(at, lane);
                         *wanted.entry(offer).or_default() += 1;
                     }
@@ -576,7 +579,7 @@
         self.fleet.next_list = now + 4 * SECOND;
         let seen = std::mem::take(&mut self.fleet.list_seen);
         let lag = 2 * self.settings.list_lag;
-        let limit = crate::cluster::with_drift(self.settings.lease) + crate::cluster::LEASE_MARGIN;
+        let limit = self.lease_limit();
         let mut gone: Vec<MachineId> = Vec::new();
         let names: HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
         for m in self.machines.values_mut().filter(|m| !names.contains(&*m.id)) {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
-use crate::cluster::{Attempt, Cluster, Job, MachineId, Phase};
+use crate::cluster::{Attempt, Cluster, Gang, Job, Machine, MachineId, Phase};
 use crate::model::{
     JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros, seconds,
 };
@@ -13,11 +13,10 @@
 /// Room up to this many times as dear as the cheapest of its rank counts as costing the same.
 const SIMILAR_PRICE: f64 = 1.5;
 
-/// Room that tasks can be placed in: a machine's, or that of one still to come.
+/// A machine's room that tasks can be placed in.
 #[derive(Clone, Debug)]
 pub struct Slot {
-    pub machine: Option<MachineId>,
-    pub flavor: usize,
+    pub machine: MachineId,
     /// The type's CPUs, in thousandths.
     pub flavor_size: i64,
     pub flavor_name: String,
@@ -65,10 +64,12 @@
             .into_iter()
             .map(|j| {
                 let within = within.contains(&j.id);
-                let late = self.latest_start(j, within).is_none();
+                let latest = self.latest_start(j, within);
+                let facts = self.facts(j, within, latest);
+                let weight = self.settings.policy.number(Setting::QueueWeight, &facts);
                 // As whole thousandths, so that the order is total.
-                let weight = (self.job_number(Setting::QueueWeight, j, within) * 1000.0) as i64;
-                (Reverse(j.spec.priority), !within, late, weight, j.at, j.id.clone())
+                let weight = (weight * 1000.0) as i64;
+                (Reverse(j.spec.priority), !within, latest.is_none(), weight, j.at, j.id.clone())
             })
             .collect();
         keyed.sort();
@@ -76,8 +77,8 @@
     }
 
     /// What a policy may know of a job, in the order of [`JOB_FIELDS`](crate::policy::JOB_FIELDS).
-    fn facts<'a>(&self, job: &'a Job, within: bool) -> [Value<'a>; 12] {
-        let latest = self.latest_start(job, within);
+    /// `latest` is what [`Cluster::latest_start`] says of it.
+    pub fn facts<'a>(&self, job: &'a Job, within: bool, latest: Option<u64>) -> [Value<'a>; 12] {
         let spec = &job.spec;
         let priority = match spec.priority {
             Priority::Low => "low",
@@ -102,16 +103,6 @@
         ]
     }
 
-    /// What policy says of a job.
-    pub fn job_number(&self, setting: Setting, job: &Job, within: bool) -> f64 {
-        self.settings.policy.number(setting, &self.facts(job, within))
-    }
-
-    /// What policy says of a job, where it is a yes or a no.
-    pub fn job_truth(&self, setting: Setting, job: &Job, within: bool) -> bool {
-        self.settings.policy.truth(setting, &self.facts(job, within))
-    }
-
     /// Jobs that fit into their teams' guarantees together with the teams' earlier jobs.
     pub fn within_guarantee(&self, ready: &[&Job]) -> HashSet<JobId> {
         let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
@@ -189,8 +180,7 @@
             .filter_map(|m| {
                 let f = m.flavor?;
                 Some(Slot {
-                    machine: Some(m.id.clone()),
-                    flavor: f,
+                    machine: m.id.clone(),
                     flavor_size: self.flavors[f].size.cpu,
                     flavor_name: self.flavors[f].name.clone(),
                     zone: m.zone.clone(),
@@ -289,9 +279,7 @@
         let short = taken.len() < tasks.len();
         for (index, machine) in tasks.into_iter().zip(taken) {
             let attempt = self.next_attempt();
-            if let Some(machine) = slots[machine].machine.clone() {
-                self.place(id, index, &machine, attempt, now);
-            }
+            self.place(id, index, &slots[machine].machine, attempt, now);
         }
         if short {
             self.make_room(id, now);
@@ -312,9 +300,7 @@
         let mut taken = Vec::new();
         let mut order: Vec<(usize, i64, bool, usize)> = Vec::with_capacity(slots.len());
         for (i, slot) in slots.iter().enumerate() {
-            let Some(m) = slot.machine.as_ref().and_then(|m| self.machines.get(m)) else {
-                continue;
-            };
+            let Some(m) = self.machines.get(&slot.machine) else { continue };
             if !m.failures.contains(id) && slot.takes(id, spec) {
                 let cached = m.images.contains(&spec.image);
                 order.push((slot.price_rank, slot.flavor_size, !cached, i));
@@ -372,13 +358,10 @@
             };
             if let Some(j) = self.jobs.get_mut(id).filter(|j| j.gang.is_none()) {
                 let saga = Saga::flat(spec.tasks as usize);
-                j.gang =
-                    Some(crate::cluster::Gang { attempt, saga, running: false, stopping: false });
+                j.gang = Some(Gang { attempt, saga, running: false, stopping: false });
             }
             for (index, slot) in missing.iter().copied().zip(taken) {
-                if let Some(machine) = slots[slot].machine.clone() {
-                    self.place(id, index, &machine, attempt, now);
-                }
+                self.place(id, index, &slots[slot].machine, attempt, now);
             }
             return;
         }
@@ -404,13 +387,8 @@
         });
         let tasks = tasks.saturating_sub(coming.count());
         let mut soonest: Vec<(Micros, MachineId)> = Vec::new();
-        for m in self.machines.values().filter(|m| m.usable(now, self.settings.report)) {
-            let Some(f) = m.flavor else { continue };
-            if m.failures.contains(id)
-                || !spec.need.fits(&m.size)
-                || !spec.allows(&self.flavors[f].name, &m.zone, m.spot)
-                || !zone_ok(&spec, &zones, &m.zone)
-            {
+        for m in self.machines.values() {
+            if !spec.need.fits(&m.size) || !self.may_host(m, id, &spec, &zones, now) {
                 continue;
             }
             match &m.reserved {
@@ -459,6 +437,22 @@
         }
     }
 
+    /// Whether the job's tasks may go to a machine once it has room.
+    fn may_host(
+        &self,
+        m: &Machine,
+        id: &JobId,
+        spec: &JobSpec,
+        zones: &Zones,
+        now: Micros,
+    ) -> bool {
+        let flavor = m.flavor.map(|f| &self.flavors[f]);
+        m.usable(now, self.settings.report)
+            && !m.failures.contains(id)
+            && flavor.is_some_and(|f| spec.allows(&f.name, &m.zone, m.spot))
+            && zone_ok(spec, zones, &m.zone)
+    }
+
     /// When an attempt is expected to end.
     pub fn expected_end(&self, task: &TaskId, attempt: &Attempt, now: Micros) -> Micros {
         let Some(job) = self.jobs.get(&task.job) else { return now };
@@ -471,8 +465,8 @@
         now + self.expected_run(&job.spec).saturating_sub(ran).max(ran / 4)
     }
 
-    /// Preemption: stops work of lower priority, or, for a job within its team's guarantee, work
-    /// that another team runs above its own; the room is kept for the job.
+    /// Preemption: stops work of lower priority to make room for a job of high priority; the room
+    /// is kept for it.
     fn make_room(&mut self, id: &JobId, now: Micros) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
@@ -490,13 +484,8 @@
         let mut zones = self.zones_of(job);
         let mut options = Vec::new();
         for m in self.machines.values() {
-            let Some(f) = m.flavor else { continue };
-            if !m.usable(now, self.settings.report)
-                || m.reserved.as_ref().is_some_and(|r| r.1 > now)
-                || m.failures.contains(id)
-                || !spec.allows(&self.flavors[f].name, &m.zone, m.spot)
-                || !zone_ok(&spec, &zones, &m.zone)
-            {
+            let reserved = m.reserved.as_ref().is_some_and(|r| r.1 > now);
+            if reserved || !self.may_host(m, id, &spec, &zones, now) {
                 continue;
             }
             let mut victims: Vec<(Micros, JobId, u32, Resources)> = Vec::new();
--- a/src/store.rs
+++ b/src/store.rs
@@ -228,8 +228,6 @@
     pub k: String,
     pub v: Box<RawValue>,
     pub stamp: u64,
-    #[serde(default)]
-    pub permit: Option<u64>,
 }
 
 impl Item {
