No two gangs count on the same booting machine; all of a gang's room in one zone

Cause: every waiting gang took each booting machine that fits as coming for itself, so with 19 of them none had room kept on machines in use, and arrays filled large machines as soon as they were up. Ruled out: processor (waits are the same without its charge), renting (all large ones were rented).

Now room is kept on named machines, booting ones too, for so many tasks, in the zone that has room for the whole gang first. A line is logged when all of a job has been placed.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -55,6 +55,14 @@
     pub holds: bool,
 }
 
+/// Room of a machine kept for so many tasks of a job. It lapses unless it is asked for again.
+#[derive(Debug, Clone)]
+pub struct Kept {
+    pub job: JobId,
+    pub tasks: i64,
+    pub until: Micros,
+}
+
 #[derive(Debug)]
 pub struct Machine {
     pub id: MachineId,
@@ -90,8 +98,8 @@
     pub failures: HashSet<JobId>,
     pub failure_count: u32,
     pub images: HashSet<String>,
-    /// Room that is being kept for a job, and until when.
-    pub reserved: Option<(JobId, Micros)>,
+    /// Room that is being kept for a waiting job.
+    pub kept: Option<Kept>,
     pub refused_until: Micros,
     /// When work of high priority was last placed here.
     pub urgent_at: Option<Micros>,
@@ -102,6 +110,11 @@
         self.size - self.used
     }
 
+    /// What is kept on it at this time.
+    pub fn kept(&self, now: Micros) -> Option<&Kept> {
+        self.kept.as_ref().filter(|k| k.until > now)
+    }
+
     fn holds_any(&self) -> bool {
         self.attempts.values().any(|a| a.holds)
     }
@@ -155,6 +168,8 @@
     writing: bool,
     /// Its version is unknown until it has been read again.
     pub unsure: bool,
+    /// All that its team may run of it at once has been placed.
+    pub placed: bool,
 }
 
 impl Job {
@@ -307,6 +322,7 @@
             dirty_since: None,
             writing: false,
             unsure: false,
+            placed: false,
             spec,
         };
         if job.spec.spot {
@@ -593,7 +609,7 @@
             failures: HashSet::new(),
             failure_count: 0,
             images: HashSet::new(),
-            reserved: None,
+            kept: None,
             refused_until: 0,
             urgent_at: None,
         })
@@ -1039,8 +1055,11 @@
             m.urgent_at = Some(now);
         }
         m.used += need;
-        if m.reserved.as_ref().is_some_and(|r| r.0 == *job) {
-            m.reserved = None;
+        if let Some(kept) = m.kept.as_mut().filter(|k| k.job == *job) {
+            kept.tasks -= 1;
+            if kept.tasks <= 0 {
+                m.kept = None;
+            }
         }
         if let Some(t) = j.team {
             self.used[t] += need;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -266,7 +266,7 @@
     fn return_idle(&mut self, now: Micros) {
         for m in self.machines.values_mut().filter(|m| m.up && !m.deleting) {
             let Some(f) = m.flavor else { continue };
-            let empty = m.attempts.is_empty() && m.reserved.as_ref().is_none_or(|r| r.1 <= now);
+            let empty = m.attempts.is_empty() && m.kept(now).is_none();
             // The first minute is charged anyway.
             if !empty || now + SECOND <= m.rented_at + MIN_CHARGE {
                 continue;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -3,7 +3,7 @@
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
 
-use crate::cluster::{Attempt, Cluster, Gang, Job, Machine, MachineId, Phase};
+use crate::cluster::{Attempt, Cluster, Gang, Job, Kept, Machine, MachineId, Phase};
 use crate::model::{
     JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros, seconds,
 };
@@ -186,11 +186,9 @@
                     zone: m.zone.clone(),
                     spot: m.spot,
                     free: m.free(),
-                    reserved: m
-                        .reserved
-                        .as_ref()
-                        .filter(|r| r.1 > now)
-                        .and_then(|(id, _)| Some((id.clone(), self.jobs.get(id)?.spec.need))),
+                    reserved: m.kept(now).and_then(|k| {
+                        Some((k.job.clone(), self.jobs.get(&k.job)?.spec.need.times(k.tasks)))
+                    }),
                     price_rank: 0,
                     price: self.room_price(f, m.spot),
                 })
@@ -242,7 +240,7 @@
             return;
         }
         let mut slots = self.slots(now);
-        for (id, _) in self.queue() {
+        for (id, within) in self.queue() {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.pending.is_empty() || self.headroom(job) <= 0 {
                 continue;
@@ -251,6 +249,15 @@
                 Shape::Gang => self.place_gang(&id, &mut slots, now),
                 Shape::Array | Shape::Service => self.place_tasks(&id, &mut slots, now),
             }
+            let Some(job) = self.jobs.get(&id) else { continue };
+            if !job.placed && (job.pending.is_empty() || self.headroom(job) <= 0) {
+                let waited_s = seconds(self.wall.saturating_sub(job.at)) as u32;
+                let (class, team, tasks) = (&job.spec.class, &job.spec.team, job.spec.tasks);
+                tracing::info!(job = %id, %class, %team, tasks, within, waited_s, "placed");
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.placed = true;
+                }
+            }
         }
     }
 
@@ -369,71 +376,108 @@
         self.gather(id, missing.len(), now);
     }
 
-    /// Gathers room for a waiting gang: on the machines that will have it soonest, what comes free
-    /// is kept. Kept room lapses unless it is asked for again.
-    fn gather(&mut self, id: &JobId, tasks: usize, now: Micros) {
-        let Some(job) = self.jobs.get(id) else { return };
+    /// Gathers room for a waiting gang, on the machines that will have it soonest: what comes free
+    /// there, or boots, is kept for it. No machine's room is kept for two gangs, and all of a gang's
+    /// room is kept where its zone rules let it be used together, so that gangs never hold half of
+    /// what each needs. Returns when the last of its tasks will have room.
+    fn gather(&mut self, id: &JobId, tasks: usize, now: Micros) -> Option<Micros> {
+        let job = self.jobs.get(id)?;
         let spec = job.spec.clone();
         let mut zones = self.zones_of(job);
-        // What boots now will serve it, and nobody has to wait for that.
-        let coming = self.machines.values().filter(|m| {
-            let flavor = m.flavor.map(|f| &self.flavors[f]);
-            !m.up
-                && !m.deleting
-                && spec.need.fits(&m.size)
-                && flavor.is_some_and(|f| {
-                    now < m.rented_at + 2 * f.boot && spec.allows(&f.name, &m.zone, m.spot)
-                })
-        });
-        let tasks = tasks.saturating_sub(coming.count());
         let mut soonest: Vec<(Micros, MachineId)> = Vec::new();
         for m in self.machines.values() {
-            if !spec.need.fits(&m.size) || !self.may_host(m, id, &spec, &zones, now) {
+            if !spec.need.fits(&m.size) || m.kept(now).is_some_and(|k| k.job != *id) {
                 continue;
             }
-            match &m.reserved {
-                Some((holder, until)) if *until > now && holder != id => continue,
-                Some((holder, until)) if *until > now && holder == id => {
-                    soonest.push((0, m.id.clone()));
-                    continue;
-                }
-                _ => {}
-            }
-            let mut ends: Vec<(Micros, Resources)> = m
-                .attempts
-                .iter()
-                .filter(|(_, a)| a.holds)
-                .map(|((t, _), a)| (self.expected_end(t, a, now), a.need))
-                .collect();
-            ends.sort_by_key(|e| e.0);
-            let mut free = m.free();
-            let mut at = now;
-            for (end, need) in ends {
-                if spec.need.fits(&free) {
-                    break;
-                }
-                free += need;
-                at = end;
-            }
-            soonest.push((at, m.id.clone()));
+            self.room_times(m, id, &spec, &zones, tasks, now, &mut soonest);
         }
         soonest.sort();
+        if spec.one_zone && zones.is_empty() {
+            // The zone that has room for all of it first.
+            let mut counts: HashMap<&str, usize> = HashMap::new();
+            let last = soonest.iter().find_map(|(_, machine)| {
+                let zone = &*self.machines.get(machine)?.zone;
+                let n = counts.entry(zone).or_default();
+                *n += 1;
+                (*n == tasks).then(|| zone.to_string())
+            });
+            zones.insert(last?, 0);
+        }
         // Only as much as the gang can use under its zone rules: room kept beyond that would never
         // be given back, and the cloud would have none left where the gang still needs some.
-        let mut tasks = tasks;
-        for (_, machine) in soonest {
+        let mut left = tasks;
+        let mut last = now;
+        let mut keep: HashMap<MachineId, i64> = HashMap::new();
+        for (at, machine) in soonest {
+            let Some(m) = self.machines.get(&machine) else { continue };
+            if left == 0 {
+                break;
+            }
+            if !zone_ok(&spec, &zones, &m.zone) {
+                continue;
+            }
+            *zones.entry(m.zone.clone()).or_default() += 1;
+            *keep.entry(machine).or_default() += 1;
+            last = at;
+            left -= 1;
+        }
+        for (machine, tasks) in keep {
             let Some(m) = self.machines.get_mut(&machine) else { continue };
-            let room = spec.need.times_in(&m.size).min(tasks as i64);
-            let mut took = 0;
-            while took < room && zone_ok(&spec, &zones, &m.zone) {
-                *zones.entry(m.zone.clone()).or_default() += 1;
-                took += 1;
+            let until = m.kept.as_ref().map_or(0, |k| k.until).max(now + 2 * SECOND);
+            m.kept = Some(Kept { job: id.clone(), tasks, until });
+        }
+        (left == 0).then_some(last)
+    }
+
+    /// When a machine will have room for the first, the second, ... of `tasks` tasks of a job.
+    #[allow(clippy::too_many_arguments)]
+    fn room_times(
+        &self,
+        m: &Machine,
+        id: &JobId,
+        spec: &JobSpec,
+        zones: &Zones,
+        tasks: usize,
+        now: Micros,
+        out: &mut Vec<(Micros, MachineId)>,
+    ) {
+        let most = spec.need.times_in(&m.size).min(tasks as i64) as usize;
+        if !m.up {
+            let Some(flavor) = m.flavor.map(|f| &self.flavors[f]) else { return };
+            let late = now > m.rented_at + 2 * flavor.boot;
+            let allowed =
+                spec.allows(&flavor.name, &m.zone, m.spot) && zone_ok(spec, zones, &m.zone);
+            if allowed && !late && !m.deleting && !m.bad {
+                let at = (m.rented_at + flavor.boot).max(now + 2 * SECOND);
+                out.extend((0..most).map(|_| (at, m.id.clone())));
             }
-            if took > 0 {
-                tasks -= took as usize;
-                let until = m.reserved.as_ref().map_or(0, |r| r.1);
-                m.reserved = Some((id.clone(), until.max(now + 2 * SECOND)));
+            return;
+        }
+        if !self.may_host(m, id, spec, zones, now) {
+            return;
+        }
+        if m.kept(now).is_some_and(|k| k.job == *id) {
+            // Room once kept stays kept, so that the choice does not waver.
+            out.extend((0..most).map(|_| (0, m.id.clone())));
+            return;
+        }
+        let mut ends: Vec<(Micros, Resources)> = m
+            .attempts
+            .iter()
+            .filter(|(_, a)| a.holds)
+            .map(|((t, _), a)| (self.expected_end(t, a, now), a.need))
+            .collect();
+        ends.sort_by_key(|e| e.0);
+        let mut ends = ends.into_iter();
+        let (mut free, mut at) = (m.free(), now);
+        for _ in 0..most {
+            while !spec.need.fits(&free) {
+                let Some((end, need)) = ends.next() else { return };
+                free += need;
+                at = end;
             }
+            free -= spec.need;
+            out.push((at, m.id.clone()));
         }
     }
 
@@ -472,11 +516,8 @@
         let spec = job.spec.clone();
         // Enough room is being made already.
         let wanted = job.pending.len().min(self.headroom(job).clamp(0, 1000) as u32) as usize;
-        let mut making = self
-            .machines
-            .values()
-            .filter(|m| m.reserved.as_ref().is_some_and(|r| r.0 == *id && r.1 > now))
-            .count();
+        let mut making =
+            self.machines.values().filter(|m| m.kept(now).is_some_and(|k| k.job == *id)).count();
         let urgent = spec.priority >= Priority::High;
         if !urgent {
             return;
@@ -484,8 +525,7 @@
         let mut zones = self.zones_of(job);
         let mut options = Vec::new();
         for m in self.machines.values() {
-            let reserved = m.reserved.as_ref().is_some_and(|r| r.1 > now);
-            if reserved || !self.may_host(m, id, &spec, &zones, now) {
+            if m.kept(now).is_some() || !self.may_host(m, id, &spec, &zones, now) {
                 continue;
             }
             let mut victims: Vec<(Micros, JobId, u32, Resources)> = Vec::new();
@@ -532,7 +572,7 @@
             making += 1;
             tracing::info!(job = %id, machine = %machine, victims = victims.len(), "making room");
             if let Some(m) = self.machines.get_mut(&machine) {
-                m.reserved = Some((id.clone(), now + 15 * SECOND));
+                m.kept = Some(Kept { job: id.clone(), tasks: 1, until: now + 15 * SECOND });
             }
             for (job, index) in victims {
                 self.evict(&job, index);
