Plan renting for the whole queue, in steps of all tasks that start together

Cause: the plan looked at 600 tasks, one at a time over every machine, cloning a heap each time. It also took most of a leader's processor time.

Now a step places all tasks of a job that start on one machine at one time, and each job's choices are kept in a heap; up to 3,000 steps. Requests above 50 machines are split over several calls.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -14,8 +14,9 @@
 const MIN_CHARGE: Micros = 60 * SECOND;
 const MAX_RENT: u32 = 50;
 const MAX_DELETE: usize = 100;
-/// Tasks that a plan looks at, in queue order; it is made anew all the time.
-const PLANNED_TASKS: usize = 600;
+/// Steps of a plan, in queue order; it is made anew all the time. A step places all tasks of a job
+/// that start on one machine at one time.
+const PLANNED_STEPS: usize = 3000;
 
 /// How long a refusal is remembered while nothing has been given back.
 const MAX_REFUSAL: Micros = 120 * SECOND;
@@ -127,14 +128,15 @@
 
 /// A machine's future as the plan sees it: its room, and when more of it comes free.
 struct Lane {
-    flavor_name: String,
+    flavor: usize,
     zone: String,
     spot: bool,
     /// Per hour and thousandth of a CPU.
     price: f64,
     free: Resources,
     ready: Micros,
-    releases: BinaryHeap<Reverse<(Micros, i64, i64, i64)>>,
+    /// The earliest last.
+    releases: Vec<(Micros, Resources)>,
 }
 
 impl Lane {
@@ -145,40 +147,39 @@
         if need.fits(&free) {
             return self.ready;
         }
-        let mut releases = self.releases.clone();
-        let mut k = 0;
-        while let Some(Reverse((at, cpu, gpu, mem))) = releases.pop() {
-            free += Resources { cpu, gpu, mem };
-            k += 1;
+        for (k, (at, room)) in self.releases.iter().rev().enumerate() {
+            free += *room;
             if need.fits(&free) {
-                if at == Micros::MAX {
+                if *at == Micros::MAX {
                     // Replicas run until they are cancelled; adding to their end would overflow.
                     return Micros::MAX;
                 }
-                let wait = at.saturating_sub(now) as f64 * (1.0 + 0.25 * f64::from(k).log2());
+                let late = 1.0 + 0.25 * ((k + 1) as f64).log2();
+                let wait = at.saturating_sub(now) as f64 * late;
                 return (now + wait as Micros).max(self.ready);
             }
         }
         Micros::MAX
     }
 
-    fn allows(&self, w: &Waiting) -> bool {
-        w.spec.allows(&self.flavor_name, &self.zone, self.spot)
-            && zone_ok(&w.spec, &w.zones, &self.zone)
-    }
-
-    /// Takes a task that starts at `start`.
+    /// Takes all the tasks that can start at `start`.
     fn take(&mut self, w: &mut Waiting, start: Micros) {
-        while let Some(Reverse((at, cpu, gpu, mem))) = self.releases.peek().copied() {
+        while let Some((at, room)) = self.releases.last().copied() {
             if at > start || w.spec.need.fits(&self.free) {
                 break;
             }
             self.releases.pop();
-            self.free += Resources { cpu, gpu, mem };
+            self.free += room;
         }
         self.ready = self.ready.max(start);
-        self.free -= w.spec.need;
-        let n = w.spec.need;
+        let mut most = w.spec.need.times_in(&self.free).min(w.tasks);
+        if w.spec.spread {
+            let here = w.zones.get(&self.zone).copied().unwrap_or(0);
+            most = most.min(i64::from(w.spec.zone_cap().saturating_sub(here)));
+        }
+        let most = most.max(1);
+        let all = w.spec.need.times(most);
+        self.free -= all;
         // Replicas do not end, and the tasks of a gang need all their room at the same time: one
         // must not be planned to follow another.
         let ends = match w.spec.shape {
@@ -187,13 +188,18 @@
             Shape::Service => false,
         };
         if ends {
-            self.releases.push(Reverse((start + w.run.max(SECOND), n.cpu, n.gpu, n.mem)));
+            let end = start + w.run.max(SECOND);
+            let place = self.releases.partition_point(|r| r.0 > end);
+            self.releases.insert(place, (end, all));
         }
-        *w.zones.entry(self.zone.clone()).or_default() += 1;
-        w.tasks -= 1;
+        *w.zones.entry(self.zone.clone()).or_default() += most as u32;
+        w.tasks -= most;
     }
 }
 
+/// Lanes that a job may use, the best first: those in time by price, then the others by time.
+type Choices = BinaryHeap<Reverse<(bool, u64, u64, usize)>>;
+
 impl Cluster {
     /// The calls to make to the cloud now.
     pub fn plan_fleet(&mut self, now: Micros) -> Vec<CloudCall> {
@@ -335,15 +341,35 @@
     }
 
     fn lane(&self, offer: &Offer, ready: Micros) -> Lane {
-        let flavor = &self.flavors[offer.flavor];
         Lane {
-            flavor_name: flavor.name.clone(),
+            flavor: offer.flavor,
             zone: offer.zone.clone(),
             spot: offer.spot,
             price: self.room_price(offer.flavor, offer.spot),
-            free: flavor.size,
+            free: self.flavors[offer.flavor].size,
             ready,
-            releases: BinaryHeap::new(),
+            releases: Vec::new(),
+        }
+    }
+
+    fn lane_allows(&self, lane: &Lane, w: &Waiting) -> bool {
+        w.spec.allows(&self.flavors[lane.flavor].name, &lane.zone, lane.spot)
+            && zone_ok(&w.spec, &w.zones, &lane.zone)
+    }
+
+    /// Enters a lane among a job's choices, unless the job never fits there.
+    fn choose(&self, choices: &mut Choices, lanes: &[Lane], i: usize, w: &Waiting, now: Micros) {
+        let lane = &lanes[i];
+        if !w.spec.need.fits(&self.flavors[lane.flavor].size) || !self.lane_allows(lane, w) {
+            return;
+        }
+        let start = lane.earliest(&w.spec.need, now);
+        // Prices are positive, and such numbers are in the order of their bits.
+        let price = lane.price.max(0.0).to_bits();
+        let late = start > w.limit;
+        if start < Micros::MAX {
+            let (a, b) = if late { (start, price) } else { (price, start) };
+            choices.push(Reverse((late, a, b, i)));
         }
     }
 
@@ -368,16 +394,15 @@
             let mut lane = self.lane(&offer, now);
             lane.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
-                let (end, n) = (self.expected_end(task, a, now), a.need);
-                lane.releases.push(Reverse((end, n.cpu, n.gpu, n.mem)));
+                lane.releases.push((self.expected_end(task, a, now), a.need));
             }
+            lane.releases.sort_by_key(|r| Reverse(r.0));
             lanes.push(lane);
         }
         for (offer, count) in self.fleet.renting.values() {
             let ready = now + self.flavors[offer.flavor].boot;
             (0..*count).for_each(|_| lanes.push(self.lane(offer, ready)));
         }
-        lanes.sort_by(|a, b| a.price.total_cmp(&b.price));
         lanes
     }
 
@@ -386,63 +411,65 @@
         let mut waiting = self.waiting(now);
         let mut lanes = self.lanes(now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        let mut budget = PLANNED_TASKS;
+        let mut budget = PLANNED_STEPS;
         for i in 0..waiting.len() {
             let (head, rest) = waiting.split_at_mut(i + 1);
             let w = &mut head[i];
+            let mut choices = Choices::with_capacity(lanes.len());
+            (0..lanes.len()).for_each(|l| self.choose(&mut choices, &lanes, l, w, now));
+            let mut offer = None;
             while w.tasks > 0 && budget > 0 {
                 budget -= 1;
-                let mut best: Option<(usize, Micros)> = None;
-                for (i, lane) in lanes.iter().enumerate() {
-                    // Lanes are in order of price: a dearer one only if no cheaper one is in time.
-                    if best.is_some_and(|(b, t)| t <= w.limit && lane.price > lanes[b].price * 1.01)
-                    {
-                        break;
-                    }
-                    if !lane.allows(w) {
+                let best = choices.pop().map(|Reverse((late, a, b, l))| {
+                    let start = if late { a } else { b };
+                    (late, start, l)
+                });
+                if let Some((late, start, l)) = best {
+                    if !self.lane_allows(&lanes[l], w) {
                         continue;
                     }
-                    let start = lane.earliest(&w.spec.need, now);
-                    if start < best.map_or(Micros::MAX, |b| b.1) {
-                        best = Some((i, start));
+                    if late && offer.is_none() {
+                        offer = Some(self.best_offer(w, rest, now));
                     }
-                }
-                if let Some((i, start)) = best.filter(|b| b.1 <= w.limit) {
-                    lanes[i].take(w, start);
-                    continue;
-                }
-                let offer = self.best_offer(w, rest, now);
-                let ready = offer.as_ref().map(|o| now + self.flavors[o.flavor].boot);
-                match (best, offer, ready) {
+                    let ready = offer.iter().flatten().next().map(|o: &Offer| self.boots(o, now));
                     // A new machine would be there no sooner than the room there is.
-                    (Some((i, start)), _, ready) if ready.is_none_or(|r| start <= r) => {
-                        lanes[i].take(w, start);
-                    }
-                    (_, Some(offer), Some(ready)) if wanted.values().sum::<u32>() < MAX_RENT => {
-                        let mut lane = self.lane(&offer, ready);
-                        lane.take(w, ready);
-                        let at = lanes.partition_point(|l| l.price <= lane.price);
-                        lanes.insert(at, lane);
-                        *wanted.entry(offer).or_default() += 1;
+                    if !late || ready.is_none_or(|r| start <= r) {
+                        lanes[l].take(w, start);
+                        self.choose(&mut choices, &lanes, l, w, now);
+                        continue;
                     }
-                    _ => break,
+                    choices.push(Reverse((late, start, lanes[l].price.max(0.0).to_bits(), l)));
                 }
+                let found = offer.take().unwrap_or_else(|| self.best_offer(w, rest, now));
+                let Some(found) = found else { break };
+                let ready = self.boots(&found, now);
+                let mut lane = self.lane(&found, ready);
+                lane.take(w, ready);
+                lanes.push(lane);
+                self.choose(&mut choices, &lanes, lanes.len() - 1, w, now);
+                *wanted.entry(found).or_default() += 1;
             }
         }
-        for (offer, count) in wanted {
-            if !self.fleet.may_call(0.0) {
-                break;
+        for (offer, mut count) in wanted {
+            while count > 0 && self.fleet.may_call(0.0) {
+                let n = count.min(MAX_RENT);
+                count -= n;
+                self.fleet.requests += 1;
+                // The term in the name keeps it from ever being used by another leader.
+                let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
+                tracing::info!(%name, flavor = %self.flavors[offer.flavor].name,
+                    zone = %offer.zone, spot = offer.spot, count = n, "renting");
+                self.fleet.renting.insert(name.clone(), (offer.clone(), n));
+                calls.push(CloudCall::Rent { name, offer: offer.clone(), count: n, tries: 0 });
             }
-            self.fleet.requests += 1;
-            // The term in the name keeps it from ever being used by another leader.
-            let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
-            tracing::info!(%name, flavor = %self.flavors[offer.flavor].name, zone = %offer.zone,
-                spot = offer.spot, count, "renting");
-            self.fleet.renting.insert(name.clone(), (offer.clone(), count));
-            calls.push(CloudCall::Rent { name, offer, count, tries: 0 });
         }
     }
 
+    /// When a machine rented now is expected to be up.
+    fn boots(&self, offer: &Offer, now: Micros) -> Micros {
+        now + self.flavors[offer.flavor].boot
+    }
+
     /// The offer that serves a waiting job at the least price for the room that it and those
     /// behind it use.
     fn best_offer(&self, first: &Waiting, rest: &[Waiting], now: Micros) -> Option<Offer> {
