Stop borrowed work for a gang within its team's guarantee; keep all its room together

Making room also kept one task's room on a machine, whatever zone the rest was in.

Now what loses least is stopped, never more than a team has borrowed and never work within a guarantee, and only if gathered room would come too late for the gang's next objective. The same path serves urgent jobs.

Every ten seconds a debug line tells what machines are used for.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -170,6 +170,8 @@
     pub unsure: bool,
     /// All that its team may run of it at once has been placed.
     pub placed: bool,
+    /// It lay within its team's guarantee when the queue was last put in order.
+    pub within: bool,
 }
 
 impl Job {
@@ -323,6 +325,7 @@
             writing: false,
             unsure: false,
             placed: false,
+            within: false,
             spec,
         };
         if job.spec.spot {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use crate::cloud::{CloudRequest, Listed};
-use crate::cluster::{Cluster, Machine, MachineId};
+use crate::cluster::{Cluster, Machine, MachineId, Phase};
 use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros, seconds};
 use crate::policy::{Setting, Value};
 use crate::scheduler::{Zones, zone_ok};
@@ -61,6 +61,7 @@
     listing: bool,
     next_list: Micros,
     next_flavors: Micros,
+    next_summary: Micros,
     list_after: String,
     list_seen: Vec<Listed>,
     retry: Vec<CloudCall>,
@@ -84,6 +85,7 @@
             listing: false,
             next_list: 0,
             next_flavors: 0,
+            next_summary: 0,
             list_after: String::new(),
             list_seen: Vec::new(),
             retry: Vec::new(),
@@ -219,6 +221,10 @@
             }
             calls.push(call);
         }
+        if now >= self.fleet.next_summary {
+            self.fleet.next_summary = now + 10 * SECOND;
+            self.summarize(now);
+        }
         self.find_bad(now);
         if self.settled {
             self.return_idle(now);
@@ -242,6 +248,47 @@
         calls
     }
 
+    /// Logs what the machines of each offer are used for.
+    fn summarize(&self, now: Micros) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        #[derive(Default)]
+        struct Use {
+            booting: u32,
+            up: u32,
+            idle: u32,
+            kept: u32,
+            cpus: i64,
+            running: i64,
+            fetching: i64,
+        }
+        let mut by_kind: BTreeMap<(usize, bool), Use> = BTreeMap::new();
+        for m in self.machines.values() {
+            let Some(flavor) = m.flavor else { continue };
+            let used = by_kind.entry((flavor, m.spot)).or_default();
+            if !m.up {
+                used.booting += 1;
+                continue;
+            }
+            used.up += 1;
+            used.idle += u32::from(m.attempts.is_empty());
+            used.kept += u32::from(m.kept(now).is_some());
+            used.cpus += m.size.cpu / 1000;
+            for a in m.attempts.values().filter(|a| a.holds) {
+                match a.phase {
+                    Phase::Running | Phase::Saving => used.running += a.need.cpu / 1000,
+                    _ => used.fetching += a.need.cpu / 1000,
+                }
+            }
+        }
+        for ((flavor, spot), u) in by_kind {
+            let Use { booting, up, idle, kept, cpus, running, fetching } = u;
+            let flavor = &self.flavors[flavor].name;
+            tracing::debug!(%flavor, spot, booting, up, idle, kept, cpus, running, fetching, "fleet");
+        }
+    }
+
     /// Machines that stay silent, never boot or have been judged faulty are given back.
     fn find_bad(&mut self, now: Micros) {
         let limit = self.lease_limit();
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -240,14 +240,23 @@
             return;
         }
         let mut slots = self.slots(now);
-        for (id, within) in self.queue() {
+        let queue = self.queue();
+        for (id, within) in &queue {
+            if let Some(job) = self.jobs.get_mut(id) {
+                job.within = *within;
+            }
+        }
+        let mut borrowed = None;
+        for (id, within) in queue {
             let Some(job) = self.jobs.get(&id) else { continue };
             if job.pending.is_empty() || self.headroom(job) <= 0 {
                 continue;
             }
             match job.spec.shape {
-                Shape::Gang => self.place_gang(&id, &mut slots, now),
-                Shape::Array | Shape::Service => self.place_tasks(&id, &mut slots, now),
+                Shape::Gang => self.place_gang(&id, &mut slots, &mut borrowed, now),
+                Shape::Array | Shape::Service => {
+                    self.place_tasks(&id, &mut slots, &mut borrowed, now);
+                }
             }
             let Some(job) = self.jobs.get(&id) else { continue };
             if !job.placed && (job.pending.is_empty() || self.headroom(job) <= 0) {
@@ -261,7 +270,13 @@
         }
     }
 
-    fn place_tasks(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) {
+    fn place_tasks(
+        &mut self,
+        id: &JobId,
+        slots: &mut [Slot],
+        borrowed: &mut Option<Borrowed>,
+        now: Micros,
+    ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         let mut limit = self.headroom(job);
@@ -283,13 +298,13 @@
         let tasks: Vec<u32> =
             job.pending.iter().filter(ready).take(limit.max(0) as usize).collect();
         let taken = self.fit(id, &spec, slots, &mut zones, tasks.len());
-        let short = taken.len() < tasks.len();
+        let short = tasks.len() - taken.len();
         for (index, machine) in tasks.into_iter().zip(taken) {
             let attempt = self.next_attempt();
             self.place(id, index, &slots[machine].machine, attempt, now);
         }
-        if short {
-            self.make_room(id, now);
+        if short > 0 {
+            self.make_room(id, short, borrowed, now);
         }
     }
 
@@ -326,7 +341,13 @@
     }
 
     /// Places all missing tasks of a gang's attempt, or none.
-    fn place_gang(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) {
+    fn place_gang(
+        &mut self,
+        id: &JobId,
+        slots: &mut [Slot],
+        borrowed: &mut Option<Borrowed>,
+        now: Micros,
+    ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
         // The next attempt begins only when nothing of the last one is on a machine any more.
@@ -372,8 +393,13 @@
             }
             return;
         }
-        self.make_room(id, now);
-        self.gather(id, missing.len(), now);
+        // Work is stopped only where waiting for it to end would be too late.
+        let soon = self.gather(id, missing.len(), now);
+        let Some(job) = self.jobs.get(id) else { return };
+        let slack = self.latest_start(job, job.within).map_or(0, |t| t.saturating_sub(self.wall));
+        if soon.is_none_or(|at| at > now + slack.max(2 * self.settings.report)) {
+            self.make_room(id, missing.len(), borrowed, now);
+        }
     }
 
     /// Gathers room for a waiting gang, on the machines that will have it soonest: what comes free
@@ -383,50 +409,61 @@
     fn gather(&mut self, id: &JobId, tasks: usize, now: Micros) -> Option<Micros> {
         let job = self.jobs.get(id)?;
         let spec = job.spec.clone();
-        let mut zones = self.zones_of(job);
+        let zones = self.zones_of(job);
         let mut soonest: Vec<(Micros, MachineId)> = Vec::new();
         for m in self.machines.values() {
-            if !spec.need.fits(&m.size) || m.kept(now).is_some_and(|k| k.job != *id) {
-                continue;
+            if spec.need.fits(&m.size) && m.kept(now).is_none_or(|k| k.job == *id) {
+                self.room_times(m, id, &spec, &zones, tasks, now, &mut soonest);
             }
-            self.room_times(m, id, &spec, &zones, tasks, now, &mut soonest);
         }
-        soonest.sort();
+        let (keep, last) = self.choose_room(&spec, zones, tasks, soonest)?;
+        let found: i64 = keep.values().sum();
+        for (machine, tasks) in keep {
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
+            let until = m.kept.as_ref().map_or(0, |k| k.until).max(now + 2 * SECOND);
+            m.kept = Some(Kept { job: id.clone(), tasks, until });
+        }
+        (found == tasks as i64).then_some(last)
+    }
+
+    /// The cheapest of the offered room that the job's zone rules let it use together, for at most
+    /// `tasks` tasks: how many on each machine, and the cost of the dearest. Room beyond that
+    /// would never be given back, and the cloud would have none left where the job still needs some.
+    fn choose_room(
+        &self,
+        spec: &JobSpec,
+        mut zones: Zones,
+        tasks: usize,
+        mut room: Vec<(u64, MachineId)>,
+    ) -> Option<(HashMap<MachineId, i64>, u64)> {
+        room.sort();
         if spec.one_zone && zones.is_empty() {
-            // The zone that has room for all of it first.
+            // The first zone that has room for all.
             let mut counts: HashMap<&str, usize> = HashMap::new();
-            let last = soonest.iter().find_map(|(_, machine)| {
+            let zone = room.iter().find_map(|(_, machine)| {
                 let zone = &*self.machines.get(machine)?.zone;
                 let n = counts.entry(zone).or_default();
                 *n += 1;
                 (*n == tasks).then(|| zone.to_string())
             });
-            zones.insert(last?, 0);
+            zones.insert(zone?, 0);
         }
-        // Only as much as the gang can use under its zone rules: room kept beyond that would never
-        // be given back, and the cloud would have none left where the gang still needs some.
         let mut left = tasks;
-        let mut last = now;
-        let mut keep: HashMap<MachineId, i64> = HashMap::new();
-        for (at, machine) in soonest {
+        let mut last = 0;
+        let mut chosen: HashMap<MachineId, i64> = HashMap::new();
+        for (cost, machine) in room {
             let Some(m) = self.machines.get(&machine) else { continue };
             if left == 0 {
                 break;
             }
-            if !zone_ok(&spec, &zones, &m.zone) {
-                continue;
+            if zone_ok(spec, &zones, &m.zone) {
+                *zones.entry(m.zone.clone()).or_default() += 1;
+                *chosen.entry(machine).or_default() += 1;
+                last = cost;
+                left -= 1;
             }
-            *zones.entry(m.zone.clone()).or_default() += 1;
-            *keep.entry(machine).or_default() += 1;
-            last = at;
-            left -= 1;
-        }
-        for (machine, tasks) in keep {
-            let Some(m) = self.machines.get_mut(&machine) else { continue };
-            let until = m.kept.as_ref().map_or(0, |k| k.until).max(now + 2 * SECOND);
-            m.kept = Some(Kept { job: id.clone(), tasks, until });
         }
-        (left == 0).then_some(last)
+        Some((chosen, last))
     }
 
     /// When a machine will have room for the first, the second, ... of `tasks` tasks of a job.
@@ -509,74 +546,156 @@
         now + self.expected_run(&job.spec).saturating_sub(ran).max(ran / 4)
     }
 
-    /// Preemption: stops work of lower priority to make room for a job of high priority; the room
-    /// is kept for it.
-    fn make_room(&mut self, id: &JobId, now: Micros) {
+    /// What each team runs above its guarantee, less what has been told to stop.
+    fn borrowed(&self) -> Borrowed {
+        let mut out: Borrowed = Vec::with_capacity(self.used.len());
+        for (used, team) in self.used.iter().zip(&self.settings.teams) {
+            out.push(*used - team.guarantee);
+        }
+        for a in self.machines.values().flat_map(|m| m.attempts.values()) {
+            if let (Some(t), true, true) = (a.team, a.holds, a.stop.is_some()) {
+                out[t] -= a.need;
+            }
+        }
+        out
+    }
+
+    /// Preemption: makes room for a job of high priority by stopping work of lower priority, and
+    /// for a job within its team's guarantee by stopping work that other teams run above theirs.
+    /// What loses least is stopped first, and the room is kept for the job.
+    fn make_room(
+        &mut self,
+        id: &JobId,
+        tasks: usize,
+        borrowed: &mut Option<Borrowed>,
+        now: Micros,
+    ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        // Enough room is being made already.
-        let wanted = job.pending.len().min(self.headroom(job).clamp(0, 1000) as u32) as usize;
-        let mut making =
-            self.machines.values().filter(|m| m.kept(now).is_some_and(|k| k.job == *id)).count();
         let urgent = spec.priority >= Priority::High;
-        if !urgent {
+        let gang = spec.shape == Shape::Gang;
+        // An array's tasks find room as others end; stopping as many others only moves the work.
+        if !urgent && !(job.within && gang) {
             return;
         }
-        let mut zones = self.zones_of(job);
-        let mut options = Vec::new();
+        let most = self.headroom(job).clamp(0, 1000) as usize;
+        // Enough room may be being made already.
+        let making: i64 = self
+            .machines
+            .values()
+            .filter_map(|m| m.kept(now))
+            .filter(|k| k.job == *id)
+            .map(|k| k.tasks)
+            .sum();
+        let tasks = if gang { tasks } else { tasks.min(most).saturating_sub(making as usize) };
+        if tasks == 0 {
+            return;
+        }
+        let zones = self.zones_of(job);
+        let borrowed = borrowed.get_or_insert_with(|| self.borrowed());
+        // What may be stopped on a machine, what loses least first.
+        let mut options: HashMap<MachineId, Vec<Victim>> = HashMap::new();
+        let mut room: Vec<(u64, MachineId)> = Vec::new();
         for m in self.machines.values() {
-            if m.kept(now).is_some() || !self.may_host(m, id, &spec, &zones, now) {
+            let kept = m.kept(now);
+            if !spec.need.fits(&m.size)
+                || kept.is_some_and(|k| k.job != *id || !gang)
+                || !self.may_host(m, id, &spec, &zones, now)
+            {
                 continue;
             }
-            let mut victims: Vec<(Micros, JobId, u32, Resources)> = Vec::new();
+            let mut victims = Vec::new();
             let mut free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 if a.stop.is_some() {
                     free += a.need;
-                    continue;
+                } else if let Some(j) =
+                    self.jobs.get(&task.job).filter(|j| j.spec.shape != Shape::Gang)
+                {
+                    let lower = urgent && j.spec.priority < spec.priority;
+                    let above = job.within
+                        && !j.within
+                        && j.team != job.team
+                        && a.team.is_some_and(|t| {
+                            Team::within(&borrowed[t], &Resources::default(), &a.need)
+                        });
+                    if lower || above {
+                        // A task that can save loses only its saving time.
+                        let running = a.phase == Phase::Running;
+                        let ran = if running { now.saturating_sub(a.since) } else { 0 };
+                        let loss =
+                            if j.spec.checkpoint_every > 0 { ran.min(j.spec.save) } else { ran };
+                        let team = a.team.filter(|_| !lower);
+                        victims.push(Victim { loss, task: task.clone(), need: a.need, team });
+                    }
                 }
-                let Some(j) = self.jobs.get(&task.job) else { continue };
-                if j.spec.priority >= spec.priority || j.spec.shape == Shape::Gang {
-                    continue;
-                }
-                // What stopping it throws away; a task that can save loses only its saving time.
-                let ran = if a.phase == Phase::Running { now.saturating_sub(a.since) } else { 0 };
-                let loss = if j.spec.checkpoint_every > 0 { j.spec.save } else { ran };
-                victims.push((loss, task.job.clone(), task.index, a.need));
             }
-            victims.sort_by_key(|v| (v.0, v.2));
-            let mut chosen = Vec::new();
+            victims.sort_by(|a, b| (a.loss, a.task.index).cmp(&(b.loss, b.task.index)));
             let mut loss = 0;
-            for v in victims {
-                if spec.need.fits(&free) {
+            let mut used = victims.iter();
+            for _ in 0..spec.need.times_in(&m.size).min(tasks as i64) {
+                let before = loss;
+                let mut enough = true;
+                while !spec.need.fits(&free) {
+                    let Some(v) = used.next() else {
+                        enough = false;
+                        break;
+                    };
+                    free += v.need;
+                    loss += v.loss + 1;
+                }
+                // Room that is there already needs no making: what keeps an array off it is
+                // another rule. A gang needs it together with what is made.
+                if !enough || (!gang && loss == before) {
                     break;
                 }
-                free += v.3;
-                loss += v.0;
-                chosen.push((v.1, v.2));
-            }
-            // Room that is there already needs no making: what keeps the job off it is another rule.
-            if spec.need.fits(&free) && !chosen.is_empty() {
-                options.push((loss, m.id.clone(), m.zone.clone(), chosen));
+                free -= spec.need;
+                room.push((loss - before, m.id.clone()));
             }
+            options.insert(m.id.clone(), victims);
         }
-        options.sort_by(|a, b| (a.0, &a.1).cmp(&(b.0, &b.1)));
-        for (_, machine, zone, victims) in options {
-            if making >= wanted {
-                break;
-            }
-            if !zone_ok(&spec, &zones, &zone) {
-                continue;
-            }
-            *zones.entry(zone).or_default() += 1;
-            making += 1;
-            tracing::info!(job = %id, machine = %machine, victims = victims.len(), "making room");
-            if let Some(m) = self.machines.get_mut(&machine) {
-                m.kept = Some(Kept { job: id.clone(), tasks: 1, until: now + 15 * SECOND });
-            }
-            for (job, index) in victims {
-                self.evict(&job, index);
+        let Some((keep, _)) = self.choose_room(&spec, zones, tasks, room) else { return };
+        if gang && keep.values().sum::<i64>() < tasks as i64 {
+            return;
+        }
+        let mut stopped = 0;
+        for (machine, n) in keep {
+            let Some(m) = self.machines.get_mut(&machine) else { continue };
+            let stopping = m.attempts.values().filter(|a| a.holds && a.stop.is_some());
+            let mut free = m.size - m.used;
+            stopping.for_each(|a| free += a.need);
+            m.kept = Some(Kept { job: id.clone(), tasks: n, until: now + 15 * SECOND });
+            for v in options.remove(&machine).into_iter().flatten() {
+                if spec.need.times(n).fits(&free) {
+                    break;
+                }
+                if let Some(t) = v.team {
+                    // Never more than the team has borrowed.
+                    if !Team::within(&borrowed[t], &Resources::default(), &v.need) {
+                        continue;
+                    }
+                    borrowed[t] -= v.need;
+                }
+                free += v.need;
+                stopped += 1;
+                self.evict(&v.task.job, v.task.index);
             }
         }
+        if stopped > 0 {
+            tracing::info!(job = %id, stopped, tasks, urgent, "making room");
+        }
     }
 }
+
+/// What each team runs above its guarantee.
+type Borrowed = Vec<Resources>;
+
+/// A task that may be stopped to make room.
+struct Victim {
+    /// The work that stopping it throws away.
+    loss: Micros,
+    task: TaskId,
+    need: Resources,
+    /// The team that has borrowed the room, if that is why it may be stopped.
+    team: Option<usize>,
+}
