--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -429,11 +429,8 @@
                 continue;
             }
             let offer = Offer { flavor, zone: m.zone.clone(), spot: m.spot };
-            let boot = self.flavors[flavor].boot;
             if !m.up {
-                let late = now > m.rented_at + 2 * boot;
-                if !late {
-                    let ready = (m.rented_at + boot).max(now + 2 * SECOND);
+                if let Some(ready) = self.up_at(m, now) {
                     lanes.push(self.lane(&offer, ready));
                 }
                 continue;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -481,11 +481,9 @@
         let most = spec.need.times_in(&m.size).min(tasks as i64) as usize;
         if !m.up {
             let Some(flavor) = m.flavor.map(|f| &self.flavors[f]) else { return };
-            let late = now > m.rented_at + 2 * flavor.boot;
             let allowed =
                 spec.allows(&flavor.name, &m.zone, m.spot) && zone_ok(spec, zones, &m.zone);
-            if allowed && !late && !m.deleting && !m.bad {
-                let at = (m.rented_at + flavor.boot).max(now + 2 * SECOND);
+            if let Some(at) = self.up_at(m, now).filter(|_| allowed && !m.deleting && !m.bad) {
                 out.extend((0..most).map(|_| (at, m.id.clone())));
             }
             return;
@@ -518,6 +516,15 @@
         }
     }
 
+    /// When a booting machine is expected to be up. One that is overdue is expected to take as long
+    /// again as it is late; after twice the usual time it is no longer counted on.
+    pub fn up_at(&self, m: &Machine, now: Micros) -> Option<Micros> {
+        let boot = self.flavors[m.flavor?].boot;
+        let expected = m.rented_at + boot;
+        let late = now.saturating_sub(expected);
+        (late <= boot).then(|| expected.max(now + late.max(2 * SECOND)))
+    }
+
     /// Whether the job's tasks may go to a machine once it has room.
     fn may_host(
         &self,
@@ -575,7 +582,7 @@
         let urgent = spec.priority >= Priority::High;
         let gang = spec.shape == Shape::Gang;
         // An array's tasks find room as others end; stopping as many others only moves the work.
-        if !urgent && !(job.within && gang) {
+        if !(urgent || job.within && gang) {
             return;
         }
         let most = self.headroom(job).clamp(0, 1000) as usize;
@@ -630,7 +637,7 @@
                     }
                 }
             }
-            victims.sort_by(|a, b| (a.loss, a.task.index).cmp(&(b.loss, b.task.index)));
+            victims.sort_by_key(|v| (v.loss, v.task.index));
             let mut loss = 0;
             let mut used = victims.iter();
             for _ in 0..spec.need.times_in(&m.size).min(tasks as i64) {
