Do less per report and pass: fill one machine, skip what is full or unchanged

Cause: every report that freed room led to a pass over the whole queue and all machines; each pass looked up machines by name before seeing that they were full, walked every live task of every job for zone rules most jobs lack, and gathered for every waiting gang ten times a second.

Now a report fills its own machine in the order of the last pass; a whole pass is made at most every 100 ms and only when something changed; gathering is looked over every 400 ms; a report with the same tasks as the last one is not reconciled; a read has room for a whole report.

--- a/src/api.rs
+++ b/src/api.rs
@@ -169,11 +169,11 @@
         return never("crew: no such team");
     };
     let fits = |f: &&Flavor| {
-        spec.types.as_ref().is_none_or(|t| t.contains(&f.name))
+        spec.types.as_ref().is_none_or(|t| t.iter().any(|t| **t == *f.name))
             && spec.zone.as_ref().is_none_or(|z| f.zones.contains(z))
             && spec.need.fits(&f.size)
     };
-    let fitting: Vec<String> = flavors.iter().filter(fits).map(|f| f.name.clone()).collect();
+    let fitting: Vec<String> = flavors.iter().filter(fits).map(|f| f.name.to_string()).collect();
     if fitting.is_empty() {
         return never("a task fits no allowed machine type");
     }
--- a/src/cloud.rs
+++ b/src/cloud.rs
@@ -88,7 +88,7 @@
         .filter(|f| [f.vcpus, f.cards, f.mem_gb, f.price, f.spot_price].into_iter().all(sane))
         .map(|f| Flavor {
             size: Resources::new(f.vcpus, f.cards, f.mem_gb),
-            name: f.label,
+            name: f.label.into(),
             price: f.price,
             spot_price: if f.spot_price > 0.0 { f.spot_price } else { f.price },
             boot: micros(f.boot_s),
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -3,6 +3,7 @@
 //! Everything that could be on a machine counts: tasks whose launch may still arrive, tasks that
 //! fetch, run, save or wait, and tasks of machines that cannot be reached.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
@@ -68,7 +69,7 @@
     pub id: MachineId,
     pub flavor: Option<usize>,
     pub size: Resources,
-    pub zone: String,
+    pub zone: Arc<str>,
     pub spot: bool,
     /// In its block's record, durably.
     pub recorded: bool,
@@ -103,6 +104,20 @@
     pub refused_until: Micros,
     /// When work of high priority was last placed here.
     pub urgent_at: Option<Micros>,
+    /// The tasks of the last report taken in, unless they have been told something since: a report
+    /// of the same holds no news.
+    pub digest: Option<u64>,
+}
+
+/// What tells a report's tasks and their states from another's.
+fn digest(report: &Report<'_>) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    report.tasks.len().hash(&mut hasher);
+    for t in &report.tasks {
+        (&t.task, t.attempt, t.state as u8, t.why.map(|w| w as u8)).hash(&mut hasher);
+    }
+    hasher.finish()
 }
 
 impl Machine {
@@ -172,6 +187,8 @@
     pub placed: bool,
     /// It lay within its team's guarantee when the queue was last put in order.
     pub within: bool,
+    /// When room was last gathered or made for it.
+    pub gathered_at: Option<Micros>,
 }
 
 impl Job {
@@ -247,6 +264,13 @@
     buried: HashMap<JobId, u64>,
     /// Room came free since the last report was answered.
     freed: bool,
+    /// Something changed that a pass over the whole queue should see.
+    pub stirred: bool,
+    /// Jobs with work to place, in queue order, as of the last pass.
+    pub order: Vec<JobId>,
+    pub last_pass: Micros,
+    /// How often a machine was looked at to place something: the cost of scheduling.
+    pub looks: Cell<u64>,
 }
 
 impl Cluster {
@@ -276,6 +300,10 @@
             wall,
             buried: HashMap::new(),
             freed: false,
+            stirred: true,
+            order: Vec::new(),
+            last_pass: 0,
+            looks: Cell::new(0),
         }
     }
 
@@ -326,6 +354,7 @@
             unsure: false,
             placed: false,
             within: false,
+            gathered_at: None,
             spec,
         };
         if job.spec.spot {
@@ -337,6 +366,7 @@
             }
         }
         self.jobs.insert(job.id.clone(), job);
+        self.stirred = true;
         if record.cancelled {
             self.cancel(id);
         }
@@ -582,7 +612,7 @@
         spot: bool,
         now: Micros,
     ) -> &mut Machine {
-        let flavor = self.flavors.iter().position(|f| f.name == flavor);
+        let flavor = self.flavors.iter().position(|f| *f.name == *flavor);
         let size = flavor.map(|i| self.flavors[i].size).unwrap_or_default();
         let id: MachineId = name.into();
         self.machines.entry(id.clone()).or_insert_with(|| Machine {
@@ -615,6 +645,7 @@
             kept: None,
             refused_until: 0,
             urgent_at: None,
+            digest: None,
         })
     }
 
@@ -637,6 +668,7 @@
             machine.idle_since = now;
         }
         let new_session = report.session > machine.session;
+        let news = new_session || !machine.confirmed;
         machine.session = report.session;
         machine.seq = report.seq;
         machine.heard_at = Some(now);
@@ -651,6 +683,7 @@
         if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
             self.block.add(&id, member);
         }
+        self.stirred |= news;
         if new_session {
             // The worker killed and forgot all it had when its lease ended.
             self.lose(&id, now, "its session ended");
@@ -665,14 +698,21 @@
         }
         if notice {
             tracing::info!(machine = %id, "spot notice");
+            self.stirred = true;
+        }
+        let digest = digest(report);
+        if self.machines.get(&id).is_some_and(|m| m.digest != Some(digest)) {
+            self.reconcile(&id, now, report);
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.digest = Some(digest);
+            }
         }
-        self.reconcile(&id, now, report);
         if self.machines.get(&id).is_some_and(|m| m.notice) {
             self.drain(&id);
         }
         if std::mem::take(&mut self.freed) {
             // What came free is used at once: the launches go out with this very answer.
-            self.schedule(now);
+            self.fill(&id, now);
         }
         Outcome::Orders(self.orders(&id))
     }
@@ -821,6 +861,7 @@
         let Some(a) = m.attempts.get_mut(key).filter(|a| a.holds) else { return };
         a.holds = false;
         self.freed = true;
+        self.stirred = true;
         let (need, team) = (a.need, a.team);
         m.used -= need;
         if !m.holds_any() {
@@ -938,6 +979,7 @@
     fn stop(&mut self, job: &str, index: u32, machine: &str, attempt: u64, grace: Micros) {
         let key = (TaskId { job: job.into(), index }, attempt);
         let Some(m) = self.machines.get_mut(machine) else { return };
+        m.digest = None;
         if let Some(a) = m.attempts.get_mut(&key) {
             a.stop = Some(a.stop.map_or(grace, |g| g.min(grace)));
         }
@@ -983,6 +1025,7 @@
     /// Everything that was on the machine is gone.
     pub fn lose(&mut self, id: &MachineId, now: Micros, why: &str) {
         let Some(m) = self.machines.get_mut(id) else { return };
+        m.digest = None;
         let keys: Vec<_> = m.attempts.keys().cloned().collect();
         let held = m.attempts.values().filter(|a| a.holds).count();
         if held > 0 {
@@ -1076,6 +1119,7 @@
             team: j.team,
             holds: true,
         };
+        m.digest = None;
         m.attempts.insert((TaskId { job: job.clone(), index }, attempt), entry);
     }
 
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -135,7 +135,6 @@
     ask_at: Micros,
     heard_at: Option<Micros>,
     schedule_at: Micros,
-    dirty: bool,
     fleet_at: Micros,
 }
 
@@ -415,9 +414,9 @@
             return;
         }
         lead.cluster.tick(now, wall);
-        if now >= lead.schedule_at && (lead.dirty || now >= lead.schedule_at + SECOND) {
+        let due = lead.cluster.stirred || now >= lead.cluster.last_pass + SECOND;
+        if now >= lead.schedule_at && due {
             lead.schedule_at = now + 100_000;
-            lead.dirty = false;
             lead.cluster.schedule(now);
         }
         let mut calls = Vec::new();
@@ -816,7 +815,6 @@
         }
         match lead.cluster.report(now, &report) {
             Outcome::Orders(orders) => {
-                lead.dirty = true;
                 let body = ReportAnswer { token: lead.term, orders: &orders };
                 (200, Response::json(200, &body).body)
             }
@@ -1025,7 +1023,6 @@
             ask_at: 0,
             heard_at: None,
             schedule_at: 0,
-            dirty: true,
             fleet_at: 0,
         }));
         self.share_budget();
@@ -1130,7 +1127,7 @@
                 }
                 Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
             }
-            lead.dirty = true;
+            lead.cluster.stirred = true;
         }
         lead.watched = followed.ledger_no;
         lead.cluster.watched(followed.ledger_no);
@@ -1143,7 +1140,7 @@
         match answer {
             Some((200, body)) => match serde_json::from_slice::<Committed>(&body) {
                 Ok(done) => {
-                    lead.dirty = true;
+                    lead.cluster.stirred = true;
                     lead.cluster.committed(batch, done.ledger_no);
                 }
                 Err(_) => self.unwritten(batch),
@@ -1180,7 +1177,7 @@
     fn read(&mut self, term: u64, key: String, answer: Option<(u16, Bytes)>) {
         let Some(lead) = self.lead.as_mut().filter(|l| l.term == term) else { return };
         lead.reading = lead.reading.saturating_sub(1);
-        lead.dirty = true;
+        lead.cluster.stirred = true;
         let item = match &answer {
             Some((200, body)) => serde_json::from_slice::<Item>(body).ok(),
             _ => None,
@@ -1232,7 +1229,7 @@
                 lead.fleet_at = now;
             }
             lead.cluster.cloud_answer(call, answer, now);
-            lead.dirty = true;
+            lead.cluster.stirred = true;
         }
     }
 }
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -169,7 +169,7 @@
 }
 
 async fn read_peer(mut stream: TcpStream, queue: mpsc::Sender<Command>) {
-    let mut buf = BytesMut::with_capacity(4096);
+    let mut buf = BytesMut::new();
     loop {
         loop {
             match peer::decode(&mut buf) {
@@ -185,6 +185,8 @@
                 }
             }
         }
+        // What messages share of the buffer leaves little of it for the next read.
+        buf.reserve(16 * 1024);
         match timeout(Duration::from_secs(60), stream.read_buf(&mut buf)).await {
             Ok(Ok(n)) if n > 0 => {}
             _ => return,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -131,7 +131,7 @@
 /// A machine's future as the plan sees it: its room, and when more of it comes free.
 struct Lane {
     flavor: usize,
-    zone: String,
+    zone: Arc<str>,
     spot: bool,
     /// Per hour and thousandth of a CPU.
     price: f64,
@@ -194,7 +194,9 @@
             let place = self.releases.partition_point(|r| r.0 > end);
             self.releases.insert(place, (end, all));
         }
-        *w.zones.entry(self.zone.clone()).or_default() += most as u32;
+        if w.spec.zoned() {
+            *w.zones.entry(self.zone.clone()).or_default() += most as u32;
+        }
         w.tasks -= most;
     }
 }
@@ -387,13 +389,13 @@
         out
     }
 
-    fn lane(&self, offer: &Offer, ready: Micros) -> Lane {
+    fn lane(&self, flavor: usize, zone: &Arc<str>, spot: bool, ready: Micros) -> Lane {
         Lane {
-            flavor: offer.flavor,
-            zone: offer.zone.clone(),
-            spot: offer.spot,
-            price: self.room_price(offer.flavor, offer.spot),
-            free: self.flavors[offer.flavor].size,
+            flavor,
+            zone: zone.clone(),
+            spot,
+            price: self.room_price(flavor, spot),
+            free: self.flavors[flavor].size,
             ready,
             releases: Vec::new(),
         }
@@ -428,14 +430,13 @@
             if m.deleting || m.bad || m.notice {
                 continue;
             }
-            let offer = Offer { flavor, zone: m.zone.clone(), spot: m.spot };
             if !m.up {
                 if let Some(ready) = self.up_at(m, now) {
-                    lanes.push(self.lane(&offer, ready));
+                    lanes.push(self.lane(flavor, &m.zone, m.spot, ready));
                 }
                 continue;
             }
-            let mut lane = self.lane(&offer, now);
+            let mut lane = self.lane(flavor, &m.zone, m.spot, now);
             lane.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 lane.releases.push((self.expected_end(task, a, now), a.need));
@@ -445,7 +446,9 @@
         }
         for (offer, count) in self.fleet.renting.values() {
             let ready = now + self.flavors[offer.flavor].boot;
-            (0..*count).for_each(|_| lanes.push(self.lane(offer, ready)));
+            let zone: Arc<str> = offer.zone.as_str().into();
+            let lane = || self.lane(offer.flavor, &zone, offer.spot, ready);
+            (0..*count).for_each(|_| lanes.push(lane()));
         }
         lanes
     }
@@ -487,7 +490,8 @@
                 let found = offer.take().unwrap_or_else(|| self.best_offer(w, rest, now));
                 let Some(found) = found else { break };
                 let ready = self.boots(&found, now);
-                let mut lane = self.lane(&found, ready);
+                let mut lane =
+                    self.lane(found.flavor, &found.zone.as_str().into(), found.spot, ready);
                 lane.take(w, ready);
                 lanes.push(lane);
                 self.choose(&mut choices, &lanes, lanes.len() - 1, w, now);
@@ -616,7 +620,7 @@
     /// Machines of an offer that are rented now.
     fn held(&self, offer: &Offer) -> usize {
         let same = |m: &&Machine| {
-            m.flavor == Some(offer.flavor) && m.spot == offer.spot && m.zone == offer.zone
+            m.flavor == Some(offer.flavor) && m.spot == offer.spot && *m.zone == *offer.zone
         };
         self.machines.values().filter(same).count()
     }
--- a/src/http.rs
+++ b/src/http.rs
@@ -13,6 +13,8 @@
 const MAX_HEAD: usize = 8 * 1024;
 /// The state service's watches may answer with much at once.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
+/// Room made for each read.
+const READ: usize = 4096;
 const IDLE: Duration = Duration::from_secs(75);
 const SLOW: Duration = Duration::from_secs(8);
 
@@ -141,12 +143,14 @@
 
 impl Connection {
     pub fn new(stream: TcpStream) -> Connection {
-        Connection { stream, buf: BytesMut::with_capacity(1024) }
+        Connection { stream, buf: BytesMut::new() }
     }
 
     /// The next request. Idle and slow clients are given up.
     pub async fn read(&mut self) -> Result<Request, ReadError> {
         if self.buf.is_empty() {
+            // Room for a whole report: a read that fills its room has to be followed by another.
+            self.buf.reserve(READ);
             match timeout(IDLE, self.stream.read_buf(&mut self.buf)).await {
                 Ok(Ok(n)) if n > 0 => {}
                 _ => return Err(ReadError::Closed),
@@ -159,6 +163,7 @@
     }
 
     async fn more(&mut self) -> Result<(), ReadError> {
+        self.buf.reserve(READ);
         match self.stream.read_buf(&mut self.buf).await {
             Ok(n) if n > 0 => Ok(()),
             _ => Err(ReadError::Closed),
@@ -207,7 +212,7 @@
         request.body = self.buf.split_to(length).freeze();
         if self.buf.is_empty() {
             // Keeps an idle connection from holding the room of its largest request.
-            self.buf = BytesMut::with_capacity(512);
+            self.buf = BytesMut::new();
         }
         Ok(request)
     }
--- a/src/model.rs
+++ b/src/model.rs
@@ -116,7 +116,7 @@
 /// A machine type the cloud rents out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Flavor {
-    pub name: String,
+    pub name: Arc<str>,
     pub size: Resources,
     pub price: f64,
     pub spot_price: f64,
@@ -191,6 +191,11 @@
             && self.types.as_ref().is_none_or(|t| t.iter().any(|x| x == flavor))
     }
 
+    /// Whether where its tasks are matters to where its others may go.
+    pub fn zoned(&self) -> bool {
+        self.one_zone || self.spread
+    }
+
     /// The most tasks that may share a zone.
     pub fn zone_cap(&self) -> u32 {
         if self.spread { self.tasks.div_ceil(2) } else { u32::MAX }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 
 use crate::cluster::{Attempt, Cluster, Gang, Job, Kept, Machine, MachineId, Phase};
 use crate::model::{
@@ -13,14 +14,19 @@
 /// Room up to this many times as dear as the cheapest of its rank counts as costing the same.
 const SIMILAR_PRICE: f64 = 1.5;
 
+/// A report that frees room leads to a pass over the whole queue at most this often.
+const PASS_EVERY: Micros = 100_000;
+/// Room kept for a gang is looked over this often; it is kept for longer than that.
+const GATHER_EVERY: Micros = 400_000;
+
 /// A machine's room that tasks can be placed in.
 #[derive(Clone, Debug)]
 pub struct Slot {
     pub machine: MachineId,
     /// The type's CPUs, in thousandths.
     pub flavor_size: i64,
-    pub flavor_name: String,
-    pub zone: String,
+    pub flavor_name: Arc<str>,
+    pub zone: Arc<str>,
     pub spot: bool,
     pub free: Resources,
     /// The job that room is kept for, and how much of it.
@@ -43,11 +49,11 @@
 }
 
 /// How many of a job's tasks are on machines in each zone.
-pub type Zones = HashMap<String, u32>;
+pub type Zones = HashMap<Arc<str>, u32>;
 
 /// Whether the job's zone rules let another task into `zone`.
 pub fn zone_ok(spec: &JobSpec, zones: &Zones, zone: &str) -> bool {
-    (!spec.one_zone || zones.keys().all(|z| z == zone))
+    (!spec.one_zone || zones.keys().all(|z| **z == *zone))
         && zones.get(zone).copied().unwrap_or(0) < spec.zone_cap()
 }
 
@@ -171,29 +177,28 @@
         f.price_of(spot) / f.size.cpu.max(1) as f64
     }
 
+    fn slot(&self, m: &Machine, now: Micros) -> Option<Slot> {
+        let f = m.flavor?;
+        Some(Slot {
+            machine: m.id.clone(),
+            flavor_size: self.flavors[f].size.cpu,
+            flavor_name: self.flavors[f].name.clone(),
+            zone: m.zone.clone(),
+            spot: m.spot,
+            free: m.free(),
+            reserved: m.kept(now).and_then(|k| {
+                Some((k.job.clone(), self.jobs.get(&k.job)?.spec.need.times(k.tasks)))
+            }),
+            price_rank: 0,
+            price: self.room_price(f, m.spot),
+        })
+    }
+
     /// Usable machines in first-fit order: the cheapest room first, so that the dear ones empty.
     fn slots(&self, now: Micros) -> Vec<Slot> {
-        let mut slots: Vec<Slot> = self
-            .machines
-            .values()
-            .filter(|m| m.usable(now, self.settings.report))
-            .filter_map(|m| {
-                let f = m.flavor?;
-                Some(Slot {
-                    machine: m.id.clone(),
-                    flavor_size: self.flavors[f].size.cpu,
-                    flavor_name: self.flavors[f].name.clone(),
-                    zone: m.zone.clone(),
-                    spot: m.spot,
-                    free: m.free(),
-                    reserved: m.kept(now).and_then(|k| {
-                        Some((k.job.clone(), self.jobs.get(&k.job)?.spec.need.times(k.tasks)))
-                    }),
-                    price_rank: 0,
-                    price: self.room_price(f, m.spot),
-                })
-            })
-            .collect();
+        let usable = |m: &&Machine| m.usable(now, self.settings.report);
+        let mut slots: Vec<Slot> =
+            self.machines.values().filter(usable).filter_map(|m| self.slot(m, now)).collect();
         slots.sort_by(|a, b| a.price.total_cmp(&b.price));
         let mut first = 0;
         for i in 1..slots.len() {
@@ -214,9 +219,13 @@
         slots
     }
 
-    /// Where the job's tasks are, tasks that still have to exit included.
+    /// Where the job's tasks are, tasks that still have to exit included; nothing for a job
+    /// without zone rules.
     pub fn zones_of(&self, job: &Job) -> Zones {
         let mut zones = Zones::new();
+        if !job.spec.zoned() {
+            return zones;
+        }
         for (machine, _) in job.live.values() {
             if let Some(m) = self.machines.get(machine) {
                 *zones.entry(m.zone.clone()).or_default() += 1;
@@ -246,9 +255,15 @@
                 job.within = *within;
             }
         }
+        self.stirred = false;
+        self.last_pass = now;
+        self.order.clear();
         let mut borrowed = None;
         for (id, within) in queue {
             let Some(job) = self.jobs.get(&id) else { continue };
+            if !job.pending.is_empty() {
+                self.order.push(id.clone());
+            }
             if job.pending.is_empty() || self.headroom(job) <= 0 {
                 continue;
             }
@@ -270,6 +285,51 @@
         }
     }
 
+    /// Uses the room that came free on one machine, in the order of the last pass. A gang that may
+    /// want it needs room elsewhere too, so then a whole pass is made, if none was made just now.
+    pub fn fill(&mut self, id: &MachineId, now: Micros) {
+        if !self.settled {
+            return;
+        }
+        let report = self.settings.report;
+        let Some(machine) = self.machines.get(id).filter(|m| m.usable(now, report)) else { return };
+        let Some(slot) = self.slot(machine, now) else { return };
+        let kept = slot.reserved.is_some();
+        let wanted = |job: &Job| {
+            job.spec.shape == Shape::Gang
+                && !job.gang.as_ref().is_some_and(|g| g.running || g.stopping)
+                && job.spec.need.fits(&slot.free)
+                && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
+        };
+        let gang = kept
+            || self
+                .order
+                .iter()
+                .filter_map(|j| self.jobs.get(j))
+                .any(|job| !job.pending.is_empty() && !job.cancelled && wanted(job));
+        if gang {
+            if now >= self.last_pass + PASS_EVERY {
+                self.schedule(now);
+            }
+            return;
+        }
+        let mut slots = [slot];
+        for job in std::mem::take(&mut self.order) {
+            let Some(j) = self.jobs.get(&job) else { continue };
+            if j.pending.is_empty() || j.cancelled {
+                continue;
+            }
+            if j.spec.shape != Shape::Gang
+                && !j.spec.zoned()
+                && j.spec.need.fits(&slots[0].free)
+                && self.headroom(j) > 0
+            {
+                self.place_tasks(&job, &mut slots, &mut None, now);
+            }
+            self.order.push(job);
+        }
+    }
+
     fn place_tasks(
         &mut self,
         id: &JobId,
@@ -292,7 +352,7 @@
             }
             let best = room.into_iter().max_by_key(|(z, n)| (*n, Reverse(*z)));
             let Some((zone, _)) = best else { return };
-            zones.insert(zone.to_string(), 0);
+            zones.insert(zone.into(), 0);
         }
         let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
         let tasks: Vec<u32> =
@@ -303,7 +363,7 @@
             let attempt = self.next_attempt();
             self.place(id, index, &slots[machine].machine, attempt, now);
         }
-        if short > 0 {
+        if short > 0 && slots.len() > 1 {
             self.make_room(id, short, borrowed, now);
         }
     }
@@ -321,9 +381,14 @@
     ) -> Vec<usize> {
         let mut taken = Vec::new();
         let mut order: Vec<(usize, i64, bool, usize)> = Vec::with_capacity(slots.len());
+        self.looks.set(self.looks.get() + slots.len() as u64);
         for (i, slot) in slots.iter().enumerate() {
+            // Most machines are full most of the time: only the others are looked at closely.
+            if !slot.takes(id, spec) {
+                continue;
+            }
             let Some(m) = self.machines.get(&slot.machine) else { continue };
-            if !m.failures.contains(id) && slot.takes(id, spec) {
+            if !m.failures.contains(id) {
                 let cached = m.images.contains(&spec.image);
                 order.push((slot.price_rank, slot.flavor_size, !cached, i));
             }
@@ -333,7 +398,9 @@
             let slot = &mut slots[i];
             while taken.len() < n && slot.takes(id, spec) && zone_ok(spec, zones, &slot.zone) {
                 slot.free -= spec.need;
-                *zones.entry(slot.zone.clone()).or_default() += 1;
+                if spec.zoned() {
+                    *zones.entry(slot.zone.clone()).or_default() += 1;
+                }
                 taken.push(i);
             }
         }
@@ -363,9 +430,9 @@
             return;
         }
         let zones = self.zones_of(job);
-        let mut choices: Vec<Option<String>> = vec![None];
+        let mut choices: Vec<Option<Arc<str>>> = vec![None];
         if spec.one_zone && zones.is_empty() {
-            let mut all: Vec<String> = slots.iter().map(|s| s.zone.clone()).collect();
+            let mut all: Vec<Arc<str>> = slots.iter().map(|s| s.zone.clone()).collect();
             all.sort();
             all.dedup();
             choices = all.into_iter().map(Some).collect();
@@ -393,6 +460,11 @@
             }
             return;
         }
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.gathered_at.is_some_and(|t| now < t + GATHER_EVERY) {
+            return;
+        }
+        job.gathered_at = Some(now);
         // Work is stopped only where waiting for it to end would be too late.
         let soon = self.gather(id, missing.len(), now);
         let Some(job) = self.jobs.get(id) else { return };
@@ -441,10 +513,10 @@
             // The first zone that has room for all.
             let mut counts: HashMap<&str, usize> = HashMap::new();
             let zone = room.iter().find_map(|(_, machine)| {
-                let zone = &*self.machines.get(machine)?.zone;
+                let zone: &str = &self.machines.get(machine)?.zone;
                 let n = counts.entry(zone).or_default();
                 *n += 1;
-                (*n == tasks).then(|| zone.to_string())
+                (*n == tasks).then(|| zone.into())
             });
             zones.insert(zone?, 0);
         }
