Rent nothing in a zone from which no machine is heard; one request per offer and plan

Also, five requests for 50 spot machines each went out at once where the cloud had 19, and the calls were missing elsewhere.

Now a zone whose machines have all fallen silent while others are heard is not rented in nor counted on; after 30 s it is tried with one machine. What boots there is given back after its paid minute.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -210,6 +210,14 @@
     }
 }
 
+/// Whether a zone's machines can be heard.
+#[derive(Debug, Clone, Default)]
+pub struct ZoneView {
+    pub heard_at: Micros,
+    /// All its machines have fallen silent while others are heard: since when that was last seen.
+    pub dark_at: Option<Micros>,
+}
+
 /// What a report is answered with.
 #[derive(Debug, PartialEq)]
 pub enum Outcome {
@@ -269,6 +277,8 @@
     /// Jobs with work to place, in queue order, as of the last pass.
     pub order: Vec<JobId>,
     pub last_pass: Micros,
+    /// What is known of zones from which machines have reported.
+    pub zones: HashMap<Arc<str>, ZoneView>,
     /// How often a machine was looked at to place something: the cost of scheduling.
     pub looks: Cell<u64>,
 }
@@ -303,6 +313,7 @@
             stirred: true,
             order: Vec::new(),
             last_pass: 0,
+            zones: HashMap::new(),
             looks: Cell::new(0),
         }
     }
@@ -598,6 +609,45 @@
 
     // ---- Machines ----
 
+    fn zone_heard(&mut self, zone: &Arc<str>, now: Micros) {
+        let view = match self.zones.get_mut(zone) {
+            Some(view) => view,
+            None => self.zones.entry(zone.clone()).or_default(),
+        };
+        view.heard_at = now;
+        if view.dark_at.take().is_some() {
+            tracing::info!(%zone, "a zone is heard again");
+        }
+    }
+
+    /// Looks for zones that are cut off: machines rented there would not be heard either.
+    pub fn watch_zones(&mut self, now: Micros) {
+        let quiet = 3 * self.settings.report + 2 * SECOND;
+        let mut silent: HashMap<Arc<str>, (u32, u32)> = HashMap::new();
+        for m in self.machines.values().filter(|m| m.up) {
+            let (all, mute) = silent.entry(m.zone.clone()).or_default();
+            *all += 1;
+            *mute += u32::from(now > m.heard_at.unwrap_or(m.answered_at) + quiet);
+        }
+        // That one machine or two fall silent at a time is nothing unusual.
+        let dark = |(all, mute): (u32, u32)| all > 2 && mute == all;
+        if silent.values().all(|s| dark(*s)) {
+            return;
+        }
+        for (zone, _) in silent.into_iter().filter(|s| dark(s.1)) {
+            let view = self.zones.entry(zone.clone()).or_default();
+            if view.dark_at.is_none() {
+                tracing::info!(%zone, "no machine of a zone is heard");
+            }
+            view.dark_at = Some(now);
+        }
+    }
+
+    /// When it was last seen that nothing is heard from a zone, if it is cut off.
+    pub fn dark(&self, zone: &str) -> Option<Micros> {
+        self.zones.get(zone)?.dark_at
+    }
+
     /// After this long without an answer a worker's lease has run out, whatever its clock.
     pub fn lease_limit(&self) -> Micros {
         with_drift(self.settings.lease) + LEASE_MARGIN
@@ -657,6 +707,7 @@
         let known = self.machines.contains_key(&*report.machine);
         let machine = self.machine(&report.machine, &report.flavor, &report.zone, report.spot, now);
         let id = machine.id.clone();
+        let zone = machine.zone.clone();
         if (report.session, report.seq) <= (machine.session, machine.seq)
             || report.session <= machine.lost_session
         {
@@ -700,6 +751,7 @@
             tracing::info!(machine = %id, "spot notice");
             self.stirred = true;
         }
+        self.zone_heard(&zone, now);
         let digest = digest(report);
         if self.machines.get(&id).is_some_and(|m| m.digest != Some(digest)) {
             self.reconcile(&id, now, report);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -18,6 +18,9 @@
 /// that start on one machine at one time.
 const PLANNED_STEPS: usize = 3000;
 
+/// A zone from which nothing was heard for this long is tried with one machine.
+const DARK: Micros = 30 * SECOND;
+
 /// How long a refusal is remembered while nothing has been given back.
 const MAX_REFUSAL: Micros = 120 * SECOND;
 
@@ -227,6 +230,7 @@
             self.fleet.next_summary = now + 10 * SECOND;
             self.summarize(now);
         }
+        self.watch_zones(now);
         self.find_bad(now);
         if self.settled {
             self.return_idle(now);
@@ -294,9 +298,17 @@
     /// Machines that stay silent, never boot or have been judged faulty are given back.
     fn find_bad(&mut self, now: Micros) {
         let limit = self.lease_limit();
+        let dark: HashSet<Arc<str>> =
+            self.zones.iter().filter(|z| z.1.dark_at.is_some()).map(|z| z.0.clone()).collect();
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
             let boot = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
-            let stuck = !m.up && now > m.rented_at.max(m.known_since) + 3 * boot + 20 * SECOND;
+            // What boots in a zone that is cut off is of no use, but its first minute is paid.
+            let most = if dark.contains(&m.zone) {
+                MIN_CHARGE.max(2 * boot)
+            } else {
+                3 * boot + 20 * SECOND
+            };
+            let stuck = !m.up && now > m.rented_at.max(m.known_since) + most;
             // The lease has run out, so nothing is lost with a machine that stays silent.
             let silent = m.up && now > m.answered_at + limit;
             let idle = m.attempts.values().all(|a| !a.holds);
@@ -498,18 +510,21 @@
                 *wanted.entry(found).or_default() += 1;
             }
         }
-        for (offer, mut count) in wanted {
-            while count > 0 && self.fleet.may_call(0.0) {
-                let n = count.min(MAX_RENT);
-                count -= n;
-                self.fleet.requests += 1;
-                // The term in the name keeps it from ever being used by another leader.
-                let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
-                tracing::info!(%name, flavor = %self.flavors[offer.flavor].name,
-                    zone = %offer.zone, spot = offer.spot, count = n, "renting");
-                self.fleet.renting.insert(name.clone(), (offer.clone(), n));
-                calls.push(CloudCall::Rent { name, offer: offer.clone(), count: n, tries: 0 });
+        for (offer, count) in wanted {
+            if !self.fleet.may_call(0.0) {
+                break;
             }
+            // What is wanted beyond one request is asked for when the answer shows that there is
+            // more; one machine is enough to try a zone that was cut off.
+            let most = if self.dark(&offer.zone).is_some() { 1 } else { MAX_RENT };
+            let count = count.min(most);
+            self.fleet.requests += 1;
+            // The term in the name keeps it from ever being used by another leader.
+            let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
+            tracing::info!(%name, flavor = %self.flavors[offer.flavor].name, zone = %offer.zone,
+                spot = offer.spot, count, "renting");
+            self.fleet.renting.insert(name.clone(), (offer.clone(), count));
+            calls.push(CloudCall::Rent { name, offer, count, tries: 0 });
         }
     }
 
@@ -628,6 +643,14 @@
     /// Whether an offer was refused lately. As long as no machine of it has been given back or
     /// taken since, the cloud most likely still has none.
     fn blocked(&self, offer: &Offer, now: Micros) -> bool {
+        if let Some(at) = self.dark(&offer.zone) {
+            // Tried with one machine now and then.
+            let tried = self.machines.values().any(|m| !m.up && *m.zone == *offer.zone)
+                || self.fleet.renting.values().any(|r| r.0.zone == offer.zone);
+            if tried || now < at + DARK {
+                return true;
+            }
+        }
         self.fleet.refusals.get(offer).is_some_and(|r| {
             now < r.until || (now < r.at + MAX_REFUSAL && self.held(offer) >= r.held.max(1))
         })
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -591,6 +591,9 @@
     /// When a booting machine is expected to be up. One that is overdue is expected to take as long
     /// again as it is late; after twice the usual time it is no longer counted on.
     pub fn up_at(&self, m: &Machine, now: Micros) -> Option<Micros> {
+        if self.dark(&m.zone).is_some() {
+            return None;
+        }
         let boot = self.flavors[m.flavor?].boot;
         let expected = m.rented_at + boot;
         let late = now.saturating_sub(expected);
