Fill a machine from its report only if no cheaper or smaller one has room

And tasks planned together counted as one that ends, so the plan expected whole machines too soon.

Now a report fills its machine only if no cheaper or smaller one has room, else a pass decides; room kept for a gang always makes one.

--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -140,8 +140,8 @@
     price: f64,
     free: Resources,
     ready: Micros,
-    /// The earliest last.
-    releases: Vec<(Micros, Resources)>,
+    /// The earliest last: when, how many tasks end, and the room of all of them.
+    releases: Vec<(Micros, u32, Resources)>,
 }
 
 impl Lane {
@@ -152,14 +152,16 @@
         if need.fits(&free) {
             return self.ready;
         }
-        for (k, (at, room)) in self.releases.iter().rev().enumerate() {
+        let mut k = 0;
+        for (at, tasks, room) in self.releases.iter().rev() {
             free += *room;
+            k += tasks;
             if need.fits(&free) {
                 if *at == Micros::MAX {
                     // Replicas run until they are cancelled; adding to their end would overflow.
                     return Micros::MAX;
                 }
-                let late = 1.0 + 0.25 * ((k + 1) as f64).log2();
+                let late = 1.0 + 0.25 * f64::from(k).log2();
                 let wait = at.saturating_sub(now) as f64 * late;
                 return (now + wait as Micros).max(self.ready);
             }
@@ -169,7 +171,7 @@
 
     /// Takes all the tasks that can start at `start`.
     fn take(&mut self, w: &mut Waiting, start: Micros) {
-        while let Some((at, room)) = self.releases.last().copied() {
+        while let Some((at, _, room)) = self.releases.last().copied() {
             if at > start || w.spec.need.fits(&self.free) {
                 break;
             }
@@ -195,7 +197,7 @@
         if ends {
             let end = start + w.run.max(SECOND);
             let place = self.releases.partition_point(|r| r.0 > end);
-            self.releases.insert(place, (end, all));
+            self.releases.insert(place, (end, most as u32, all));
         }
         if w.spec.zoned() {
             *w.zones.entry(self.zone.clone()).or_default() += most as u32;
@@ -451,7 +453,7 @@
             let mut lane = self.lane(flavor, &m.zone, m.spot, now);
             lane.free = m.free();
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
-                lane.releases.push((self.expected_end(task, a, now), a.need));
+                lane.releases.push((self.expected_end(task, a, now), 1, a.need));
             }
             lane.releases.sort_by_key(|r| Reverse(r.0));
             lanes.push(lane);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -301,14 +301,40 @@
                 && job.spec.need.fits(&slot.free)
                 && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
         };
-        let gang = kept
+        // Cheaper room elsewhere, or a smaller machine's, is to be used first: so that dear and
+        // large machines empty, a pass decides.
+        let price = slot.price;
+        let ahead = |m: &Machine, spec: &JobSpec| {
+            let Some(f) = m.flavor.filter(|_| spec.need.fits(&m.free())) else { return false };
+            let theirs = self.room_price(f, m.spot);
+            let better = theirs * SIMILAR_PRICE < price
+                || (m.size.cpu < slot.flavor_size && theirs <= price * SIMILAR_PRICE);
+            better
+                && m.kept(now).is_none()
+                && m.usable(now, report)
+                && spec.allows(&self.flavors[f].name, &m.zone, m.spot)
+        };
+        let room_ahead = |job: &Job| {
+            self.looks.set(self.looks.get() + self.machines.len() as u64);
+            self.machines.values().any(|m| ahead(m, &job.spec))
+        };
+        let first = self.order.iter().filter_map(|j| self.jobs.get(j)).find(|job| {
+            !job.pending.is_empty()
+                && !job.cancelled
+                && job.spec.need.fits(&slot.free)
+                && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
+                && self.headroom(job) > 0
+        });
+        let Some(first) = first else { return };
+        let pass = kept
+            || room_ahead(first)
             || self
                 .order
                 .iter()
                 .filter_map(|j| self.jobs.get(j))
                 .any(|job| !job.pending.is_empty() && !job.cancelled && wanted(job));
-        if gang {
-            if now >= self.last_pass + PASS_EVERY {
+        if pass {
+            if kept || now >= self.last_pass + PASS_EVERY {
                 self.schedule(now);
             }
             return;
