--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -333,11 +333,20 @@
 
     /// Gives back machines that have been idle for as long as policy keeps them.
     fn return_idle(&mut self, now: Micros) {
-        for m in self.machines.values_mut().filter(|m| m.up && !m.deleting) {
+        let empty =
+            |m: &&Machine| m.up && !m.deleting && m.attempts.is_empty() && m.kept(now).is_none();
+        // The shortest idle first: the others have that many spares beside them.
+        let mut idle: Vec<(Micros, MachineId)> =
+            self.machines.values().filter(empty).map(|m| (m.idle_since, m.id.clone())).collect();
+        idle.sort_by(|a, b| b.cmp(a));
+        let mut spares: HashMap<(usize, bool), u32> = HashMap::new();
+        for (_, id) in idle {
+            let Some(m) = self.machines.get_mut(&id) else { continue };
             let Some(f) = m.flavor else { continue };
-            let empty = m.attempts.is_empty() && m.kept(now).is_none();
+            let others = spares.entry((f, m.spot)).or_default();
+            *others += 1;
             // The first minute is charged anyway.
-            if !empty || now + SECOND <= m.rented_at + MIN_CHARGE {
+            if now + SECOND <= m.rented_at + MIN_CHARGE {
                 continue;
             }
             let flavor = &self.flavors[f];
@@ -350,6 +359,7 @@
                 Value::Number(flavor.price_of(m.spot)),
                 Value::Number(seconds(flavor.boot)),
                 Value::Number(urgent),
+                Value::Number(f64::from(*others - 1)),
             ];
             let keep = micros(self.settings.policy.number(Setting::Idle, &facts));
             if now > m.idle_since + keep {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -90,6 +90,7 @@
     ("machine.price", Type::Number, Value::Number(0.2)),
     ("machine.boot_s", Type::Number, Value::Number(30.0)),
     ("machine.urgent_ago_s", Type::Number, Value::Number(600.0)),
+    ("machine.spares", Type::Number, Value::Number(1.0)),
 ];
 
 impl Scope {
