Make whole passes as often as the cluster's size allows

Cause: on the small sites the decisions of a whole pass are worth more than its work, on the grown ones it is the other way round. A pass is made from a report when none was made for 250 us a machine, so that 40 machines have one with nearly every report and 500 have eight a second.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -14,10 +14,13 @@
 /// Room up to this many times as dear as the cheapest of its rank counts as costing the same.
 const SIMILAR_PRICE: f64 = 1.5;
 
-/// A report that frees room leads to a pass over the whole queue at most this often.
-const PASS_EVERY: Micros = 100_000;
-/// Room kept for a gang is looked over this often; it is kept for longer than that.
-const GATHER_EVERY: Micros = 400_000;
+/// A report that frees room leads to a pass over the whole queue at most this often, for each
+/// machine there is: so that the work of passes does not grow with the cluster.
+const PASS_EVERY: Micros = 250;
+/// Room kept for a gang is looked over this often, for each machine, and always again before the
+/// room lapses.
+const GATHER_EVERY: Micros = 800;
+const GATHER_AT_LEAST: Micros = 500_000;
 
 /// A machine's room that tasks can be placed in.
 #[derive(Clone, Debug)]
@@ -285,12 +288,16 @@
         }
     }
 
-    /// Uses the room that came free on one machine, in the order of the last pass. A gang that may
-    /// want it needs room elsewhere too, so then a whole pass is made, if none was made just now.
+    /// Uses the room that came free on one machine: with a whole pass, if none was made just now,
+    /// else in the order of the last one. A gang that may want it needs room elsewhere too, and is
+    /// left to the next pass.
     pub fn fill(&mut self, id: &MachineId, now: Micros) {
         if !self.settled {
             return;
         }
+        if now >= self.last_pass + PASS_EVERY * self.machines.len() as Micros {
+            return self.schedule(now);
+        }
         let report = self.settings.report;
         let Some(machine) = self.machines.get(id).filter(|m| m.usable(now, report)) else { return };
         let Some(slot) = self.slot(machine, now) else { return };
@@ -334,7 +341,7 @@
                 .filter_map(|j| self.jobs.get(j))
                 .any(|job| !job.pending.is_empty() && !job.cancelled && wanted(job));
         if pass {
-            if kept || now >= self.last_pass + PASS_EVERY {
+            if kept {
                 self.schedule(now);
             }
             return;
@@ -486,8 +493,10 @@
             }
             return;
         }
+        let machines = self.machines.len() as Micros;
         let Some(job) = self.jobs.get_mut(id) else { return };
-        if job.gathered_at.is_some_and(|t| now < t + GATHER_EVERY) {
+        let every = (GATHER_EVERY * machines).min(GATHER_AT_LEAST);
+        if job.gathered_at.is_some_and(|t| now < t + every) {
             return;
         }
         job.gathered_at = Some(now);
