--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -775,31 +775,45 @@
         if gang && keep.values().sum::<i64>() < tasks as i64 {
             return;
         }
-        let mut stopped = 0;
-        for (machine, n) in keep {
-            let Some(m) = self.machines.get_mut(&machine) else { continue };
-            let stopping = m.attempts.values().filter(|a| a.holds && a.stop.is_some());
-            let mut free = m.size - m.used;
-            stopping.for_each(|a| free += a.need);
-            m.kept = Some(Kept { job: id.clone(), tasks: n, until: now + 15 * SECOND });
-            for v in options.remove(&machine).into_iter().flatten() {
-                if spec.need.times(n).fits(&free) {
+        let mut left = borrowed.clone();
+        let mut stops = Vec::new();
+        for (machine, n) in &keep {
+            let Some(m) = self.machines.get(machine) else { continue };
+            let mut free = m.free();
+            m.attempts
+                .values()
+                .filter(|a| a.holds && a.stop.is_some())
+                .for_each(|a| free += a.need);
+            for v in options.remove(machine).into_iter().flatten() {
+                if spec.need.times(*n).fits(&free) {
                     break;
                 }
                 if let Some(t) = v.team {
                     // Never more than the team has borrowed.
-                    if !Team::within(&borrowed[t], &Resources::default(), &v.need) {
+                    if !Team::within(&left[t], &Resources::default(), &v.need) {
                         continue;
                     }
-                    borrowed[t] -= v.need;
+                    left[t] -= v.need;
                 }
                 free += v.need;
-                stopped += 1;
-                self.evict(&v.task.job, v.task.index);
+                stops.push(v.task);
             }
+            // Half of a gang's room is of no use to it: then nothing is stopped.
+            if gang && !spec.need.times(*n).fits(&free) {
+                return;
+            }
+        }
+        *borrowed = left;
+        for (machine, tasks) in keep {
+            if let Some(m) = self.machines.get_mut(&machine) {
+                m.kept = Some(Kept { job: id.clone(), tasks, until: now + 15 * SECOND });
+            }
+        }
+        if !stops.is_empty() {
+            tracing::info!(job = %id, stopped = stops.len(), tasks, urgent, "making room");
         }
-        if stopped > 0 {
-            tracing::info!(job = %id, stopped, tasks, urgent, "making room");
+        for task in stops {
+            self.evict(&task.job, task.index);
         }
     }
 }
--- a/tests/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -92,7 +92,12 @@
     pub gang_peer: u64,
 }
 
-pub fn settings(i: usize, n: usize, lease_s: f64) -> Arc<Settings> {
+pub fn settings(
+    i: usize,
+    n: usize,
+    lease_s: f64,
+    change: &dyn Fn(String) -> String,
+) -> Arc<Settings> {
     let mut text = format!(
         "host_name = \"n{i}\"\narea = \"z{i}\"\nbind = \"10.0.0.{i}:80\"\n\
          cluster_listen = \"10.0.0.{i}:81\"\n[outside]\ncloud = \"10.1.0.1:1\"\n\
@@ -110,7 +115,7 @@
         text += &format!("[[siblings]]\nhost_name = \"n{j}\"\narea = \"z{j}\"\n");
         text += &format!("peer_addr = \"10.0.0.{j}:81\"\n");
     }
-    Arc::new(Settings::parse(&text, "story").expect("the story's settings are fine").0)
+    Arc::new(Settings::parse(&change(text), "story").expect("the story's settings are fine").0)
 }
 
 /// A submission's body. `more` overrides fields.
@@ -135,12 +140,22 @@
 
     /// Controllers that believe in another lease than the workers'.
     pub fn with_lease(nodes: usize, seed: u64, believed_s: f64) -> World {
+        World::with_settings(nodes, seed, believed_s, &|text| text)
+    }
+
+    /// Controllers whose settings file is changed.
+    pub fn with_settings(
+        nodes: usize,
+        seed: u64,
+        believed_s: f64,
+        change: &dyn Fn(String) -> String,
+    ) -> World {
         worker::DONE.with(|d| d.borrow_mut().clear());
         let mut world = World {
             now: 0,
             rng: StdRng::seed_from_u64(seed),
             nodes: Vec::new(),
-            settings: (0..nodes).map(|i| settings(i, nodes, believed_s)).collect(),
+            settings: (0..nodes).map(|i| settings(i, nodes, believed_s, change)).collect(),
             state: State::default(),
             refused: HashSet::new(),
             cut: HashSet::new(),
@@ -680,7 +695,9 @@
         if body["scatter"] == json!(true) && zones.values().any(|n| *n > half) {
             broken.push(format!("wrong_place: {name} crowds a zone"));
         }
-        let limit = if body["crew"] == "red" { 16.0 } else { 40.0 };
+        let teams = &self.settings[0].teams;
+        let team = teams.iter().find(|t| body["crew"] == t.name.as_str());
+        let limit = team.map_or(0.0, |t| t.limit.cpu as f64 / 1000.0);
         if used > limit + 1e-6 {
             broken.push(format!("quota: {} uses {used}", body["crew"]));
         }
