--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -706,13 +706,14 @@
             self.remove_machine(&id, now, "it is gone");
         }
         self.fleet.removed.retain(|_, at| now < *at + lag + 5 * SECOND);
+        let mut adopted = 0;
         for l in &seen {
             if !self.machines.contains_key(l.id.as_str()) {
                 // A list may still show what was deleted a moment ago.
                 if self.fleet.removed.contains_key(&l.id) {
                     continue;
                 }
-                tracing::info!(machine = %l.id, status = %l.status, "adopting a listed machine");
+                adopted += 1;
             }
             let age = micros(l.age_s);
             let m = self.machine(&l.id, &l.flavor, &l.zone, l.spot, now);
@@ -726,6 +727,9 @@
                 m.deleting = true;
             }
         }
+        if adopted > 0 {
+            tracing::info!(machines = adopted, "adopted from the list");
+        }
     }
 }
 
