Gather in queue order: a gang takes what is kept for one further down

Now the choice is made anew each time, by when the machines have room, and a gang may take what is kept for one later in the queue.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -519,7 +519,10 @@
         let zones = self.zones_of(job);
         let mut soonest: Vec<(Micros, MachineId)> = Vec::new();
         for m in self.machines.values() {
-            if spec.need.fits(&m.size) && m.kept(now).is_none_or(|k| k.job == *id) {
+            // What is kept for a gang further down the queue can be had: else each of two gangs may
+            // long hold a machine that is ready beside one that is not.
+            let mine = |k: &Kept| k.job == *id || !self.order.contains(&k.job);
+            if spec.need.fits(&m.size) && m.kept(now).is_none_or(mine) {
                 self.room_times(m, id, &spec, &zones, tasks, now, &mut soonest);
             }
         }
@@ -598,11 +601,6 @@
         if !self.may_host(m, id, spec, zones, now) {
             return;
         }
-        if m.kept(now).is_some_and(|k| k.job == *id) {
-            // Room once kept stays kept, so that the choice does not waver.
-            out.extend((0..most).map(|_| (0, m.id.clone())));
-            return;
-        }
         let mut ends: Vec<(Micros, Resources)> = m
             .attempts
             .iter()
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -222,6 +222,22 @@
     }
 }
 
+#[test]
+fn a_gang_takes_the_room_kept_for_one_further_down_the_queue() {
+    let mut f = Floor::new();
+    for i in 0..2 {
+        f.c.machine(&format!("host-{i}"), "large", "a", false, f.now);
+    }
+    f.submit("j-1", spec(Shape::Gang, "red", 2, 30.0));
+    f.c.schedule(f.now);
+    assert_eq!(f.kept_for("j-1"), 2);
+    let first = JobSpec { priority: Priority::High, ..spec(Shape::Gang, "blue", 2, 30.0) };
+    f.submit("j-2", first);
+    f.pass(1);
+    f.c.schedule(f.now);
+    assert_eq!([f.kept_for("j-2"), f.kept_for("j-1")], [2, 0]);
+}
+
 #[test]
 fn a_machine_overdue_to_boot_is_not_waited_for_when_room_can_be_made() {
     let mut f = Floor::new();
