--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -714,7 +714,7 @@
         for m in self.machines.values() {
             let kept = m.kept(now);
             if !spec.need.fits(&m.size)
-                || kept.is_some_and(|k| k.job != *id || !gang)
+                || kept.is_some_and(|k| !gang || (k.job != *id && self.order.contains(&k.job)))
                 || !self.may_host(m, id, &spec, &zones, now)
             {
                 continue;
