Refuse at once what cannot be written or read in time

Cause: found by a story of 400 submissions at 25 changes a second. They waited 2.5 s in the queue to be refused then, and reads that nobody waited for any more stayed in it and kept submissions out for minutes. Now a request that would wait longer than its patience behind what is queued is answered 503 at once with the time to come back, unless a read under way will answer it.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -529,6 +529,11 @@
             api::admit(&mut spec, &self.settings.teams, &self.flavors)?;
             Ok(Box::new(spec))
         });
+        let wait = self.budget.wait(Urgency::User);
+        if wait > SUBMIT_PATIENCE && (id.is_some() || checked.is_ok()) {
+            // More than can be written in time is queued already: better said now than later.
+            return self.too_much(conn, wait);
+        }
         match (id, checked) {
             (Some(id), Ok(spec)) if !self.over.contains_key(&id) => {
                 self.accepting.push_back((conn, id, spec));
@@ -540,6 +545,12 @@
         }
     }
 
+    fn too_much(&mut self, conn: u64, wait: Micros) {
+        let seconds = (wait / SECOND).clamp(1, 30) as u32;
+        let why = "too many requests are waiting for the state service";
+        self.reply(conn, Response::error(503, why).retry(seconds));
+    }
+
     fn refuse(&mut self, conn: u64, refusal: &Refusal) {
         let response = match refusal {
             Refusal::Malformed(_) => Response::error(400, refusal),
@@ -621,6 +632,12 @@
             let response = api::answer(200, &id, view);
             return self.reply(waiter.conn(), response);
         }
+        let wait = self.budget.wait(Urgency::User);
+        if wait > POLL_PATIENCE && !self.lookups.contains_key(&id) {
+            // The answer would come too late, and reads that nobody waits for any more would keep
+            // submissions out.
+            return self.too_much(waiter.conn(), wait);
+        }
         let lookup = self.lookups.entry(id.clone()).or_default();
         if !lookup.now.is_empty() {
             lookup.next.push(waiter);
--- a/src/store.rs
+++ b/src/store.rs
@@ -355,6 +355,19 @@
         None
     }
 
+    /// How long a request of this urgency would wait behind what is queued.
+    pub fn wait(&self, urgency: Urgency) -> Micros {
+        let ahead = self.queues.iter().take(urgency as usize + 1).flatten();
+        let (requests, changes) =
+            ahead.fold((0.0, 0.0), |sum, (n, _)| (sum.0 + 1.0, sum.1 + f64::from(*n)));
+        let time = |queued: f64, bucket: &Bucket| {
+            let rate = bucket.rate.max(0.1);
+            (queued - bucket.level).max(0.0) / rate
+        };
+        let wait = time(requests, &self.requests).max(time(changes, &self.changes));
+        (wait * SECOND as f64) as Micros
+    }
+
     pub fn queued(&self) -> usize {
         self.queues.iter().map(VecDeque::len).sum()
     }
@@ -402,5 +415,7 @@
         let later = std::iter::from_fn(|| b.pop(2 * SECOND)).count();
         assert_eq!(later, 2);
         assert_eq!(b.queued(), 6);
+        assert_eq!(b.wait(Urgency::Rest), 3 * SECOND, "six changes at two a second");
+        assert_eq!(b.wait(Urgency::User), 0, "what is less urgent is not in the way");
     }
 }
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -379,3 +379,18 @@
     w.run_until(150, "all are done", World::all_over);
     w.finish();
 }
+
+#[test]
+fn more_submissions_than_can_be_written_are_refused_at_once_and_accepted_later() {
+    let mut w = World::with_settings(3, 41, 10.0, &|text| {
+        text.replace("write_rps = 100.0", "write_rps = 25.0").replace("rps = 200.0", "rps = 70.0")
+    });
+    w.run(2);
+    (0..400).for_each(|i| w.submit(job(i, 1, json!({}))));
+    w.run(1);
+    let told = w.refusals.len();
+    assert!(told > 100, "{told} were told to come back");
+    assert!(w.refusals.iter().all(|t| *t < SECOND / 5), "none of them was held");
+    w.run_until(120, "all are accepted", |w| w.jobs.values().all(|j| j.accepted.is_some()));
+    assert!(w.broken.is_empty(), "{:?}", w.broken);
+}
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -88,6 +88,8 @@
     conns: HashMap<u64, (Origin, usize, u32)>,
     pub jobs: BTreeMap<String, UserJob>,
     pub broken: Vec<String>,
+    /// How long submissions waited for a refusal with a time to come back.
+    pub refusals: Vec<u64>,
     pub starts: usize,
     pub gang_peer: u64,
 }
@@ -174,6 +176,7 @@
             conns: HashMap::new(),
             jobs: BTreeMap::new(),
             broken: Vec::new(),
+            refusals: Vec::new(),
             starts: 0,
             gang_peer: 5 * SECOND,
         };
@@ -622,6 +625,9 @@
             404 | 400 | 422 if j.accepted.is_some_and(|t| t < asked) => {
                 broken.push(format!("forgotten: {id} gets {}", response.status));
             }
+            503 if what == "submit" && response.retry_after.is_some() => {
+                self.refusals.push(now - asked);
+            }
             _ => {}
         }
         self.broken.extend(broken);
