Reread: no state that nobody reads, one look at candidates, one sum of room

A zone's view kept a time that nothing read: a map of dark zones is enough, and renting asks it directly. Filling a machine listed the same conditions twice. Whether a job's rules suit a machine, and its room after what was told to stop, stood in two places each; times of room are returned instead of appended, which spares an argument too many. Behaviour is as it was.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -125,6 +125,14 @@
         self.size - self.used
     }
 
+    /// Its room once everything that was told to stop has gone.
+    pub fn free_after_stops(&self) -> Resources {
+        let mut free = self.free();
+        let stopping = self.attempts.values().filter(|a| a.holds && a.stop.is_some());
+        stopping.for_each(|a| free += a.need);
+        free
+    }
+
     /// What is kept on it at this time.
     pub fn kept(&self, now: Micros) -> Option<&Kept> {
         self.kept.as_ref().filter(|k| k.until > now)
@@ -210,14 +218,6 @@
     }
 }
 
-/// Whether a zone's machines can be heard.
-#[derive(Debug, Clone, Default)]
-pub struct ZoneView {
-    pub heard_at: Micros,
-    /// All its machines have fallen silent while others are heard: since when that was last seen.
-    pub dark_at: Option<Micros>,
-}
-
 /// What a report is answered with.
 #[derive(Debug, PartialEq)]
 pub enum Outcome {
@@ -277,8 +277,9 @@
     /// Jobs with work to place, in queue order, as of the last pass.
     pub order: Vec<JobId>,
     pub last_pass: Micros,
-    /// What is known of zones from which machines have reported.
-    pub zones: HashMap<Arc<str>, ZoneView>,
+    /// Zones whose machines have all fallen silent while others are heard, and when that was last
+    /// seen.
+    pub dark: HashMap<Arc<str>, Micros>,
     /// How often a machine was looked at to place something: the cost of scheduling.
     pub looks: Cell<u64>,
 }
@@ -313,7 +314,7 @@
             stirred: true,
             order: Vec::new(),
             last_pass: 0,
-            zones: HashMap::new(),
+            dark: HashMap::new(),
             looks: Cell::new(0),
         }
     }
@@ -609,17 +610,6 @@
 
     // ---- Machines ----
 
-    fn zone_heard(&mut self, zone: &Arc<str>, now: Micros) {
-        let view = match self.zones.get_mut(zone) {
-            Some(view) => view,
-            None => self.zones.entry(zone.clone()).or_default(),
-        };
-        view.heard_at = now;
-        if view.dark_at.take().is_some() {
-            tracing::info!(%zone, "a zone is heard again");
-        }
-    }
-
     /// Looks for zones that are cut off: machines rented there would not be heard either.
     pub fn watch_zones(&mut self, now: Micros) {
         let quiet = 3 * self.settings.report + 2 * SECOND;
@@ -635,19 +625,12 @@
             return;
         }
         for (zone, _) in silent.into_iter().filter(|s| dark(s.1)) {
-            let view = self.zones.entry(zone.clone()).or_default();
-            if view.dark_at.is_none() {
+            if self.dark.insert(zone.clone(), now).is_none() {
                 tracing::info!(%zone, "no machine of a zone is heard");
             }
-            view.dark_at = Some(now);
         }
     }
 
-    /// When it was last seen that nothing is heard from a zone, if it is cut off.
-    pub fn dark(&self, zone: &str) -> Option<Micros> {
-        self.zones.get(zone)?.dark_at
-    }
-
     /// After this long without an answer a worker's lease has run out, whatever its clock.
     pub fn lease_limit(&self) -> Micros {
         with_drift(self.settings.lease) + LEASE_MARGIN
@@ -751,7 +734,9 @@
             tracing::info!(machine = %id, "spot notice");
             self.stirred = true;
         }
-        self.zone_heard(&zone, now);
+        if self.dark.remove(&zone).is_some() {
+            tracing::info!(%zone, "a zone is heard again");
+        }
         let digest = digest(report);
         if self.machines.get(&id).is_some_and(|m| m.digest != Some(digest)) {
             self.reconcile(&id, now, report);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -300,12 +300,10 @@
     /// Machines that stay silent, never boot or have been judged faulty are given back.
     fn find_bad(&mut self, now: Micros) {
         let limit = self.lease_limit();
-        let dark: HashSet<Arc<str>> =
-            self.zones.iter().filter(|z| z.1.dark_at.is_some()).map(|z| z.0.clone()).collect();
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
             let boot = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
             // What boots in a zone that is cut off is of no use, but its first minute is paid.
-            let most = if dark.contains(&m.zone) {
+            let most = if self.dark.contains_key(&m.zone) {
                 MIN_CHARGE.max(2 * boot)
             } else {
                 3 * boot + 20 * SECOND
@@ -528,7 +526,7 @@
             }
             // What is wanted beyond one request is asked for when the answer shows that there is
             // more; one machine is enough to try a zone that was cut off.
-            let most = if self.dark(&offer.zone).is_some() { 1 } else { MAX_RENT };
+            let most = if self.dark.contains_key(&*offer.zone) { 1 } else { MAX_RENT };
             let count = count.min(most);
             self.fleet.requests += 1;
             // The term in the name keeps it from ever being used by another leader.
@@ -655,7 +653,7 @@
     /// Whether an offer was refused lately. As long as no machine of it has been given back or
     /// taken since, the cloud most likely still has none.
     fn blocked(&self, offer: &Offer, now: Micros) -> bool {
-        if let Some(at) = self.dark(&offer.zone) {
+        if let Some(at) = self.dark.get(&*offer.zone) {
             // Tried with one machine now and then.
             let tried = self.machines.values().any(|m| !m.up && *m.zone == *offer.zone)
                 || self.fleet.renting.values().any(|r| r.0.zone == offer.zone);
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -301,13 +301,18 @@
         let report = self.settings.report;
         let Some(machine) = self.machines.get(id).filter(|m| m.usable(now, report)) else { return };
         let Some(slot) = self.slot(machine, now) else { return };
-        let kept = slot.reserved.is_some();
-        let wanted = |job: &Job| {
-            job.spec.shape == Shape::Gang
-                && !job.gang.as_ref().is_some_and(|g| g.running || g.stopping)
-                && job.spec.need.fits(&slot.free)
-                && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
+        let candidates = || {
+            self.order.iter().filter_map(|j| self.jobs.get(j)).filter(|job| {
+                !job.pending.is_empty()
+                    && !job.cancelled
+                    && job.spec.need.fits(&slot.free)
+                    && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
+            })
         };
+        let Some(first) = candidates().find(|job| self.headroom(job) > 0) else { return };
+        if slot.reserved.is_some() {
+            return self.schedule(now);
+        }
         // Cheaper room elsewhere, or a smaller machine's, is to be used first: so that dear and
         // large machines empty, a pass decides.
         let price = slot.price;
@@ -321,29 +326,13 @@
                 && m.usable(now, report)
                 && spec.allows(&self.flavors[f].name, &m.zone, m.spot)
         };
-        let room_ahead = |job: &Job| {
-            self.looks.set(self.looks.get() + self.machines.len() as u64);
-            self.machines.values().any(|m| ahead(m, &job.spec))
+        let gang = |job: &Job| {
+            job.spec.shape == Shape::Gang
+                && !job.gang.as_ref().is_some_and(|g| g.running || g.stopping)
         };
-        let first = self.order.iter().filter_map(|j| self.jobs.get(j)).find(|job| {
-            !job.pending.is_empty()
-                && !job.cancelled
-                && job.spec.need.fits(&slot.free)
-                && job.spec.allows(&slot.flavor_name, &slot.zone, slot.spot)
-                && self.headroom(job) > 0
-        });
-        let Some(first) = first else { return };
-        let pass = kept
-            || room_ahead(first)
-            || self
-                .order
-                .iter()
-                .filter_map(|j| self.jobs.get(j))
-                .any(|job| !job.pending.is_empty() && !job.cancelled && wanted(job));
-        if pass {
-            if kept {
-                self.schedule(now);
-            }
+        self.looks.set(self.looks.get() + self.machines.len() as u64);
+        let room_ahead = self.machines.values().any(|m| ahead(m, &first.spec));
+        if room_ahead || candidates().any(gang) {
             return;
         }
         let mut slots = [slot];
@@ -523,7 +512,8 @@
             // long hold a machine that is ready beside one that is not.
             let mine = |k: &Kept| k.job == *id || !self.order.contains(&k.job);
             if spec.need.fits(&m.size) && m.kept(now).is_none_or(mine) {
-                self.room_times(m, id, &spec, &zones, tasks, now, &mut soonest);
+                let times = self.room_times(m, id, &spec, &zones, tasks, now);
+                soonest.extend(times.into_iter().map(|at| (at, m.id.clone())));
             }
         }
         let (keep, last) = self.choose_room(&spec, zones, tasks, soonest)?;
@@ -577,7 +567,6 @@
     }
 
     /// When a machine will have room for the first, the second, ... of `tasks` tasks of a job.
-    #[allow(clippy::too_many_arguments)]
     fn room_times(
         &self,
         m: &Machine,
@@ -586,20 +575,15 @@
         zones: &Zones,
         tasks: usize,
         now: Micros,
-        out: &mut Vec<(Micros, MachineId)>,
-    ) {
+    ) -> Vec<Micros> {
         let most = spec.need.times_in(&m.size).min(tasks as i64) as usize;
         if !m.up {
-            let Some(flavor) = m.flavor.map(|f| &self.flavors[f]) else { return };
-            let allowed =
-                spec.allows(&flavor.name, &m.zone, m.spot) && zone_ok(spec, zones, &m.zone);
-            if let Some(at) = self.up_at(m, now).filter(|_| allowed && !m.deleting && !m.bad) {
-                out.extend((0..most).map(|_| (at, m.id.clone())));
-            }
-            return;
+            let at = self.up_at(m, now);
+            let at = at.filter(|_| self.suits(m, spec, zones) && !m.deleting && !m.bad);
+            return at.map_or_else(Vec::new, |at| vec![at; most]);
         }
         if !self.may_host(m, id, spec, zones, now) {
-            return;
+            return Vec::new();
         }
         let mut ends: Vec<(Micros, Resources)> = m
             .attempts
@@ -610,21 +594,23 @@
         ends.sort_by_key(|e| e.0);
         let mut ends = ends.into_iter();
         let (mut free, mut at) = (m.free(), now);
+        let mut times = Vec::new();
         for _ in 0..most {
             while !spec.need.fits(&free) {
-                let Some((end, need)) = ends.next() else { return };
+                let Some((end, need)) = ends.next() else { return times };
                 free += need;
                 at = end;
             }
             free -= spec.need;
-            out.push((at, m.id.clone()));
+            times.push(at);
         }
+        times
     }
 
     /// When a booting machine is expected to be up. One that is overdue is expected to take as long
     /// again as it is late; after twice the usual time it is no longer counted on.
     pub fn up_at(&self, m: &Machine, now: Micros) -> Option<Micros> {
-        if self.dark(&m.zone).is_some() {
+        if self.dark.contains_key(&m.zone) {
             return None;
         }
         let boot = self.flavors[m.flavor?].boot;
@@ -633,6 +619,12 @@
         (late <= boot).then(|| expected.max(now + late.max(2 * SECOND)))
     }
 
+    /// Whether the job's own rules let its tasks go to a machine.
+    fn suits(&self, m: &Machine, spec: &JobSpec, zones: &Zones) -> bool {
+        m.flavor.is_some_and(|f| spec.allows(&self.flavors[f].name, &m.zone, m.spot))
+            && zone_ok(spec, zones, &m.zone)
+    }
+
     /// Whether the job's tasks may go to a machine once it has room.
     fn may_host(
         &self,
@@ -642,11 +634,9 @@
         zones: &Zones,
         now: Micros,
     ) -> bool {
-        let flavor = m.flavor.map(|f| &self.flavors[f]);
         m.usable(now, self.settings.report)
             && !m.failures.contains(id)
-            && flavor.is_some_and(|f| spec.allows(&f.name, &m.zone, m.spot))
-            && zone_ok(spec, zones, &m.zone)
+            && self.suits(m, spec, zones)
     }
 
     /// When an attempt is expected to end.
@@ -720,13 +710,10 @@
                 continue;
             }
             let mut victims = Vec::new();
-            let mut free = m.free();
-            for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
-                if a.stop.is_some() {
-                    free += a.need;
-                } else if let Some(j) =
-                    self.jobs.get(&task.job).filter(|j| j.spec.shape != Shape::Gang)
-                {
+            let mut free = m.free_after_stops();
+            for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds && a.stop.is_none()) {
+                let victim = self.jobs.get(&task.job).filter(|j| j.spec.shape != Shape::Gang);
+                if let Some(j) = victim {
                     let lower = urgent && j.spec.priority < spec.priority;
                     let above = job.within
                         && !j.within
@@ -777,11 +764,7 @@
         let mut stops = Vec::new();
         for (machine, n) in &keep {
             let Some(m) = self.machines.get(machine) else { continue };
-            let mut free = m.free();
-            m.attempts
-                .values()
-                .filter(|a| a.holds && a.stop.is_some())
-                .for_each(|a| free += a.need);
+            let mut free = m.free_after_stops();
             for v in options.remove(machine).into_iter().flatten() {
                 if spec.need.times(*n).fits(&free) {
                     break;
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -304,7 +304,7 @@
         heard.iter().for_each(|n| drop(f.report(n, "small", "b", &[])));
     }
     f.c.plan_fleet(f.now);
-    assert!(f.c.dark("a").is_some() && f.c.dark("b").is_none());
+    assert!(f.c.dark.contains_key("a") && !f.c.dark.contains_key("b"));
     f.pass(52);
     heard.iter().for_each(|n| drop(f.report(n, "small", "b", &[])));
     let rented = f.rent_all();
@@ -312,7 +312,7 @@
     let tried: u32 = rented.iter().filter(|(k, _)| k.1 == "a").map(|(_, n)| n).sum();
     assert!(tried <= 1, "{rented:?}");
     f.report(&cut[0], "small", "a", &[]);
-    assert!(f.c.dark("a").is_none(), "heard again");
+    assert!(!f.c.dark.contains_key("a"), "heard again");
 }
 
 #[test]
