Make room for an urgent array also where there is one machine

Found on rereading: placing told a whole pass from one machine being filled by the number of slots, so a cluster with a single usable machine never made room. The pass now makes room for what placing reports as short, and filling does not; placing needs no word of borrowed work any more.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -273,7 +273,10 @@
             match job.spec.shape {
                 Shape::Gang => self.place_gang(&id, &mut slots, &mut borrowed, now),
                 Shape::Array | Shape::Service => {
-                    self.place_tasks(&id, &mut slots, &mut borrowed, now);
+                    let short = self.place_tasks(&id, &mut slots, now);
+                    if short > 0 {
+                        self.make_room(&id, short, &mut borrowed, now);
+                    }
                 }
             }
             let Some(job) = self.jobs.get(&id) else { continue };
@@ -346,20 +349,15 @@
                 && j.spec.need.fits(&slots[0].free)
                 && self.headroom(j) > 0
             {
-                self.place_tasks(&job, &mut slots, &mut None, now);
+                self.place_tasks(&job, &mut slots, now);
             }
             self.order.push(job);
         }
     }
 
-    fn place_tasks(
-        &mut self,
-        id: &JobId,
-        slots: &mut [Slot],
-        borrowed: &mut Option<Borrowed>,
-        now: Micros,
-    ) {
-        let Some(job) = self.jobs.get(id) else { return };
+    /// Places what it can of a job in these slots; returns how many tasks found no room.
+    fn place_tasks(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) -> usize {
+        let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
         let mut limit = self.headroom(job);
         if job.suspect() {
@@ -373,7 +371,7 @@
                 *room.entry(&s.zone).or_default() += spec.need.times_in(&s.free);
             }
             let best = room.into_iter().max_by_key(|(z, n)| (*n, Reverse(*z)));
-            let Some((zone, _)) = best else { return };
+            let Some((zone, _)) = best else { return 0 };
             zones.insert(zone.into(), 0);
         }
         let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
@@ -385,9 +383,7 @@
             let attempt = self.next_attempt();
             self.place(id, index, &slots[machine].machine, attempt, now);
         }
-        if short > 0 && slots.len() > 1 {
-            self.make_room(id, short, borrowed, now);
-        }
+        short
     }
 
     /// Takes room for up to `n` tasks of a job, first-fit in the order of [`Cluster::slots`]; among
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -279,6 +279,20 @@
     }
 }
 
+#[test]
+fn an_urgent_array_has_room_made_for_it_on_the_only_machine_there_is() {
+    let mut f = Floor::new();
+    f.machines("up", 1, "large", "a");
+    f.submit("j-1", spec(Shape::Array, "blue", 32, 1.0));
+    f.c.schedule(f.now);
+    f.run_all();
+    let urgent = JobSpec { priority: Priority::High, ..spec(Shape::Array, "red", 1, 4.0) };
+    f.submit("j-2", urgent);
+    f.c.schedule(f.now);
+    let attempts = f.c.machines.values().flat_map(|m| m.attempts.values());
+    assert_eq!(attempts.filter(|a| a.stop.is_some()).count(), 4);
+}
+
 #[test]
 fn the_plan_sees_the_whole_queue_and_asks_for_it_in_large_requests() {
     let mut f = Floor::new();
