Read a limit of zero as none: a guest team's jobs are accepted

DEPLOY says of a team's amounts that a value of 0 means none. It was read as a limit of nothing, so every job of a guest team got 422.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -258,6 +258,8 @@
     pub jobs: BTreeMap<JobId, Job>,
     pub machines: BTreeMap<MachineId, Machine>,
     pub used: Vec<Resources>,
+    /// The size of all machines that are up.
+    pub size: Resources,
     pub block: Block,
     pub fleet: Fleet,
     /// Every machine of the block has reported to this term, or its lease has run out.
@@ -297,6 +299,7 @@
         Cluster {
             term,
             used: vec![Resources::default(); settings.teams.len()],
+            size: Resources::default(),
             fleet: Fleet::new(term, settings.cloud_rps),
             settings,
             flavors,
@@ -1170,6 +1173,8 @@
     pub fn tick(&mut self, now: Micros, wall: u64) {
         self.wall = wall;
         let limit = self.lease_limit();
+        self.size = Resources::default();
+        self.machines.values().filter(|m| m.up).for_each(|m| self.size += m.size);
         let silent: Vec<MachineId> = self
             .machines
             .values()
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use crate::cloud::{CloudRequest, Listed};
 use crate::cluster::{Cluster, Machine, MachineId, Phase};
-use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, micros, seconds};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, UNLIMITED, micros, seconds};
 use crate::policy::{Setting, Value};
 use crate::scheduler::{Zones, zone_ok};
 
@@ -378,7 +378,7 @@
             if job.pending.is_empty() || job.suspect() {
                 continue;
             }
-            spare[t].mem = i64::MAX / 4;
+            spare[t].mem = UNLIMITED;
             let need = Resources { mem: 0, ..job.spec.need };
             let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
             let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
--- a/src/model.rs
+++ b/src/model.rs
@@ -131,7 +131,11 @@
     }
 }
 
-/// A team's guarantee and limit. CPUs and GPUs only; zero means none.
+/// A limit of this amount is none at all.
+pub const UNLIMITED: i64 = i64::MAX / 4;
+
+/// A team's guarantee and limit. CPUs and GPUs only. A guarantee of zero is no guarantee, and a
+/// team without a limit has one of [`UNLIMITED`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Team {
     pub name: String,
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -6,7 +6,8 @@
 
 use crate::cluster::{Attempt, Cluster, Gang, Job, Kept, Machine, MachineId, Phase};
 use crate::model::{
-    JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, micros, seconds,
+    JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, UNLIMITED, micros,
+    seconds,
 };
 use crate::policy::{Setting, Value};
 use crate::saga::Saga;
@@ -168,8 +169,12 @@
     fn share_of_work(&self, job: &Job) -> Micros {
         let Some(t) = job.team else { return 0 };
         let limit = &self.settings.teams[t].limit;
-        let part = |need: i64, limit: i64| if limit > 0 { need as f64 / limit as f64 } else { 0.0 };
-        let each = part(job.spec.need.cpu, limit.cpu).max(part(job.spec.need.gpu, limit.gpu));
+        // No team can use more than there is.
+        let part =
+            |need: i64, limit: i64, all: i64| need as f64 / limit.min(all.max(need)).max(1) as f64;
+        let need = &job.spec.need;
+        let each =
+            part(need.cpu, limit.cpu, self.size.cpu).max(part(need.gpu, limit.gpu, self.size.gpu));
         let left = f64::from(job.spec.tasks - job.done.len());
         (left * each * self.expected_run(&job.spec) as f64) as Micros
     }
@@ -241,7 +246,7 @@
     pub fn headroom(&self, job: &Job) -> i64 {
         let Some(t) = job.team else { return 0 };
         let mut free = self.settings.teams[t].limit - self.used[t];
-        free.mem = i64::MAX / 4;
+        free.mem = UNLIMITED;
         let need = Resources { mem: 0, ..job.spec.need };
         need.times_in(&free)
     }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 
-use crate::model::{Micros, Resources, Team, micros};
+use crate::model::{Micros, Resources, Team, UNLIMITED, micros};
 use crate::policy::Policy;
 
 /// Why a settings file cannot be used.
@@ -184,6 +184,13 @@
     }
 }
 
+/// In the settings file a limit of zero means that there is none: a guest team has no guarantee,
+/// no limit, and what others leave.
+fn unlimited(limit: Resources) -> Resources {
+    let none = |x: i64| if x == 0 { UNLIMITED } else { x };
+    Resources { cpu: none(limit.cpu), gpu: none(limit.gpu), mem: 0 }
+}
+
 struct Check<'a> {
     file: &'a str,
     warnings: Vec<String>,
@@ -260,11 +267,11 @@
                     self.amount(&at("gpus"), t.gpus)?,
                     0.0,
                 ),
-                limit: Resources::new(
+                limit: unlimited(Resources::new(
                     self.amount(&at("cpus_max"), t.cpus_max)?,
                     self.amount(&at("gpus_max"), t.gpus_max)?,
                     0.0,
-                ),
+                )),
             };
             if !Team::within(&team.limit, &Resources::default(), &team.guarantee) {
                 self.warnings.push(format!("team {}: the guarantee is above the limit", t.name));
