Let commits and users take turns at the state service; read back only what the watch missed

Users and commits now take turns. The leader also read back every job a sibling told it of; now only those its watch has not brought after 0.4 s.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -34,6 +34,8 @@
 const POLL_PATIENCE: Micros = 1_700_000;
 const SUBMIT_PATIENCE: Micros = 2_500_000;
 const RELAY_PATIENCE: Micros = 1_500_000;
+/// The watch should have brought a change by this time after it was told of.
+const WATCH_PATIENCE: Micros = 400_000;
 const CACHE: usize = 50_000;
 
 /// The time, as a step sees it.
@@ -131,6 +133,9 @@
     readbacks: BTreeSet<String>,
     readback_at: Micros,
     reading: usize,
+    /// Changes that siblings told of: when the watch should have brought them, their versions and
+    /// keys. They come in order of time.
+    expected: VecDeque<(Micros, u64, String)>,
     renew_at: Micros,
     ask_at: Micros,
     heard_at: Option<Micros>,
@@ -476,6 +481,13 @@
     fn read_back(&mut self) {
         let now = self.clock.now;
         let Some(lead) = &mut self.lead else { return };
+        while let Some((due, stamp, _)) = lead.expected.front() {
+            let come = lead.watched >= *stamp;
+            if !come && now < *due {
+                break;
+            }
+            lead.readbacks.extend(lead.expected.pop_front().filter(|_| !come).map(|e| e.2));
+        }
         if lead.reading > 0 || now < lead.readback_at || lead.readbacks.is_empty() {
             return;
         }
@@ -529,7 +541,7 @@
             api::admit(&mut spec, &self.settings.teams, &self.flavors)?;
             Ok(Box::new(spec))
         });
-        let wait = self.budget.wait(Urgency::User);
+        let wait = self.budget.wait();
         if wait > SUBMIT_PATIENCE && (id.is_some() || checked.is_ok()) {
             // More than can be written in time is queued already: better said now than later.
             return self.too_much(conn, wait);
@@ -599,6 +611,7 @@
 
     fn accepted(&mut self, jobs: Vec<(u64, JobId)>, answer: Option<(u16, Bytes)>) {
         let status = answer.as_ref().map(|a| a.0);
+        let stamp = committed(answer.as_ref());
         for (conn, id) in jobs {
             let Some(spec) = self.accept_specs.remove(&conn) else { continue };
             match status {
@@ -606,7 +619,7 @@
                     tracing::info!(job = %id, class = %spec.class, tasks = spec.tasks, "accepted");
                     let view = JobView { status: Status::Pending, done: 0, running: 0 };
                     self.reply(conn, api::answer(201, &id, &view));
-                    self.changed(&id);
+                    self.changed(&id, stamp);
                 }
                 // One of them was known already: look at each, and try again with the others.
                 Some(409) => self.look(id, Waiter::Submit(conn, Ok(spec))),
@@ -617,13 +630,19 @@
         }
     }
 
-    /// Lets the leader know at once; its watch would tell it too.
-    fn changed(&mut self, id: &JobId) {
-        if let Some(lead) = &mut self.lead {
-            lead.readbacks.insert(format!("{}{id}", store::LIVE));
-            lead.readback_at = 0;
+    /// Lets the leader know, in case its watch does not: that may hang in a cut.
+    fn changed(&mut self, id: &JobId, stamp: u64) {
+        if self.lead.is_some() {
+            self.expect(id, stamp);
         } else if let Some(i) = self.leader() {
-            self.say(i, Body::Changed(Changed { job: id.to_string() }));
+            self.say(i, Body::Changed(Changed { job: id.to_string(), stamp }));
+        }
+    }
+
+    fn expect(&mut self, id: &str, stamp: u64) {
+        let due = self.clock.now + WATCH_PATIENCE;
+        if let Some(lead) = self.lead.as_mut().filter(|l| l.watched < stamp) {
+            lead.expected.push_back((due, stamp, format!("{}{id}", store::LIVE)));
         }
     }
 
@@ -632,7 +651,7 @@
             let response = api::answer(200, &id, view);
             return self.reply(waiter.conn(), response);
         }
-        let wait = self.budget.wait(Urgency::User);
+        let wait = self.budget.wait();
         if wait > POLL_PATIENCE && !self.lookups.contains_key(&id) {
             // The answer would come too late, and reads that nobody waits for any more would keep
             // submissions out.
@@ -765,13 +784,20 @@
         self.send(Urgency::User, commit.request(), purpose);
     }
 
-    fn cancelled(&mut self, job: JobId, conns: Vec<u64>, view: JobView, status: Option<u16>) {
+    fn cancelled(
+        &mut self,
+        job: JobId,
+        conns: Vec<u64>,
+        view: JobView,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let status = answer.as_ref().map(|a| a.0);
         if status == Some(200) {
             self.over.insert(job.clone(), view.clone());
             for c in conns {
                 self.reply(c, api::answer(200, &job, &view));
             }
-            return self.changed(&job);
+            return self.changed(&job, committed(answer.as_ref()));
         }
         for c in conns {
             match status {
@@ -889,13 +915,10 @@
                     lead.authority.promised(promise.round, i);
                 }
             }
-            Some(Body::Changed(changed)) => {
-                if let Some(lead) = self.lead.as_mut().filter(|_| valid_job_id(&changed.job)) {
-                    lead.readbacks.insert(format!("{}{}", store::LIVE, changed.job));
-                    lead.readback_at = 0;
-                }
+            Some(Body::Changed(changed)) if valid_job_id(&changed.job) => {
+                self.expect(&changed.job, changed.stamp);
             }
-            None => {}
+            Some(Body::Changed(_)) | None => {}
         }
     }
 
@@ -948,7 +971,7 @@
             }
             Purpose::Look { job, over } => self.looked(job, over, answer),
             Purpose::Accept { jobs } => self.accepted(jobs, answer),
-            Purpose::Cancel { job, conns, view } => self.cancelled(job, conns, view, status),
+            Purpose::Cancel { job, conns, view } => self.cancelled(job, conns, view, answer),
         }
     }
 
@@ -1036,6 +1059,7 @@
             readbacks: BTreeSet::new(),
             readback_at: 0,
             reading: 0,
+            expected: VecDeque::new(),
             renew_at: now,
             ask_at: 0,
             heard_at: None,
@@ -1250,3 +1274,10 @@
         }
     }
 }
+
+/// The version a transaction was carried out at, as its answer has it. An answer that cannot be
+/// read is taken for the newest: the job is then looked at.
+fn committed(answer: Option<&(u16, Bytes)>) -> u64 {
+    let done = answer.and_then(|a| serde_json::from_slice::<Committed>(&a.1).ok());
+    done.map_or(u64::MAX, |c| c.ledger_no)
+}
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -98,11 +98,14 @@
     pub term: u64,
 }
 
-/// A job was accepted or cancelled here: the leader should look at it now.
+/// A job was accepted or cancelled here. The leader looks at it if its watch does not tell it soon.
 #[derive(Clone, PartialEq, Message)]
 pub struct Changed {
     #[prost(string, tag = "1")]
     pub job: String,
+    /// The version at which it changed.
+    #[prost(uint64, tag = "2")]
+    pub stamp: u64,
 }
 
 /// Appends a message to `out` as one frame.
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -92,6 +92,8 @@
     pub refusals: Vec<u64>,
     pub starts: usize,
     pub gang_peer: u64,
+    /// Queries beyond the usual polls that come every 50 ms, for jobs at random.
+    pub queries: usize,
 }
 
 pub fn settings(
@@ -179,6 +181,7 @@
             refusals: Vec::new(),
             starts: 0,
             gang_peer: 5 * SECOND,
+            queries: 0,
         };
         for i in 0..nodes {
             world.nodes.push(Node { controller: None, life: 0, born: 0 });
@@ -272,6 +275,14 @@
             }
             self.step_workers();
             self.poll_jobs();
+            for _ in 0..self.queries {
+                let accepted = self.jobs.iter().filter(|(_, j)| j.accepted.is_some());
+                let ids: Vec<String> = accepted.map(|(id, _)| id.clone()).collect();
+                let any = self.rng.random_range(0..ids.len().max(1));
+                if let Some(id) = ids.get(any) {
+                    self.ask(id, "poll");
+                }
+            }
         }
     }
 
