Answer all waiting queries with one read of what has changed

Cause: a query cost one or two reads, and a controller's share of 70 requests a second is 6; in a storm of queries nearly all got 503, and submissions waited behind the rest. A controller now keeps a copy of the live pipelines, brought up to the present by one read before it answers whoever waits; who asks during that read waits for the next. Ends and ids that nobody submitted are remembered. A transaction that accepts several jobs and finds one known tries the others again without looking at each.

--- a/src/controller.rs
+++ b/src/controller.rs
@@ -12,6 +12,7 @@
 use crate::fleet::CloudCall;
 use crate::http::{Request, Response};
 use crate::leadership::{Authority, Candidacy, PROMISE};
+use crate::mirror::{Found, Mirror};
 use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, SECOND, micros, valid_job_id};
 use crate::peer::{
     Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
@@ -36,7 +37,12 @@
 const RELAY_PATIENCE: Micros = 1_500_000;
 /// The watch should have brought a change by this time after it was told of.
 const WATCH_PATIENCE: Micros = 400_000;
-const CACHE: usize = 50_000;
+/// Queries that may wait for one read; more are told to come back.
+const MAX_ASKING: usize = 4000;
+/// Queries share one read of what has changed, made at most this often ...
+const REFRESH_EVERY: Micros = 100_000;
+/// ... and at least this often, so that few changes pile up.
+const REFRESH_AT_LEAST: Micros = 5 * SECOND;
 
 /// The time, as a step sees it.
 #[derive(Clone, Copy, Debug, Default)]
@@ -70,18 +76,54 @@
 #[derive(Debug)]
 enum Purpose {
     Probe,
-    Grant { sent: Micros },
-    Takeover { term: u64, grant: u64, sent: Micros },
+    Grant {
+        sent: Micros,
+    },
+    Takeover {
+        term: u64,
+        grant: u64,
+        sent: Micros,
+    },
     DropGrant,
-    Renew { sent: Micros, term: u64 },
-    Load { term: u64, stage: usize },
-    Follow { term: u64 },
-    Write { term: u64, batch: Batch },
-    ReadBack { term: u64, key: String },
-    ReadOver { term: u64, key: String },
-    Look { job: JobId, over: bool },
-    Accept { jobs: Vec<(u64, JobId)> },
-    Cancel { job: JobId, conns: Vec<u64>, view: JobView },
+    Renew {
+        sent: Micros,
+        term: u64,
+    },
+    Load {
+        term: u64,
+        stage: usize,
+    },
+    Follow {
+        term: u64,
+    },
+    Write {
+        term: u64,
+        batch: Batch,
+    },
+    ReadBack {
+        term: u64,
+        key: String,
+    },
+    ReadOver {
+        term: u64,
+        key: String,
+    },
+    Look {
+        job: JobId,
+        over: bool,
+    },
+    /// A page of all live jobs, for the copy that queries are answered from.
+    Copy,
+    /// What has changed since.
+    Refresh,
+    Accept {
+        jobs: Vec<(u64, JobId)>,
+    },
+    Cancel {
+        job: JobId,
+        conns: Vec<u64>,
+        view: JobView,
+    },
 }
 
 const STAGES: [&str; 3] = [store::LIVE, store::PART, store::BLOCK];
@@ -179,7 +221,13 @@
     accept_specs: HashMap<u64, Box<JobSpec>>,
     deadlines: HashMap<u64, Micros>,
     relays: HashMap<u64, (u64, Micros)>,
-    over: HashMap<JobId, JobView>,
+    mirror: Mirror,
+    /// Reading what the mirror lacks is under way.
+    refreshing: bool,
+    refresh_at: Micros,
+    /// Queries that the read under way answers, and those that the next one will.
+    answering: Vec<(u64, JobId)>,
+    asking: Vec<(u64, JobId)>,
     effects: Vec<Effect>,
     next_tick: Micros,
 }
@@ -209,7 +257,11 @@
             accept_specs: HashMap::new(),
             deadlines: HashMap::new(),
             relays: HashMap::new(),
-            over: HashMap::new(),
+            mirror: Mirror::default(),
+            refreshing: false,
+            refresh_at: 0,
+            answering: Vec::new(),
+            asking: Vec::new(),
             effects: Vec::new(),
             next_tick: 0,
         };
@@ -337,6 +389,7 @@
             self.unavailable(conn);
         }
         self.relays.retain(|_, r| r.1 > now);
+        self.refresh();
         if now >= self.beat_at {
             self.beat_at = now + BEAT_EVERY;
             self.beat();
@@ -523,7 +576,7 @@
             Route::Query(id) | Route::Cancel(id) if !valid_job_id(id) => {
                 self.reply(conn, Response::error(404, "no such job"));
             }
-            Route::Query(id) => self.look(id.into(), Waiter::Poll(conn)),
+            Route::Query(id) => self.query(conn, id.into()),
             Route::Cancel(id) => {
                 self.deadlines.insert(conn, now + SUBMIT_PATIENCE);
                 self.look(id.into(), Waiter::Cancel(conn));
@@ -547,7 +600,9 @@
             return self.too_much(conn, wait);
         }
         match (id, checked) {
-            (Some(id), Ok(spec)) if !self.over.contains_key(&id) => {
+            (Some(id), Ok(spec))
+                if self.mirror.ended(&id).is_none() && !self.mirror.is_live(&id) =>
+            {
                 self.accepting.push_back((conn, id, spec));
             }
             // A known job gets its state, whatever this body would be answered with.
@@ -612,6 +667,10 @@
     fn accepted(&mut self, jobs: Vec<(u64, JobId)>, answer: Option<(u16, Bytes)>) {
         let status = answer.as_ref().map(|a| a.0);
         let stamp = committed(answer.as_ref());
+        let failed = answer
+            .filter(|a| a.0 == 409)
+            .and_then(|a| serde_json::from_slice::<Conflict>(&a.1).ok())
+            .map_or_else(Vec::new, |c| c.failed);
         for (conn, id) in jobs {
             let Some(spec) = self.accept_specs.remove(&conn) else { continue };
             match status {
@@ -621,7 +680,10 @@
                     self.reply(conn, api::answer(201, &id, &view));
                     self.changed(&id, stamp);
                 }
-                // One of them was known already: look at each, and try again with the others.
+                // One of them was known already: the others are tried again without it.
+                Some(409) if !failed.is_empty() && !failed.iter().any(|k| k.ends_with(&*id)) => {
+                    self.accepting.push_back((conn, id, spec));
+                }
                 Some(409) => self.look(id, Waiter::Submit(conn, Ok(spec))),
                 // Perhaps carried out, perhaps later: only reading tells.
                 None => self.look(id, Waiter::Confirm(conn)),
@@ -647,7 +709,13 @@
     }
 
     fn look(&mut self, id: JobId, waiter: Waiter) {
-        if let Some(view) = self.over.get(&id) {
+        self.look_up(id, waiter, false);
+    }
+
+    /// Reads a job's record. `over`: it is known not to be alive, so only whether it is over is
+    /// to be read.
+    fn look_up(&mut self, id: JobId, waiter: Waiter, over: bool) {
+        if let Some(view) = self.mirror.ended(&id) {
             let response = api::answer(200, &id, view);
             return self.reply(waiter.conn(), response);
         }
@@ -663,12 +731,105 @@
             return;
         }
         lookup.now.push(waiter);
-        self.start_look(id);
+        self.start_look(id, over);
     }
 
-    fn start_look(&mut self, job: JobId) {
-        let key = format!("{}{job}", store::LIVE);
-        self.send(Urgency::User, StoreRequest::get(&key), Purpose::Look { job, over: false });
+    fn start_look(&mut self, job: JobId, over: bool) {
+        let key = format!("{}{job}", if over { store::OVER } else { store::LIVE });
+        self.send(Urgency::User, StoreRequest::get(&key), Purpose::Look { job, over });
+    }
+
+    /// A query waits for the next read of what has changed, which answers all that wait then.
+    fn query(&mut self, conn: u64, id: JobId) {
+        if self.mirror.at().is_none() {
+            return self.look(id, Waiter::Poll(conn));
+        }
+        if let Some(view) = self.mirror.ended(&id) {
+            let response = api::answer(200, &id, view);
+            return self.reply(conn, response);
+        }
+        let wait = self.budget.wait();
+        if wait > POLL_PATIENCE || self.asking.len() >= MAX_ASKING {
+            return self.too_much(conn, wait);
+        }
+        self.asking.push((conn, id));
+        self.refresh();
+    }
+
+    /// Reads what the mirror lacks, if there is a reason to.
+    fn refresh(&mut self) {
+        let now = self.clock.now;
+        if self.refreshing || now < self.refresh_at {
+            return;
+        }
+        // At most half of this controller's requests, however many queries come.
+        let pause = (2.0 * SECOND as f64 / self.budget.rate().max(0.1)) as Micros;
+        let pause = pause.max(REFRESH_EVERY);
+        match self.mirror.at() {
+            Some(at) if !self.asking.is_empty() || now >= self.refresh_at + REFRESH_AT_LEAST => {
+                self.refreshing = true;
+                self.refresh_at = now + pause;
+                self.answering = std::mem::take(&mut self.asking);
+                let request = StoreRequest::changes(store::LIVE, at);
+                self.send(Urgency::User, request, Purpose::Refresh);
+            }
+            None if self.state_ok() => {
+                self.refreshing = true;
+                self.refresh_at = now + SECOND;
+                let request = StoreRequest::list(store::LIVE, "");
+                self.send(Urgency::User, request, Purpose::Copy);
+            }
+            _ => {}
+        }
+    }
+
+    fn copied(&mut self, answer: Option<(u16, Bytes)>) {
+        let listing = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let Some(listing) = listing else {
+            self.refreshing = false;
+            return self.mirror.lost();
+        };
+        match self.mirror.listed(&listing) {
+            Some(after) => {
+                let request = StoreRequest::list(store::LIVE, &after);
+                self.send(Urgency::User, request, Purpose::Copy);
+            }
+            None => {
+                self.refreshing = false;
+                self.refresh_at = self.clock.now;
+            }
+        }
+    }
+
+    fn refreshed(&mut self, answer: Option<(u16, Bytes)>) {
+        self.refreshing = false;
+        let waiting = std::mem::take(&mut self.answering);
+        let followed = match &answer {
+            Some((200, body)) => serde_json::from_slice::<Followed>(body).ok(),
+            _ => None,
+        };
+        let Some(followed) = followed else {
+            if matches!(answer, Some((status, _)) if status != 429 && status != 503) {
+                // Too far behind: the changes are not kept any more.
+                self.mirror.lost();
+            }
+            waiting.into_iter().for_each(|(conn, _)| self.unavailable(conn));
+            return self.refresh();
+        };
+        self.mirror.followed(&followed);
+        for (conn, id) in waiting {
+            match self.mirror.find(&id) {
+                Found::Job(mut view) => {
+                    self.progress(&id, &mut view);
+                    self.reply(conn, api::answer(200, &id, &view));
+                }
+                Found::Absent => self.reply(conn, Response::error(404, "no such job")),
+                Found::NotLive => self.look_up(id, Waiter::Poll(conn), true),
+            }
+        }
+        self.refresh();
     }
 
     fn looked(&mut self, job: JobId, over: bool, answer: Option<(u16, Bytes)>) {
@@ -688,15 +849,11 @@
                     self.found(job, view, Some((r, item.stamp)));
                 }
             }
-            Some((404, _)) if !over => {
-                let key = format!("{}{job}", store::OVER);
-                self.send(
-                    Urgency::User,
-                    StoreRequest::get(&key),
-                    Purpose::Look { job, over: true },
-                );
-            }
-            Some((404, _)) => {
+            Some((404, _)) if !over => self.start_look(job, true),
+            Some((404, body)) => {
+                if let Ok(missing) = serde_json::from_slice::<Committed>(&body) {
+                    self.mirror.miss(job.clone(), missing.ledger_no);
+                }
                 let waiters = self.take_waiters(&job);
                 for w in waiters {
                     match w {
@@ -738,7 +895,7 @@
         if lookup.now.is_empty() {
             self.lookups.remove(job);
         } else {
-            self.start_look(job.clone());
+            self.start_look(job.clone(), false);
         }
         waiters
     }
@@ -746,25 +903,30 @@
     fn view(&self, id: &JobId, record: &JobRecord) -> JobView {
         let mut done = Ranges::default();
         store::decode_done(&record.done, 0, &mut done);
-        if record.cancelled {
-            return JobView { status: Status::Cancelled, done: done.len(), running: 0 };
+        let status = if record.cancelled { Status::Cancelled } else { Status::Pending };
+        let mut view = JobView { status, done: done.len(), running: 0 };
+        self.progress(id, &mut view);
+        view
+    }
+
+    /// Adds what the leader knows of a live job: for display only.
+    fn progress(&self, id: &JobId, view: &mut JobView) {
+        if view.status != Status::Pending {
+            return;
         }
-        let (mut running, mut count) = (0, done.len());
         if let Some(job) = self.lead.as_ref().and_then(|l| l.cluster.jobs.get(id)) {
-            (running, count) = (job.running(), job.done.len());
+            (view.running, view.done) = (job.running(), job.done.len());
         } else if let Some(r) = self.running.get(&**id).filter(|_| self.leader().is_some()) {
-            (running, count) = (r.0, r.1.max(count));
+            (view.running, view.done) = (r.0, r.1.max(view.done));
+        }
+        if view.running > 0 {
+            view.status = Status::Running;
         }
-        let status = if running > 0 { Status::Running } else { Status::Pending };
-        JobView { status, done: count, running }
     }
 
     fn found(&mut self, job: JobId, view: JobView, live: Option<(JobRecord, u64)>) {
         if matches!(view.status, Status::Done | Status::Cancelled) {
-            if self.over.len() >= CACHE {
-                self.over.clear();
-            }
-            self.over.insert(job.clone(), view.clone());
+            self.mirror.end(job.clone(), view.clone());
         }
         let mut cancels = Vec::new();
         for w in self.take_waiters(&job) {
@@ -793,7 +955,7 @@
     ) {
         let status = answer.as_ref().map(|a| a.0);
         if status == Some(200) {
-            self.over.insert(job.clone(), view.clone());
+            self.mirror.end(job.clone(), view.clone());
             for c in conns {
                 self.reply(c, api::answer(200, &job, &view));
             }
@@ -970,6 +1132,8 @@
                 }
             }
             Purpose::Look { job, over } => self.looked(job, over, answer),
+            Purpose::Copy => self.copied(answer),
+            Purpose::Refresh => self.refreshed(answer),
             Purpose::Accept { jobs } => self.accepted(jobs, answer),
             Purpose::Cancel { job, conns, view } => self.cancelled(job, conns, view, answer),
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod http;
 pub mod leadership;
+pub mod mirror;
 pub mod model;
 pub mod peer;
 pub mod policy;
--- a/src/store.rs
+++ b/src/store.rs
@@ -140,6 +140,12 @@
         r
     }
 
+    /// What has changed since then, and nothing more: it does not wait for changes.
+    pub fn changes(prefix: &str, after: u64) -> StoreRequest {
+        let path = format!("/follow?starts={prefix}&from={after}&block_ms=0");
+        StoreRequest::new(Method::Get, path, Bytes::new())
+    }
+
     pub fn grant(ttl: Micros) -> StoreRequest {
         #[derive(Serialize)]
         struct Grant {
@@ -331,6 +337,11 @@
         }
     }
 
+    /// The requests a second that it may make.
+    pub fn rate(&self) -> f64 {
+        self.requests.rate
+    }
+
     /// Changes the share, as when leadership comes or goes.
     pub fn set_share(&mut self, rps: f64, write_rps: f64) {
         self.requests.rate = rps;
