Weigh a job's failures against its machines'; ignore reports of deleted machines

A job that fails on three machines with nothing done is suspect, also to the next leader; trials come at doubling intervals, and it claims no guarantee, keeps no room, stops nothing. Judged by jobs that do well elsewhere, or by several that are not suspect. Deletions are remembered for 15 minutes.

--- /dev/null
+++ b/src/blame.rs
@@ -0,0 +1,146 @@
+//! Who is to blame for a task's error: its machine, or its job.
+//!
+//! Mostly a machine is faulty; but a job submitted with a mistake fails on every machine until its
+//! user cancels it. Evidence is weighed both ways. A job that has failed on several machines and
+//! never got anything done is *suspect*: one task of it is tried now and then, more and more
+//! rarely, on room that is there; nothing is kept or stopped for it, it claims no guarantee, and no
+//! machine is blamed for it. The first task that is done clears it, and then the machines it failed on are
+//! looked at again. A machine is faulty when a job that does well elsewhere fails on it twice, or
+//! when several jobs do that are not suspect.
+
+use std::collections::HashSet;
+
+use crate::cluster::{Cluster, Job, MachineId, Phase};
+use crate::model::{JobId, Micros, SECOND, Shape, TaskId};
+
+/// A job that failed on so many machines, and did well on none, is suspect.
+const SUSPECT_AFTER: usize = 3;
+/// Replicas never end; one that has run for this long has done well.
+const PROVED: Micros = 10 * SECOND;
+const FIRST_RETRY: Micros = 4 * SECOND;
+/// A suspect job's trials come at most this many doublings apart: about every two minutes.
+const MOST_DOUBLINGS: u32 = 5;
+/// A trial that found no room for so long may have a machine rented.
+const OVERDUE: Micros = 30 * SECOND;
+
+/// What a job's failures say of it.
+#[derive(Debug, Default)]
+pub struct Record {
+    /// Machines it has failed on.
+    pub machines: HashSet<MachineId>,
+    /// An earlier leader found it suspect.
+    pub known: bool,
+    /// Trials that failed since it became suspect, and when the next may begin.
+    trials: u32,
+    retry_at: Micros,
+}
+
+impl Record {
+    /// Of a job that an earlier leader found suspect, or not.
+    pub fn new(known: bool) -> Record {
+        Record { known, ..Record::default() }
+    }
+}
+
+impl Job {
+    /// It fails wherever it runs: most likely its user's mistake.
+    pub fn suspect(&self) -> bool {
+        self.done.is_empty() && (self.blame.known || self.blame.machines.len() >= SUSPECT_AFTER)
+    }
+
+    /// How many of its tasks may be on machines at this time, as far as its failures go.
+    pub fn trials(&self, now: Micros) -> i64 {
+        match (self.suspect(), now >= self.blame.retry_at) {
+            (false, _) => i64::MAX,
+            (true, true) if self.spec.shape == Shape::Gang => i64::from(self.spec.tasks),
+            (true, true) => 1,
+            (true, false) => 0,
+        }
+    }
+
+    /// How many of its tasks a machine may be rented for. A suspect job's next trial uses room that
+    /// is there; only when none came free for long would it never be cleared without one.
+    pub fn worth_renting(&self, now: Micros) -> i64 {
+        if self.suspect() && now < self.blame.retry_at + OVERDUE { 0 } else { self.trials(now) }
+    }
+}
+
+impl Cluster {
+    /// Something of the job has gone well on some machine.
+    fn proved(&self, job: &Job, now: Micros) -> bool {
+        let lasting = |(machine, attempt): &(MachineId, u64), index: u32| {
+            let key = (TaskId { job: job.id.clone(), index }, *attempt);
+            let a = self.machines.get(machine).and_then(|m| m.attempts.get(&key));
+            a.is_some_and(|a| a.phase == Phase::Running && now >= a.since + PROVED)
+        };
+        !job.done.is_empty()
+            || (job.spec.shape == Shape::Service && job.live.iter().any(|(i, p)| lasting(p, *i)))
+    }
+
+    /// A task ended with an error on a machine.
+    pub fn failed(&mut self, task: &TaskId, id: &MachineId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let first = job.blame.machines.is_empty();
+        let was = job.suspect();
+        job.blame.machines.insert(id.clone());
+        let (_, n) = job.backoff.get(&task.index).copied().unwrap_or((0, 0));
+        job.backoff.insert(task.index, (now + ((2 * SECOND) << n.min(5)), n + 1));
+        if self.jobs.get(&task.job).is_some_and(|j| self.proved(j, now)) {
+            // A service that runs elsewhere: what it failed on says nothing against it.
+            if let Some(j) = self.jobs.get_mut(&task.job).filter(|j| j.done.is_empty()) {
+                j.blame = Record::default();
+            }
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.suspect() {
+            // Tasks that were on machines already fail together: they are one trial.
+            if now >= job.blame.retry_at {
+                job.blame.retry_at = now + (FIRST_RETRY << job.blame.trials.min(MOST_DOUBLINGS));
+                job.blame.trials += 1;
+            }
+            if !was {
+                let machines = job.blame.machines.len();
+                tracing::info!(job = %task.job, machines, "the job fails wherever it runs");
+                // A successor need not find out again.
+                job.blame.known = true;
+                job.note(now);
+            }
+        } else if first {
+            tracing::info!(%task, machine = %id, "task failed");
+        }
+        tracing::debug!(%task, machine = %id, "task failed");
+        if let Some(m) = self.machines.get_mut(id) {
+            *m.failures.entry(task.job.clone()).or_default() += 1;
+        }
+        self.judge(id, now);
+    }
+
+    /// A job's first task is done: it is cleared, and the machines it failed on are not.
+    pub fn cleared(&mut self, id: &JobId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        if job.blame.known {
+            tracing::info!(job = %id, "the job does well after all");
+        }
+        for machine in std::mem::take(&mut job.blame).machines {
+            self.judge(&machine, now);
+        }
+    }
+
+    /// Decides whether a machine is to blame for what failed on it since a task last did well.
+    fn judge(&mut self, id: &MachineId, now: Micros) {
+        let Some(m) = self.machines.get(id).filter(|m| !m.bad) else { return };
+        let credible = || {
+            let jobs = m.failures.iter().filter_map(|(j, n)| Some((self.jobs.get(j)?, *n)));
+            jobs.filter(|(j, _)| !j.suspect())
+        };
+        let faulty =
+            credible().count() >= 2 || credible().any(|(j, n)| n >= 2 && self.proved(j, now));
+        if faulty {
+            tracing::info!(machine = %id, jobs = m.failures.len(), "machine judged faulty");
+            if let Some(m) = self.machines.get_mut(id) {
+                m.bad = true;
+            }
+            self.drain(id);
+        }
+    }
+}
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -7,6 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
+use crate::blame;
 use crate::block::{Block, ChunkRecord, Member};
 use crate::fleet::Fleet;
 use crate::model::{
@@ -96,8 +97,8 @@
     pub deleting: bool,
     /// Not worth placing on: faulty, or of an unknown type.
     pub bad: bool,
-    pub failures: HashSet<JobId>,
-    pub failure_count: u32,
+    /// Jobs whose tasks have failed here since one last did well, and how often.
+    pub failures: HashMap<JobId, u32>,
     pub images: HashSet<String>,
     /// Room that is being kept for a waiting job.
     pub kept: Option<Kept>,
@@ -185,7 +186,7 @@
     pub gang: Option<Gang>,
     /// Tasks that wait after a failure, and how often they failed.
     pub backoff: HashMap<u32, (Micros, u32)>,
-    pub failed_on: HashSet<MachineId>,
+    pub blame: blame::Record,
     dirty_parts: BTreeSet<u32>,
     dirty_since: Option<Micros>,
     writing: bool,
@@ -204,9 +205,10 @@
         self.spec.shape != Shape::Service && self.done.len() == self.spec.tasks
     }
 
-    /// Failing everywhere: most likely the user's mistake, so one task at a time keeps trying.
-    pub fn suspect(&self) -> bool {
-        self.done.is_empty() && self.failed_on.len() >= 3
+    /// Its record is to be written again.
+    pub fn note(&mut self, now: Micros) {
+        self.dirty_parts.insert(0);
+        self.dirty_since.get_or_insert(now);
     }
 
     pub fn deadline(&self) -> Option<u64> {
@@ -362,7 +364,7 @@
             live: HashMap::new(),
             gang: None,
             backoff: HashMap::new(),
-            failed_on: HashSet::new(),
+            blame: blame::Record::new(record.failing),
             dirty_parts: BTreeSet::new(),
             dirty_since: None,
             writing: false,
@@ -532,6 +534,7 @@
                     at: job.at,
                     done,
                     cancelled: job.cancelled,
+                    failing: job.suspect(),
                 };
                 commit.guard(&live, job.stamp);
                 commit.put(&live, store::raw(&record), None);
@@ -675,8 +678,7 @@
             notice: false,
             deleting: false,
             bad: flavor.is_none(),
-            failures: HashSet::new(),
-            failure_count: 0,
+            failures: HashMap::new(),
             images: HashSet::new(),
             kept: None,
             refused_until: 0,
@@ -691,6 +693,11 @@
             return Outcome::Deposed;
         }
         let known = self.machines.contains_key(&*report.machine);
+        if !known && self.fleet.removed.contains_key(&*report.machine) {
+            // The machine is known to be gone: its tasks, shown by a report that was held back,
+            // must not hold up their successors for another lease.
+            return Outcome::Stale;
+        }
         let machine = self.machine(&report.machine, &report.flavor, &report.zone, report.spot, now);
         let id = machine.id.clone();
         let zone = machine.zone.clone();
@@ -881,7 +888,7 @@
             Phase::Ended(why) => {
                 if why == ExitReason::Done {
                     machine.images.insert(job.spec.image.clone());
-                    machine.failure_count = 0;
+                    machine.failures.clear();
                     if ran > 0 && job.spec.estimate > 0 {
                         let ratio = (ran as f64 / job.spec.estimate as f64).clamp(0.1, 10.0);
                         let pace = self.pace.entry(job.spec.class.clone()).or_insert(1.0);
@@ -918,6 +925,7 @@
         if job.cancelled || job.spec.shape == Shape::Service || task.index >= job.spec.tasks {
             return;
         }
+        let first = job.done.is_empty();
         // The tasks of a gang complete together: one done means every one is.
         let range = match job.spec.shape {
             Shape::Gang => 0..job.spec.tasks,
@@ -937,6 +945,9 @@
             job.saga.commit(0);
             debug_assert_eq!(job.saga.state(), State::Committed);
         }
+        if first {
+            self.cleared(&task.job, now);
+        }
     }
 
     /// An attempt is known to be gone. `why` is `None` when it vanished with its machine.
@@ -955,26 +966,7 @@
         }
         job.pending.insert(task.index);
         match why {
-            Some(ExitReason::Error) => {
-                let (_, n) = job.backoff.get(&task.index).copied().unwrap_or((0, 0));
-                let wait = (2 * SECOND) << n.min(5);
-                job.backoff.insert(task.index, (now + wait, n + 1));
-                job.failed_on.insert(id.clone());
-                let suspect = job.suspect();
-                tracing::info!(task = %task, machine = %id, suspect, "task failed");
-                if let Some(m) = self.machines.get_mut(id) {
-                    m.failures.insert(task.job.clone());
-                    m.failure_count += 1;
-                    // Other jobs fail here too, or this one does well elsewhere.
-                    if m.failures.len() >= 2 || (!suspect && m.failure_count >= 2) {
-                        tracing::info!(machine = %id, "machine judged faulty");
-                        m.bad = true;
-                    }
-                }
-                if self.machines.get(id).is_some_and(|m| m.bad) {
-                    self.drain(id);
-                }
-            }
+            Some(ExitReason::Error) => self.failed(task, id, now),
             Some(ExitReason::NoRoom | ExitReason::Busy | ExitReason::Unknown) => {
                 tracing::info!(task = %task, machine = %id, ?why, "launch refused");
                 let wait = if why == Some(ExitReason::Unknown) { 5 * SECOND } else { SECOND };
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -645,6 +645,7 @@
                     at: self.clock.wall,
                     done: String::new(),
                     cancelled: false,
+                    failing: false,
                 };
                 let value = store::raw(&record);
                 if value.get().len() + 1200 > self.settings.value_bytes {
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -21,6 +21,9 @@
 /// A zone from which nothing was heard for this long is tried with one machine.
 const DARK: Micros = 30 * SECOND;
 
+/// Nothing of a deleted machine comes later than this.
+const GHOSTS: Micros = 900 * SECOND;
+
 /// How long a refusal is remembered while nothing has been given back.
 const MAX_REFUSAL: Micros = 120 * SECOND;
 
@@ -69,8 +72,9 @@
     list_seen: Vec<Listed>,
     retry: Vec<CloudCall>,
     deleting: bool,
-    /// Machines confirmed as deleted, and when: a lagging list may still show them.
-    removed: HashMap<String, Micros>,
+    /// Machines confirmed as deleted, and when: a lagging list may still show them, and reports
+    /// that were held back in the network may come minutes later.
+    pub removed: HashMap<String, Micros>,
 }
 
 impl Fleet {
@@ -375,13 +379,14 @@
         for (id, within) in self.queue() {
             let Some(job) = self.jobs.get(&id) else { continue };
             let Some(t) = job.team else { continue };
-            if job.pending.is_empty() || job.suspect() {
+            if job.pending.is_empty() {
                 continue;
             }
             spare[t].mem = UNLIMITED;
             let need = Resources { mem: 0, ..job.spec.need };
             let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
             let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
+            tasks = tasks.min(job.worth_renting(now).saturating_sub(job.live.len() as i64));
             if job.spec.shape == Shape::Gang && tasks < i64::from(job.pending.len()) {
                 tasks = 0;
             }
@@ -703,7 +708,7 @@
             tracing::info!(machine = %id, "machine is gone from the list");
             self.remove_machine(&id, now, "it is gone");
         }
-        self.fleet.removed.retain(|_, at| now < *at + lag + 5 * SECOND);
+        self.fleet.removed.retain(|_, at| now < *at + GHOSTS + lag);
         let mut adopted = 0;
         for l in &seen {
             if !self.machines.contains_key(l.id.as_str()) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! Everything below it is free of input and output; [`daemon`] connects it to sockets and clocks.
 
 pub mod api;
+pub mod blame;
 pub mod block;
 pub mod cloud;
 pub mod cluster;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -118,7 +118,7 @@
         let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
         let mut within = HashSet::new();
         for j in ready {
-            let Some(t) = j.team else { continue };
+            let Some(t) = j.team.filter(|_| !j.suspect()) else { continue };
             let all = j.spec.need.times(i64::from(j.spec.tasks - j.done.len()));
             if Team::within(&left[t], &Resources::default(), &all) {
                 within.insert(j.id.clone());
@@ -278,8 +278,9 @@
             match job.spec.shape {
                 Shape::Gang => self.place_gang(&id, &mut slots, &mut borrowed, now),
                 Shape::Array | Shape::Service => {
+                    let suspect = job.suspect();
                     let short = self.place_tasks(&id, &mut slots, now);
-                    if short > 0 {
+                    if short > 0 && !suspect {
                         self.make_room(&id, short, &mut borrowed, now);
                     }
                 }
@@ -364,10 +365,7 @@
     fn place_tasks(&mut self, id: &JobId, slots: &mut [Slot], now: Micros) -> usize {
         let Some(job) = self.jobs.get(id) else { return 0 };
         let spec = job.spec.clone();
-        let mut limit = self.headroom(job);
-        if job.suspect() {
-            limit = limit.min(1 - job.live.len() as i64);
-        }
+        let limit = self.headroom(job).min(job.trials(now).saturating_sub(job.live.len() as i64));
         let mut zones = self.zones_of(job);
         if spec.one_zone && zones.is_empty() {
             // The zone with the most room for it.
@@ -403,6 +401,7 @@
         n: usize,
     ) -> Vec<usize> {
         let mut taken = Vec::new();
+        let suspect = self.jobs.get(id).is_some_and(Job::suspect);
         let mut order: Vec<(usize, i64, bool, usize)> = Vec::with_capacity(slots.len());
         self.looks.set(self.looks.get() + slots.len() as u64);
         for (i, slot) in slots.iter().enumerate() {
@@ -411,7 +410,8 @@
                 continue;
             }
             let Some(m) = self.machines.get(&slot.machine) else { continue };
-            if !m.failures.contains(id) {
+            // A suspect job is tried anywhere: it may have met faulty machines only.
+            if suspect || !m.failures.contains_key(id) {
                 let cached = m.images.contains(&spec.image);
                 order.push((slot.price_rank, slot.flavor_size, !cached, i));
             }
@@ -445,6 +445,7 @@
         if (fresh && !job.live.is_empty())
             || job.gang.as_ref().is_some_and(|g| g.stopping || g.running)
             || job.backoff.values().any(|b| b.0 > now)
+            || job.trials(now) == 0
         {
             return;
         }
@@ -484,7 +485,7 @@
             return;
         }
         let machines = self.machines.len() as Micros;
-        let Some(job) = self.jobs.get_mut(id) else { return };
+        let Some(job) = self.jobs.get_mut(id).filter(|j| !j.suspect()) else { return };
         let every = (GATHER_EVERY * machines).min(GATHER_AT_LEAST);
         if job.gathered_at.is_some_and(|t| now < t + every) {
             return;
@@ -636,7 +637,7 @@
         now: Micros,
     ) -> bool {
         m.usable(now, self.settings.report)
-            && !m.failures.contains(id)
+            && !m.failures.contains_key(id)
             && self.suits(m, spec, zones)
     }
 
--- a/src/store.rs
+++ b/src/store.rs
@@ -43,6 +43,9 @@
     pub done: String,
     #[serde(default)]
     pub cancelled: bool,
+    /// It fails wherever it runs.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub failing: bool,
 }
 
 /// What is kept of a pipeline that is over.
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -2,7 +2,12 @@
 
 use serde_json::json;
 
-use crate::sim::{World, job};
+use gannethub::cluster::Outcome;
+use gannethub::fleet::CloudCall;
+use gannethub::model::Shape;
+
+use crate::scale::{Floor, spec};
+use crate::sim::{SECOND, World, job};
 
 /// The rates of a small state service.
 fn slow_state(text: String) -> String {
@@ -40,3 +45,57 @@
     w.jobs.remove("j-000002");
     w.finish();
 }
+
+#[test]
+fn a_job_submitted_with_a_mistake_is_tried_ever_more_rarely_and_no_machine_is_blamed() {
+    let mut w = World::new(3, 62);
+    w.run(2);
+    w.submit(job(1, 20, json!({"shape": "service"})));
+    w.run_until(60, "the replicas run", |w| w.starts >= 20);
+    w.submit(job(2, 15, json!({"jobclass": "broken"})));
+    w.submit(job(3, 3, json!({"jobclass": "broken", "shape": "group"})));
+    w.submit(job(4, 2, json!({"jobclass": "broken", "shape": "service"})));
+    w.run(30);
+    let (failed, machines) = (w.errors.len(), w.workers.keys().cloned().collect::<Vec<_>>());
+    let old = w.leader().expect("someone leads");
+    w.crash(old, 6 * SECOND);
+    w.run(90);
+    // Three jobs, each with a handful of trials: a successor knows what its predecessor found out.
+    let more = w.errors.len() - failed;
+    assert!((3..36).contains(&more), "{more} failures in 90 s");
+    let cluster = w.leader().and_then(|l| w.nodes[l].controller.as_ref()?.cluster());
+    let blamed = cluster.map_or(0, |c| c.machines.values().filter(|m| m.bad).count());
+    assert_eq!(blamed, 0);
+    assert!(machines.iter().filter(|m| w.workers.contains_key(*m)).count() >= 5, "all returned");
+    // The mistake is mended: the job does well at its next trial, and the others at once.
+    w.jobs.get_mut("j-000002").expect("known").body["jobclass"] = json!("c");
+    w.run_until(180, "the array is done", |w| w.jobs["j-000002"].told_done.is_some());
+    (1..5).for_each(|i| w.cancel(i));
+    w.run_until(60, "the rest is cancelled", World::all_over);
+    w.finish();
+}
+
+#[test]
+fn a_report_that_comes_after_its_machine_was_deleted_shows_nothing() {
+    let mut f = Floor::new();
+    f.machines("host", 2, "large", "a");
+    f.submit("j-1", spec(Shape::Array, "red", 2, 30.0));
+    f.c.schedule(f.now);
+    f.run_all();
+    let mine: Vec<(String, u64)> =
+        f.c.machines["host-0000"].attempts.keys().map(|(t, n)| (t.to_string(), *n)).collect();
+    // It falls silent for longer than its lease and is deleted; the other goes on.
+    for _ in 0..6 {
+        f.pass(2);
+        f.report("host-0001", "large", "a", &[]);
+    }
+    let calls = f.c.plan_fleet(f.now);
+    let delete = calls.into_iter().find(|c| matches!(c, CloudCall::Delete { .. }));
+    f.c.cloud_answer(delete.expect("the silent one is returned"), Some((200, b"{}")), f.now);
+    // What it had sent before was held back in the network. Its task must not wait for it again.
+    f.pass(60);
+    let tasks: Vec<_> = mine.iter().map(|(t, n)| (t.as_str(), *n, false)).collect();
+    assert_eq!(f.try_report("host-0000", "large", "a", &tasks), Outcome::Stale);
+    assert!(!f.c.machines.contains_key("host-0000"));
+    assert!(f.c.jobs["j-1"].live.values().all(|(m, _)| &**m != "host-0000"));
+}
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -17,9 +17,9 @@
 const TERM: u64 = 1;
 
 /// A leader's view alone, with machines and time in the story's hands.
-struct Floor {
-    c: Cluster,
-    now: u64,
+pub struct Floor {
+    pub c: Cluster,
+    pub now: u64,
     stamp: u64,
     seqs: BTreeMap<String, u64>,
 }
@@ -53,7 +53,7 @@
     Arc::new(vec![flavor("small", 4.0, 0.2), flavor("large", 32.0, 1.6)])
 }
 
-fn spec(shape: Shape, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+pub fn spec(shape: Shape, team: &str, tasks: u32, cpus: f64) -> JobSpec {
     JobSpec {
         class: "c".into(),
         team: team.into(),
@@ -76,7 +76,7 @@
 }
 
 impl Floor {
-    fn new() -> Floor {
+    pub fn new() -> Floor {
         let now = 100 * SECOND;
         let mut c = Cluster::new(TERM, settings(), flavors(), now, WALL);
         c.loaded(now);
@@ -85,25 +85,44 @@
         Floor { c, now, stamp: 10, seqs: BTreeMap::new() }
     }
 
-    fn pass(&mut self, seconds: u64) {
+    pub fn pass(&mut self, seconds: u64) {
         self.now += seconds * SECOND;
         self.c.tick(self.now, WALL + self.now);
     }
 
-    fn submit(&mut self, id: &str, spec: JobSpec) {
+    pub fn submit(&mut self, id: &str, spec: JobSpec) {
         self.stamp += 1;
-        let record = JobRecord { spec, at: WALL + self.now, done: String::new(), cancelled: false };
+        let record = JobRecord {
+            spec,
+            at: WALL + self.now,
+            done: String::new(),
+            cancelled: false,
+            failing: false,
+        };
         self.c.job_record(id, record, self.stamp);
     }
 
     /// A report with these tasks; the orders it is answered with.
-    fn report(
+    pub fn report(
         &mut self,
         name: &str,
         flavor: &str,
         zone: &str,
         tasks: &[(&str, u64, bool)],
     ) -> Vec<Order> {
+        match self.try_report(name, flavor, zone, tasks) {
+            Outcome::Orders(orders) => orders,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn try_report(
+        &mut self,
+        name: &str,
+        flavor: &str,
+        zone: &str,
+        tasks: &[(&str, u64, bool)],
+    ) -> Outcome {
         let seq = self.seqs.entry(name.into()).or_default();
         *seq += 1;
         let tasks = tasks.iter().map(|(task, attempt, done)| ReportedTask {
@@ -125,14 +144,11 @@
             notice_s: None,
             tasks: tasks.collect(),
         };
-        match self.c.report(self.now, &report) {
-            Outcome::Orders(orders) => orders,
-            other => panic!("{other:?}"),
-        }
+        self.c.report(self.now, &report)
     }
 
     /// Carries out every transaction there is to write; how many there were, with their changes.
-    fn write(&mut self) -> (usize, usize) {
+    pub fn write(&mut self) -> (usize, usize) {
         let (mut calls, mut changes) = (0, 0);
         while let Some((commit, batch)) = self.c.next_commit(self.now, 1) {
             assert!(commit.changes() <= self.c.settings.txn_ops);
@@ -145,7 +161,13 @@
     }
 
     /// Machines that are up, empty and may be used.
-    fn machines(&mut self, prefix: &str, count: usize, flavor: &str, zone: &str) -> Vec<String> {
+    pub fn machines(
+        &mut self,
+        prefix: &str,
+        count: usize,
+        flavor: &str,
+        zone: &str,
+    ) -> Vec<String> {
         let names: Vec<String> = (0..count).map(|i| format!("{prefix}-{i:04}")).collect();
         names.iter().for_each(|n| drop(self.report(n, flavor, zone, &[])));
         self.write();
@@ -154,7 +176,7 @@
     }
 
     /// Every machine shows that it runs what was placed on it.
-    fn run_all(&mut self) {
+    pub fn run_all(&mut self) {
         let all: Vec<_> = self
             .c
             .machines
@@ -178,7 +200,7 @@
     }
 
     /// Answers all rental requests in full until none comes for a while.
-    fn rent_all(&mut self) -> BTreeMap<(String, String), u32> {
+    pub fn rent_all(&mut self) -> BTreeMap<(String, String), u32> {
         let mut rented = BTreeMap::new();
         for round in 0..40 {
             self.now += SECOND / 2;
@@ -310,7 +332,7 @@
 #[test]
 fn nothing_is_rented_in_a_zone_from_which_nothing_is_heard_but_one_to_try_it() {
     let mut f = Floor::new();
-    let cut = f.machines("cut", 6, "small", "a");
+    f.machines("cut", 6, "small", "a");
     let heard = f.machines("ok", 6, "small", "b");
     f.submit("j-1", spec(Shape::Array, "red", 400, 1.0));
     for _ in 0..8 {
@@ -325,7 +347,7 @@
     assert!(rented.keys().any(|k| k.1 == "b"), "{rented:?}");
     let tried: u32 = rented.iter().filter(|(k, _)| k.1 == "a").map(|(_, n)| n).sum();
     assert!(tried <= 1, "{rented:?}");
-    f.report(&cut[0], "small", "a", &[]);
+    f.report("new-0000", "small", "a", &[]);
     assert!(!f.c.dark.contains_key("a"), "heard again");
 }
 
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -94,6 +94,8 @@
     pub gang_peer: u64,
     /// Queries beyond the usual polls that come every 50 ms, for jobs at random.
     pub queries: usize,
+    /// Tasks that failed, and when.
+    pub errors: Vec<(u64, String)>,
 }
 
 pub fn settings(
@@ -182,6 +184,7 @@
             starts: 0,
             gang_peer: 5 * SECOND,
             queries: 0,
+            errors: Vec::new(),
         };
         for i in 0..nodes {
             world.nodes.push(Node { controller: None, life: 0, born: 0 });
--- a/tests/stories/sim/worker.rs
+++ b/tests/stories/sim/worker.rs
@@ -118,7 +118,10 @@
             }
             let before = t.phase;
             match t.phase {
-                Phase::Fetching if self.faulty || t.broken => t.end("error"),
+                Phase::Fetching if self.faulty || t.broken => {
+                    t.end("error");
+                    world.errors.push((now, name.clone()));
+                }
                 Phase::Fetching => {
                     let known = DONE.with(|d| d.borrow().contains(&name));
                     if t.gang {
