Move long work together when nothing waits for room, and return the emptied machines

Such tasks save when stopped, so a machine whose tasks all save and have long to run is emptied when the others have room for them. Only when no job waits for room, a part at a time, and only if the time left is four times what the move costs plus a boot. What ran before a stop now counts in the expected end and in the learned pace.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -95,6 +95,8 @@
     pub missed_lists: u32,
     pub notice: bool,
     pub deleting: bool,
+    /// Its work is being moved elsewhere, so that it can be returned.
+    pub leaving: bool,
     /// Not worth placing on: faulty, or of an unknown type.
     pub bad: bool,
     /// Jobs whose tasks have failed here since one last did well, and how often.
@@ -150,6 +152,7 @@
             && self.recorded
             && fresh
             && !self.deleting
+            && !self.leaving
             && !self.bad
             && !self.notice
             && self.flavor.is_some()
@@ -184,6 +187,8 @@
     pub pending: Ranges,
     pub live: HashMap<u32, (MachineId, u64)>,
     pub gang: Option<Gang>,
+    /// How long tasks ran before they were stopped and saved, as far as this leader has seen.
+    pub progress: HashMap<u32, Micros>,
     /// Tasks that wait after a failure, and how often they failed.
     pub backoff: HashMap<u32, (Micros, u32)>,
     pub blame: blame::Record,
@@ -363,6 +368,7 @@
             pending,
             live: HashMap::new(),
             gang: None,
+            progress: HashMap::new(),
             backoff: HashMap::new(),
             blame: blame::Record::new(record.failing),
             dirty_parts: BTreeSet::new(),
@@ -677,6 +683,7 @@
             missed_lists: 0,
             notice: false,
             deleting: false,
+            leaving: false,
             bad: flavor.is_none(),
             failures: HashMap::new(),
             images: HashSet::new(),
@@ -890,6 +897,7 @@
                     machine.images.insert(job.spec.image.clone());
                     machine.failures.clear();
                     if ran > 0 && job.spec.estimate > 0 {
+                        let ran = ran + job.progress.remove(&key.0.index).unwrap_or(0);
                         let ratio = (ran as f64 / job.spec.estimate as f64).clamp(0.1, 10.0);
                         let pace = self.pace.entry(job.spec.class.clone()).or_insert(1.0);
                         *pace += 0.05 * (ratio - *pace);
@@ -898,6 +906,7 @@
                 self.release(id, key, now);
                 self.gone(key, id, Some(why), now);
             }
+            Phase::Saving => *job.progress.entry(key.0.index).or_default() += ran,
             _ => {}
         }
     }
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -5,8 +5,8 @@
 use std::sync::Arc;
 
 use crate::cloud::{CloudRequest, Listed};
-use crate::cluster::{Cluster, Machine, MachineId, Phase};
-use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, UNLIMITED, micros, seconds};
+use crate::cluster::{Attempt, Cluster, Job, Machine, MachineId, Phase};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, TaskId, UNLIMITED, micros, seconds};
 use crate::policy::{Setting, Value};
 use crate::scheduler::{Zones, zone_ok};
 
@@ -21,6 +21,15 @@
 /// A zone from which nothing was heard for this long is tried with one machine.
 const DARK: Micros = 30 * SECOND;
 
+/// How often work is looked over for machines to empty, and what part of those that could be are
+/// emptied at once.
+const MOVE_EVERY: Micros = 3 * SECOND;
+const MOVE_PART: usize = 8;
+/// A task that has run for less is left alone.
+const MOVE_AFTER: Micros = 35 * SECOND;
+/// What a move takes beside saving and fetching: reports on both sides.
+const MOVE_COST: Micros = 5 * SECOND;
+
 /// Nothing of a deleted machine comes later than this.
 const GHOSTS: Micros = 900 * SECOND;
 
@@ -72,6 +81,7 @@
     list_seen: Vec<Listed>,
     retry: Vec<CloudCall>,
     deleting: bool,
+    next_move: Micros,
     /// Machines confirmed as deleted, and when: a lagging list may still show them, and reports
     /// that were held back in the network may come minutes later.
     pub removed: HashMap<String, Micros>,
@@ -97,6 +107,7 @@
             list_seen: Vec::new(),
             retry: Vec::new(),
             deleting: false,
+            next_move: 0,
             removed: HashMap::new(),
         }
     }
@@ -241,6 +252,7 @@
         if self.settled {
             self.return_idle(now);
             self.rent(now, &mut calls);
+            self.consolidate(now);
         }
         let doomed: Vec<String> =
             self.machines.values().filter(|m| m.deleting).map(|m| m.id.to_string()).collect();
@@ -316,7 +328,7 @@
             // The lease has run out, so nothing is lost with a machine that stays silent.
             let silent = m.up && now > m.answered_at + limit;
             let idle = m.attempts.values().all(|a| !a.holds);
-            let useless = (m.bad || m.notice) && idle && m.up;
+            let useless = (m.bad || m.notice || m.leaving) && idle && m.up;
             if stuck || silent || useless {
                 let why = if stuck {
                     "it does not boot"
@@ -324,6 +336,8 @@
                     "it is silent"
                 } else if m.bad {
                     "it is faulty"
+                } else if m.leaving {
+                    "its work has been moved"
                 } else {
                     "the cloud takes it back"
                 };
@@ -371,6 +385,104 @@
         }
     }
 
+    /// Long tasks that can save are moved together when nothing waits for room: a machine that would
+    /// be held by a few of them for long is emptied and returned.
+    fn consolidate(&mut self, now: Micros) {
+        if now < self.fleet.next_move {
+            return;
+        }
+        self.fleet.next_move = now + MOVE_EVERY;
+        let waits = |j: &Job| !j.cancelled && !j.pending.is_empty() && self.headroom(j) > 0;
+        let moving = self.machines.values().any(|m| m.leaving && !m.deleting);
+        if moving || self.jobs.values().any(waits) {
+            return;
+        }
+        // Room beside what runs, on machines that stay.
+        let mut room: BTreeMap<MachineId, Resources> = BTreeMap::new();
+        let mut sources: Vec<(f64, MachineId, Vec<TaskId>)> = Vec::new();
+        for m in self.machines.values() {
+            if !m.usable(now, self.settings.report) || m.attempts.is_empty() {
+                continue;
+            }
+            if m.free().cpu > 0 && m.kept(now).is_none() {
+                room.insert(m.id.clone(), m.free());
+            }
+            let task = |((t, _), a): (&(TaskId, u64), &Attempt)| {
+                self.movable(m, t, a, now).then(|| t.clone())
+            };
+            let tasks: Option<Vec<_>> = m.attempts.iter().map(task).collect();
+            if let (Some(tasks), Some(f)) = (tasks, m.flavor) {
+                let price = self.flavors[f].price_of(m.spot);
+                sources.push((price / m.used.cpu.max(1) as f64, m.id.clone(), tasks));
+            }
+        }
+        // What saves most for the work that is moved goes first.
+        sources.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(&b.1)));
+        let most = sources.len().div_ceil(MOVE_PART);
+        let mut hosts: HashSet<MachineId> = HashSet::new();
+        let mut leaving = Vec::new();
+        for (_, id, tasks) in sources {
+            if leaving.len() >= most {
+                break;
+            }
+            // One that others are moved to stays.
+            if hosts.contains(&id) {
+                continue;
+            }
+            let own = room.remove(&id);
+            let taken: Vec<_> = tasks.iter().map_while(|t| self.host(t, &mut room, now)).collect();
+            if taken.len() == tasks.len() {
+                hosts.extend(taken.into_iter().map(|t| t.0));
+                leaving.push((id, tasks));
+                continue;
+            }
+            for (to, need) in taken {
+                if let Some(free) = room.get_mut(&to) {
+                    *free += need;
+                }
+            }
+            own.map(|free| room.insert(id, free));
+        }
+        for (id, tasks) in leaving {
+            tracing::info!(machine = %id, tasks = tasks.len(), "moving its work elsewhere");
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.leaving = true;
+            }
+            tasks.iter().for_each(|t| self.evict(&t.job, t.index));
+        }
+    }
+
+    /// Takes room for a task that is to be moved.
+    fn host(
+        &self,
+        task: &TaskId,
+        room: &mut BTreeMap<MachineId, Resources>,
+        now: Micros,
+    ) -> Option<(MachineId, Resources)> {
+        let spec = &self.jobs.get(&task.job)?.spec;
+        let (to, free) = room.iter_mut().find(|(to, free)| {
+            let may = |m| self.may_host(m, &task.job, spec, &Zones::new(), now);
+            spec.need.fits(free) && self.machines.get(*to).is_some_and(may)
+        })?;
+        *free -= spec.need;
+        Some((to.clone(), spec.need))
+    }
+
+    /// Whether stopping a task here and going on with it elsewhere costs little against the time
+    /// that it still holds its machine.
+    fn movable(&self, m: &Machine, task: &TaskId, attempt: &Attempt, now: Micros) -> bool {
+        let (Some(job), Some(f)) = (self.jobs.get(&task.job), m.flavor) else { return false };
+        let spec = &job.spec;
+        let cost = spec.save + self.fetch_time(spec) + MOVE_COST;
+        spec.shape == Shape::Array
+            && !spec.zoned()
+            && spec.checkpoint_every > 0
+            && attempt.phase == Phase::Running
+            && attempt.stop.is_none()
+            && now > attempt.since + MOVE_AFTER
+            && self.expected_end(task, attempt, now) > now + 4 * cost + self.flavors[f].boot
+    }
+
     /// Work that has no room now and may run under its team's limit, in queue order.
     fn waiting(&self, now: Micros) -> Vec<Waiting> {
         let mut spare: Vec<Resources> =
@@ -454,7 +566,7 @@
         let mut lanes = Vec::new();
         for m in self.machines.values() {
             let Some(flavor) = m.flavor else { continue };
-            if m.deleting || m.bad || m.notice {
+            if m.deleting || m.leaving || m.bad || m.notice {
                 continue;
             }
             if !m.up {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -628,7 +628,7 @@
     }
 
     /// Whether the job's tasks may go to a machine once it has room.
-    fn may_host(
+    pub fn may_host(
         &self,
         m: &Machine,
         id: &JobId,
@@ -649,6 +649,7 @@
         }
         let running = attempt.phase == Phase::Running;
         let ran = if running { now.saturating_sub(attempt.since) } else { 0 };
+        let ran = ran + job.progress.get(&task.index).copied().unwrap_or(0);
         // What runs longer than expected is expected to run for a while yet.
         now + self.expected_run(&job.spec).saturating_sub(ran).max(ran / 4)
     }
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -4,7 +4,7 @@
 
 use gannethub::cluster::Outcome;
 use gannethub::fleet::CloudCall;
-use gannethub::model::Shape;
+use gannethub::model::{JobSpec, Shape};
 
 use crate::scale::{Floor, spec};
 use crate::sim::{SECOND, World, job};
@@ -99,3 +99,51 @@
     assert!(!f.c.machines.contains_key("host-0000"));
     assert!(f.c.jobs["j-1"].live.values().all(|(m, _)| &**m != "host-0000"));
 }
+
+#[test]
+fn long_work_is_moved_together_once_nothing_waits_and_the_emptied_machine_is_returned() {
+    let mut f = Floor::new();
+    let names = f.machines("host", 3, "small", "a");
+    f.submit("j-1", spec(Shape::Array, "red", 3, 3.0));
+    let long = spec(Shape::Array, "red", 3, 1.0);
+    let save = 3 * SECOND;
+    f.submit(
+        "j-2",
+        JobSpec { estimate: 400 * SECOND, checkpoint_every: 30 * SECOND, save, ..long },
+    );
+    f.c.schedule(f.now);
+    f.run_all();
+    // The others end, and each machine is left with one long task.
+    for name in &names {
+        let attempts = f.c.machines[name.as_str()].attempts.keys();
+        let tasks: Vec<_> = attempts.map(|(t, n)| (t.to_string(), *n)).collect();
+        assert_eq!(tasks.len(), 2);
+        let ended = |t: &str| t.starts_with("j-1/");
+        let tasks: Vec<_> = tasks.iter().map(|(t, n)| (t.as_str(), *n, ended(t))).collect();
+        f.report(name, "small", "a", &tasks);
+        f.report(name, "small", "a", &tasks[1..]);
+    }
+    let wait = |f: &mut Floor| {
+        for _ in 0..40 {
+            f.pass(1);
+            f.run_all();
+        }
+        f.c.plan_fleet(f.now);
+        f.c.machines.values().filter(|m| m.leaving).map(|m| m.id.to_string()).collect::<Vec<_>>()
+    };
+    f.submit("j-3", spec(Shape::Array, "red", 1, 30.0));
+    assert!(wait(&mut f).is_empty(), "something waits for room");
+    f.c.job_gone("j-3", u64::MAX);
+    let leaving = wait(&mut f);
+    assert_eq!(leaving.len(), 1, "a part at a time");
+    let m = &f.c.machines[leaving[0].as_str()];
+    assert!(m.attempts.values().all(|a| a.stop.is_some_and(|grace| grace > save)));
+    assert!(!m.usable(f.now, SECOND));
+    // Its task has saved: the machine goes, and the task goes on beside another.
+    f.report(&leaving[0], "small", "a", &[]);
+    f.c.schedule(f.now);
+    f.c.plan_fleet(f.now);
+    assert!(f.c.machines[leaving[0].as_str()].deleting);
+    assert!(f.c.jobs["j-2"].live.values().all(|(m, _)| **m != *leaving[0]));
+    assert_eq!(f.c.jobs["j-2"].live.len(), 3);
+}
