Do not wait out the leases of a few silent machines at a takeover: delete them

When at most one in forty is silent after two reports' time and 2 s, they are deleted, and a confirmed deletion is as good as a lease's end. Of a zone that is cut off more are silent; those are waited for.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -23,6 +23,8 @@
 
 /// Orders in one answer: keeps its line below 64 KiB.
 const MAX_ORDERS: usize = 300;
+/// A takeover does not wait for the silent when fewer than one in so many are.
+const FEW_SILENT: usize = 40;
 /// Added to every lease that is waited out.
 const LEASE_MARGIN: Micros = 250_000;
 
@@ -1189,8 +1191,18 @@
             }
         }
         if !self.settled {
-            let waits = |m: &&Machine| m.recorded && !m.confirmed && now <= m.answered_at + limit;
-            let waiting = self.machines.values().filter(waits).count();
+            let waits = |m: &Machine| m.recorded && !m.confirmed && now <= m.answered_at + limit;
+            let waiting = self.machines.values().filter(|m| waits(m)).count();
+            // Every worker has had the time to find this leader. When only a few are silent they
+            // have most likely died, and deleting them is sooner known than their leases' ends. Of
+            // a zone that is cut off more are silent, and their work goes on: they are waited for.
+            let few = (self.machines.len() / FEW_SILENT).max(1);
+            if now > self.taken_at + 2 * self.settings.report + 2 * SECOND && waiting <= few {
+                for m in self.machines.values_mut().filter(|m| waits(m) && !m.deleting) {
+                    tracing::info!(machine = %m.id, why = "it holds up a takeover", "returning");
+                    m.deleting = true;
+                }
+            }
             if waiting == 0 {
                 tracing::info!(machines = self.machines.len(), jobs = self.jobs.len(), "settled");
                 self.settled = true;
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -147,3 +147,46 @@
     assert!(f.c.jobs["j-2"].live.values().all(|(m, _)| **m != *leaving[0]));
     assert_eq!(f.c.jobs["j-2"].live.len(), 3);
 }
+
+#[test]
+fn a_takeover_does_not_wait_out_the_lease_of_one_dead_machine() {
+    let mut w = World::new(3, 63);
+    w.run(2);
+    w.submit(job(1, 30, json!({"shape": "service"})));
+    w.run_until(30, "the replicas run", |w| w.starts >= 30);
+    let old = w.leader().expect("someone leads");
+    w.crash(old, 20 * SECOND);
+    let dead = w.workers.values_mut().next().expect("a machine");
+    dead.dead = true;
+    dead.tasks.clear();
+    w.run_until(8, "another leads", |w| w.leader().is_some_and(|l| l != old));
+    let settled = |w: &World| {
+        let leader = w.leader().and_then(|l| w.nodes[l].controller.as_ref());
+        leader.and_then(|c| c.cluster()).is_some_and(|c| c.settled)
+    };
+    w.run_until(6, "every machine is accounted for", settled);
+    w.finish();
+}
+
+#[test]
+fn a_takeover_waits_for_a_zone_that_is_cut_off() {
+    let mut w = World::new(3, 64);
+    w.run(2);
+    w.submit(job(1, 30, json!({"shape": "service"})));
+    w.run_until(30, "the replicas run", |w| w.starts >= 30);
+    let old = w.leader().expect("someone leads");
+    w.crash(old, 20 * SECOND);
+    let hung = w.now + 9 * SECOND;
+    let zone = w.workers.values().next().expect("a machine").zone.clone();
+    let cut = w.workers.values_mut().filter(|m| m.zone == zone);
+    let cut: Vec<String> = cut
+        .map(|m| {
+            m.hung_until = hung;
+            m.name.clone()
+        })
+        .collect();
+    assert!(cut.len() > 2);
+    w.run(9);
+    assert!(cut.iter().all(|m| w.workers.contains_key(m)), "its work goes on");
+    w.finish();
+}
