--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -654,6 +654,11 @@
         now + self.expected_run(&job.spec).saturating_sub(ran).max(ran / 4)
     }
 
+    /// Whether the job's team has no guarantee: all that it uses is borrowed.
+    pub fn guest(&self, job: &Job) -> bool {
+        job.team.is_some_and(|t| self.settings.teams[t].guarantee == Resources::default())
+    }
+
     /// What each team runs above its guarantee, less what has been told to stop.
     fn borrowed(&self) -> Borrowed {
         let mut out: Borrowed = Vec::with_capacity(self.used.len());
@@ -683,9 +688,11 @@
         let urgent = spec.priority >= Priority::High;
         let gang = spec.shape == Shape::Gang;
         // An array's tasks find room as others end; stopping as many others only moves the work.
-        if !(urgent || job.within && gang) {
+        // Only guests, whose teams have no guarantee at all, make way for them, where they save.
+        if !(urgent || job.within) {
             return;
         }
+        let guests_only = !urgent && !gang;
         let most = self.headroom(job).clamp(0, 1000) as usize;
         // Enough room may be being made already.
         let making: i64 = self
@@ -721,6 +728,7 @@
                     let above = job.within
                         && !j.within
                         && j.team != job.team
+                        && (!guests_only || self.guest(j) && j.spec.checkpoint_every > 0)
                         && a.team.is_some_and(|t| {
                             Team::within(&borrowed[t], &Resources::default(), &a.need)
                         });
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -190,3 +190,33 @@
     assert!(cut.iter().all(|m| w.workers.contains_key(m)), "its work goes on");
     w.finish();
 }
+
+#[test]
+fn guests_that_save_make_way_for_work_within_a_guarantee_and_for_no_more() {
+    let saving = |team: &str| JobSpec {
+        checkpoint_every: 30 * SECOND,
+        save: 3 * SECOND,
+        ..spec(Shape::Array, team, 80, 1.0)
+    };
+    let stopped = |f: &Floor| {
+        let all = f.c.machines.values().flat_map(|m| m.attempts.values());
+        all.filter(|a| a.stop.is_some()).count()
+    };
+    for (team, expected) in [("guest", 20), ("blue", 0)] {
+        let mut f = Floor::new();
+        f.machines("host", 20, "small", "a");
+        f.submit("j-1", saving(team));
+        f.c.schedule(f.now);
+        f.run_all();
+        f.pass(2);
+        f.run_all();
+        // Twenty tasks lie within the guarantee, a hundred more do not.
+        f.submit("j-2", spec(Shape::Array, "red", 20, 1.0));
+        f.submit("j-3", spec(Shape::Array, "red", 100, 1.0));
+        for _ in 0..3 {
+            f.c.schedule(f.now);
+            f.pass(1);
+        }
+        assert_eq!(stopped(&f), expected, "work of {team} that makes way");
+    }
+}
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -25,7 +25,7 @@
 }
 
 fn settings() -> Arc<Settings> {
-    let teams = [("red", 64.0, 4000.0), ("blue", 64.0, 4000.0)];
+    let teams = [("red", 64.0, 4000.0), ("blue", 64.0, 4000.0), ("guest", 0.0, 0.0)];
     let mut text = String::from(
         "host_name = \"n0\"\narea = \"a\"\nbind = \"10.0.0.1:80\"\n\
          cluster_listen = \"10.0.0.1:81\"\n[outside]\ncloud = \"10.1.0.1:1\"\n\
