Learn boot times for each type and zone; the log tells how long a boot took

Machines that come up late, at once or never: the expected boot, the choice of offer, the patience with a booting machine and the spares kept now follow what was seen of the type in the zone, late and lost machines included, forgotten with a half-life of two minutes.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -11,7 +11,7 @@
 use crate::block::{Block, ChunkRecord, Member};
 use crate::fleet::Fleet;
 use crate::model::{
-    Flavor, JobId, JobSpec, Micros, Priority, Ranges, Resources, SECOND, Shape, TaskId,
+    Flavor, JobId, JobSpec, Micros, Priority, Ranges, Resources, SECOND, Shape, TaskId, seconds,
 };
 use crate::policy::Setting;
 use crate::saga::{Action, Saga, State};
@@ -93,6 +93,8 @@
     pub rented_at: Micros,
     /// The worker has reported at all, so it is up.
     pub up: bool,
+    /// It should have been up for long.
+    pub late: bool,
     pub listed: bool,
     pub missed_lists: u32,
     pub notice: bool,
@@ -681,6 +683,7 @@
             known_since: now,
             rented_at: now,
             up: false,
+            late: false,
             listed: false,
             missed_lists: 0,
             notice: false,
@@ -715,10 +718,14 @@
         {
             return Outcome::Stale;
         }
+        let mut booted = None;
         if !machine.up {
-            tracing::info!(machine = %id, known, "machine is up");
+            let took = now.saturating_sub(machine.rented_at);
+            tracing::info!(machine = %id, known, boot_s = seconds(took) as u32, "machine is up");
             machine.up = true;
             machine.idle_since = now;
+            // Of a machine that nobody knew of, nobody knows when it was rented.
+            booted = machine.flavor.filter(|_| known).map(|f| (f, took));
         }
         let new_session = report.session > machine.session;
         let news = new_session || !machine.confirmed;
@@ -736,6 +743,9 @@
         if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
             self.block.add(&id, member);
         }
+        if let Some((f, took)) = booted {
+            self.fleet.boots.up(f, &zone, self.flavors[f].boot, took, now);
+        }
         self.stirred |= news;
         if new_session {
             // The worker killed and forgot all it had when its lease ended.
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
 use std::sync::Arc;
 
+use crate::boots::{Boots, LATE_AFTER};
 use crate::cloud::{CloudRequest, Listed};
 use crate::cluster::{Attempt, Cluster, Job, Machine, MachineId, Phase};
 use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, TaskId, UNLIMITED, micros, seconds};
@@ -82,6 +83,7 @@
     retry: Vec<CloudCall>,
     deleting: bool,
     next_move: Micros,
+    pub boots: Boots,
     /// Machines confirmed as deleted, and when: a lagging list may still show them, and reports
     /// that were held back in the network may come minutes later.
     pub removed: HashMap<String, Micros>,
@@ -108,6 +110,7 @@
             retry: Vec::new(),
             deleting: false,
             next_move: 0,
+            boots: Boots::default(),
             removed: HashMap::new(),
         }
     }
@@ -316,15 +319,25 @@
     /// Machines that stay silent, never boot or have been judged faulty are given back.
     fn find_bad(&mut self, now: Micros) {
         let limit = self.lease_limit();
+        let boots = &mut self.fleet.boots;
         for m in self.machines.values_mut().filter(|m| !m.deleting) {
-            let boot = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
+            let usual = m.flavor.map_or(60 * SECOND, |f| self.flavors[f].boot);
+            let expected = m.flavor.map(|f| boots.expected(f, &m.zone, usual, now));
+            let boot = usual.max(expected.unwrap_or(0));
             // What boots in a zone that is cut off is of no use, but its first minute is paid.
-            let most = if self.dark.contains_key(&m.zone) {
-                MIN_CHARGE.max(2 * boot)
-            } else {
-                3 * boot + 20 * SECOND
-            };
-            let stuck = !m.up && now > m.rented_at.max(m.known_since) + most;
+            let dark = self.dark.contains_key(&m.zone);
+            let most = if dark { MIN_CHARGE.max(2 * boot) } else { patience(boot) };
+            let age = now.saturating_sub(m.rented_at.max(m.known_since));
+            let stuck = !m.up && age > most;
+            if let Some(f) = m.flavor.filter(|_| !m.up && !dark) {
+                if stuck {
+                    boots.lost(f, &m.zone, now);
+                } else if !m.late && age as f64 > LATE_AFTER * boot as f64 {
+                    m.late = true;
+                    boots.late(f, &m.zone, now);
+                    tracing::debug!(machine = %m.id, age_s = seconds(age) as u32, "late to boot");
+                }
+            }
             // The lease has run out, so nothing is lost with a machine that stays silent.
             let silent = m.up && now > m.answered_at + limit;
             let idle = m.attempts.values().all(|a| !a.holds);
@@ -366,6 +379,7 @@
                 continue;
             }
             let flavor = &self.flavors[f];
+            let boot = self.fleet.boots.expected(f, &m.zone, flavor.boot, now).max(flavor.boot);
             let urgent = m.urgent_at.map_or(1e9, |t| seconds(now.saturating_sub(t)));
             let facts = [
                 Value::Text(&flavor.name),
@@ -373,7 +387,7 @@
                 Value::Bool(m.spot),
                 Value::Number(flavor.size.cpu as f64 / 1000.0),
                 Value::Number(flavor.price_of(m.spot)),
-                Value::Number(seconds(flavor.boot)),
+                Value::Number(seconds(boot)),
                 Value::Number(urgent),
                 Value::Number(f64::from(*others - 1)),
             ];
@@ -584,7 +598,7 @@
             lanes.push(lane);
         }
         for (offer, count) in self.fleet.renting.values() {
-            let ready = now + self.flavors[offer.flavor].boot;
+            let ready = self.boots(offer, now);
             let zone: Arc<str> = offer.zone.as_str().into();
             let lane = || self.lane(offer.flavor, &zone, offer.spot, ready);
             (0..*count).for_each(|_| lanes.push(lane()));
@@ -657,7 +671,8 @@
 
     /// When a machine rented now is expected to be up.
     fn boots(&self, offer: &Offer, now: Micros) -> Micros {
-        now + self.flavors[offer.flavor].boot
+        let usual = self.flavors[offer.flavor].boot;
+        now + self.fleet.boots.expected(offer.flavor, &offer.zone, usual, now)
     }
 
     /// The offer that serves a waiting job at the least price for the room that it and those
@@ -686,7 +701,9 @@
                         used += w.spec.need.cpu.max(1) * n;
                     }
                 }
-                let score = flavor.price_of(spot) / used.max(1) as f64;
+                let dearer =
+                    self.fleet.boots.dearer(i, zone, flavor.boot, patience(flavor.boot), now);
+                let score = flavor.price_of(spot) * dearer / used.max(1) as f64;
                 if best.as_ref().is_none_or(|(s, _)| score < *s) {
                     best = Some((score, offer));
                 }
@@ -848,6 +865,11 @@
     }
 }
 
+/// How long a machine may take to boot before it is given up.
+fn patience(boot: Micros) -> Micros {
+    3 * boot + 20 * SECOND
+}
+
 fn same_names(a: &[crate::model::Flavor], b: &[crate::model::Flavor]) -> bool {
     a.len() == b.len() && a.iter().zip(b).all(|(x, y)| x.name == y.name)
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod api;
 pub mod blame;
 pub mod block;
+pub mod boots;
 pub mod cloud;
 pub mod cluster;
 pub mod controller;
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -610,15 +610,17 @@
     }
 
     /// When a booting machine is expected to be up. One that is overdue is expected to take as long
-    /// again as it is late; after twice the usual time it is no longer counted on.
+    /// again as it is late; after twice the expected time it is no longer counted on.
     pub fn up_at(&self, m: &Machine, now: Micros) -> Option<Micros> {
         if self.dark.contains_key(&m.zone) {
             return None;
         }
-        let boot = self.flavors[m.flavor?].boot;
+        let f = m.flavor?;
+        let usual = self.flavors[f].boot;
+        let boot = self.fleet.boots.expected(f, &m.zone, usual, now);
         let expected = m.rented_at + boot;
         let late = now.saturating_sub(expected);
-        (late <= boot).then(|| expected.max(now + late.max(2 * SECOND)))
+        (late <= boot.max(usual)).then(|| expected.max(now + late.max(2 * SECOND)))
     }
 
     /// Whether the job's own rules let its tasks go to a machine.
