--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -329,6 +329,7 @@
         let mut w = World::new(3, seed);
         w.run(2);
         let mut next = 1;
+        let mut mistakes = 0;
         let mut services = Vec::new();
         for _ in 0..24 {
             let tasks = w.rng.random_range(1..14);
@@ -343,7 +344,7 @@
                 w.submit(job(next, tasks, more));
                 next += 1;
             }
-            match w.rng.random_range(0..11) {
+            match w.rng.random_range(0..16) {
                 0 | 1 => {
                     let n = w.rng.random_range(0..3);
                     w.crash(n, 6 * SECOND);
@@ -372,6 +373,27 @@
                 }
                 8 => w.deaf.clear(),
                 9 => w.late_commits = if w.late_commits > 0.0 { 0.0 } else { 0.1 },
+                10 => {
+                    let (least, most) =
+                        [(1, 2), (1_000, 4_000), (3_000, 15_000)][w.rng.random_range(0..3)];
+                    w.boot = (least * 1000, most * 1000);
+                    w.never_boot = [0.0, 0.2][w.rng.random_range(0..2)];
+                }
+                11 => w.list_lag = w.rng.random_range(0..12) * SECOND,
+                12 => w.queries = [0, 5][w.rng.random_range(0..2)],
+                13 => {
+                    let n = w.rng.random_range(0..3);
+                    if !w.refused.remove(&n) {
+                        w.refused.insert(n);
+                    }
+                }
+                14 => {
+                    let broken = json!({"crew": crew, "jobclass": "broken", "shape": shape});
+                    mistakes += 1;
+                    w.submit(job(900 + mistakes, tasks, broken));
+                    w.run(6);
+                    w.cancel(900 + mistakes);
+                }
                 _ => {
                     let n = w.rng.random_range(1..=next);
                     w.cancel(n);
@@ -384,6 +406,10 @@
         w.cut.clear();
         w.deaf.clear();
         w.late_commits = 0.0;
+        w.refused.clear();
+        w.never_boot = 0.0;
+        w.queries = 0;
+        (1..=mistakes).for_each(|i| w.cancel(900 + i));
         // Replicas hold their team's room until they are cancelled.
         (1..next)
             .filter(|i| w.jobs[&format!("j-{i:06}")].body["shape"] == "service")
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -220,3 +220,55 @@
         assert_eq!(stopped(&f), expected, "work of {team} that makes way");
     }
 }
+
+#[test]
+fn queries_share_reads_and_ids_that_nobody_submitted_cost_one_each() {
+    let mut w = World::new(3, 65);
+    w.run(2);
+    (0..60).for_each(|i| w.submit(job(i, 1, json!({"shape": "service"}))));
+    w.run_until(60, "all are accepted", |w| w.jobs.values().all(|j| j.accepted.is_some()));
+    w.run(20);
+    let quiet = w.state.requests;
+    w.run(10);
+    let usual = w.state.requests - quiet;
+    let polls = |w: &World| w.jobs.values().map(|j| j.polls).sum::<usize>();
+    let (before, asked) = (w.state.requests, polls(&w));
+    w.queries = 30;
+    w.run(10);
+    w.queries = 0;
+    let answered = polls(&w) - asked;
+    assert!(answered > 5500, "{answered} of some 6000 queries answered");
+    let more = w.state.requests - before;
+    // Ten reads a second on each of three controllers.
+    assert!(more < usual + 330, "{more} requests against {usual} without the storm");
+    // A flood of queries for ten ids that were never submitted, on three controllers.
+    let before = w.state.requests;
+    for _ in 0..10 {
+        (0..200).for_each(|i| w.ask(&format!("j-77{:04}", i % 10), "poll"));
+        w.run(1);
+    }
+    let more = w.state.requests - before;
+    assert!(more < usual + 150, "{more} requests against {usual} without the flood");
+    w.finish();
+}
+
+#[test]
+fn machines_that_come_late_or_never_are_given_up_and_one_that_reports_first_is_used() {
+    let mut w = World::new(3, 66);
+    w.run(2);
+    w.never_boot = 0.3;
+    w.boot = (SECOND, 20 * SECOND);
+    w.list_lag = 15 * SECOND;
+    w.submit(job(1, 60, json!({})));
+    w.run_until(200, "the array is done", World::all_over);
+    // Nothing is left of what never came up.
+    w.run(60);
+    assert!(w.workers.is_empty(), "{} are still paid for", w.workers.len());
+    // Now they are up at once, before the rental's answer, and long before any list names them.
+    (w.never_boot, w.boot) = (0.0, (1, 2));
+    let rented = w.starts;
+    w.submit(job(2, 8, json!({})));
+    w.run_until(12, "all run", |w| w.starts >= rented + 8);
+    w.run_until(60, "the second is done", World::all_over);
+    w.finish();
+}
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -77,6 +77,11 @@
     pub late_commits: f64,
     pub workers: BTreeMap<String, Worker>,
     pub capacity: usize,
+    /// How long machines take to boot, at least and at most, and the share that never do.
+    pub boot: (u64, u64),
+    pub never_boot: f64,
+    /// How far the cloud's list lags behind.
+    pub list_lag: u64,
     /// The cloud fails to delete machines.
     pub no_deletes: bool,
     rentals: HashMap<String, Vec<String>>,
@@ -170,6 +175,9 @@
             late_commits: 0.0,
             workers: BTreeMap::new(),
             capacity: 12,
+            boot: (SECOND, 4 * SECOND),
+            never_boot: 0.0,
+            list_lag: 2 * SECOND,
             no_deletes: false,
             rentals: HashMap::new(),
             rented: 0,
@@ -453,10 +461,12 @@
                 for _ in 0..count {
                     self.rented += 1;
                     let id = format!("host-{:06}", self.rented);
-                    let boots = self.now + self.rng.random_range(SECOND..4 * SECOND);
+                    let boot = self.rng.random_range(self.boot.0..self.boot.1);
+                    let never = self.never_boot > 0.0 && self.rng.random_bool(self.never_boot);
+                    let boot = if never { u64::MAX } else { boot };
                     let nodes = self.nodes.len();
                     let first = self.rng.random_range(0..nodes);
-                    let worker = Worker::new(&id, &body, boots, first);
+                    let worker = Worker::new(&id, &body, self.now, boot, first);
                     self.workers.insert(id.clone(), worker);
                     hosts.push(id);
                 }
@@ -467,9 +477,13 @@
                 let hosts: Vec<Value> = self
                     .workers
                     .values()
-                    .filter(|w| self.now > w.boots_at + 2 * SECOND)
+                    .filter(|w| self.now > w.rented_at + self.list_lag)
                     .map(|w| {
-                        let status = if w.dead { "failed" } else { "running" };
+                        let status = match (w.dead, self.now < w.boots_at) {
+                            (true, _) => "failed",
+                            (false, true) => "booting",
+                            (false, false) => "running",
+                        };
                         json!({"id": w.name, "addr": "10.9.0.1:9000", "rig": w.flavor,
                                "yard": w.zone, "loaners": w.spot, "status": status, "held_s": 5.0})
                     })
@@ -660,7 +674,7 @@
         self.jobs.values().all(|j| {
             j.told_done.is_some()
                 || j.told_cancelled.is_some()
-                || j.body["shape"].as_str() == Some("service")
+                || (j.body["shape"].as_str() == Some("service") && j.accepted.is_some())
         })
     }
 
@@ -744,8 +758,10 @@
         self.check_cancelled();
         assert_eq!(self.broken, Vec::<String>::new());
         assert!(self.starts > 0, "nothing ran");
+        // Of one that was cancelled at once the end may be the first thing told.
+        let untold = |j: &UserJob| j.accepted.is_none() && j.told_cancelled.is_none();
         let untold: Vec<&String> =
-            self.jobs.iter().filter(|(_, j)| j.accepted.is_none()).map(|(id, _)| id).collect();
+            self.jobs.iter().filter(|(_, j)| untold(j)).map(|(id, _)| id).collect();
         assert!(untold.is_empty(), "never accepted: {untold:?}");
     }
 }
--- a/tests/stories/sim/state.rs
+++ b/tests/stories/sim/state.rs
@@ -21,6 +21,8 @@
     revision: u64,
     next_grant: u64,
     pub down: bool,
+    /// Requests so far.
+    pub requests: usize,
 }
 
 /// What a request comes to: an answer, or a watch that waits.
@@ -87,6 +89,7 @@
     }
 
     pub fn handle(&mut self, request: &StoreRequest, now: u64) -> Outcome {
+        self.requests += 1;
         if self.down {
             return Outcome::Answer(503, json!({"error": "down"}));
         }
--- a/tests/stories/sim/worker.rs
+++ b/tests/stories/sim/worker.rs
@@ -54,6 +54,7 @@
     pub flavor: String,
     pub zone: String,
     pub spot: bool,
+    pub rented_at: u64,
     pub boots_at: u64,
     pub dead: bool,
     pub hung_until: u64,
@@ -71,13 +72,15 @@
 }
 
 impl Worker {
-    pub fn new(name: &str, rental: &Value, boots_at: u64, node: usize) -> Worker {
+    pub fn new(name: &str, rental: &Value, now: u64, boot: u64, node: usize) -> Worker {
+        let boots_at = now.saturating_add(boot);
         let text = |f: &str| rental[f].as_str().unwrap_or("").to_string();
         Worker {
             name: name.into(),
             flavor: text("rig"),
             zone: text("yard"),
             spot: rental["loaners"] == json!(true),
+            rented_at: now,
             boots_at,
             dead: false,
             hung_until: 0,
