Let placing cost no more than the room there is, however many tasks an array has

Every look at a job listed all its waiting tasks up to the team's limit; for a guest without one that was all of an array's 18,000, with each report that freed room. Now only as many are listed as found room.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -377,11 +377,14 @@
             let Some((zone, _)) = best else { return 0 };
             zones.insert(zone.into(), 0);
         }
+        // A huge array must cost no more than the room there is for it.
         let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
-        let tasks: Vec<u32> =
-            job.pending.iter().filter(ready).take(limit.max(0) as usize).collect();
-        let taken = self.fit(id, &spec, slots, &mut zones, tasks.len());
-        let short = tasks.len() - taken.len();
+        let waiting = job.backoff.values().filter(|b| b.0 > now).count();
+        let wanted =
+            (job.pending.len() as usize).saturating_sub(waiting).min(limit.max(0) as usize);
+        let taken = self.fit(id, &spec, slots, &mut zones, wanted);
+        let short = wanted - taken.len();
+        let tasks: Vec<u32> = job.pending.iter().filter(ready).take(taken.len()).collect();
         for (index, machine) in tasks.into_iter().zip(taken) {
             let attempt = self.next_attempt();
             self.place(id, index, &slots[machine].machine, attempt, now);
