--- a/src/api.rs
+++ b/src/api.rs
@@ -1,5 +1,7 @@
 //! The users' interface: submissions read and checked, answers written.
 
+use std::collections::BTreeSet;
+
 use serde::Serialize;
 use serde_json::{Map, Value};
 
@@ -11,6 +13,8 @@
 /// The most tasks a job may have.
 pub const MAX_TASKS: u32 = 100_000;
 const MAX_NAME: usize = 128;
+/// An answer names so many of the jobs that one waits for.
+const SHOWN: usize = 100;
 
 /// What a user is told about a job.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -26,6 +30,22 @@
     pub status: Status,
     pub done: u32,
     pub running: u32,
+    /// Jobs that have to be done before it begins.
+    pub waits_on: Vec<JobId>,
+}
+
+impl JobView {
+    pub fn new(status: Status, done: u32) -> JobView {
+        JobView { status, done, running: 0, waits_on: Vec::new() }
+    }
+}
+
+/// A submission that was read.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Submission {
+    pub spec: JobSpec,
+    /// Jobs that it waits for, each once.
+    pub waits_on: Vec<JobId>,
 }
 
 /// The body of an answer about a job.
@@ -36,6 +56,8 @@
         status: &'a str,
         done: u32,
         running: u32,
+        #[serde(skip_serializing_if = "Vec::is_empty")]
+        waits_on: Vec<&'a str>,
     }
     let status = match view.status {
         Status::Pending => "pending",
@@ -43,7 +65,8 @@
         Status::Done => "done",
         Status::Cancelled => "cancelled",
     };
-    Response::json(code, &Wire { id, status, done: view.done, running: view.running })
+    let waits_on = view.waits_on.iter().take(SHOWN).map(|id| &**id).collect();
+    Response::json(code, &Wire { id, status, done: view.done, running: view.running, waits_on })
 }
 
 /// Why a submission is refused.
@@ -98,12 +121,39 @@
     Ok((map, id))
 }
 
+/// Reads the list of jobs that a job waits for.
+fn parse_waits_on(f: &Fields<'_>) -> Result<Vec<JobId>, Refusal> {
+    let own = f.get("id").and_then(Value::as_str);
+    let mut ids = BTreeSet::new();
+    match f.get("waits_on") {
+        None => {}
+        Some(Value::Array(list)) => {
+            for id in list {
+                match id.as_str().filter(|id| valid_job_id(id)) {
+                    Some(id) if own == Some(id) => {
+                        return bad("waits_on", "a job cannot wait for itself");
+                    }
+                    Some(id) => ids.insert(JobId::from(id)),
+                    None => return bad("waits_on", "a list of job ids like j-000412 is needed"),
+                };
+            }
+        }
+        Some(_) => return bad("waits_on", "a list of job ids or null"),
+    }
+    Ok(ids.into_iter().collect())
+}
+
 /// Reads a submission. Nothing here depends on the cluster.
-pub fn parse_spec(map: &Map<String, Value>) -> Result<JobSpec, Refusal> {
+pub fn parse_submission(map: &Map<String, Value>) -> Result<Submission, Refusal> {
     let f = Fields(map);
     if !f.get("id").and_then(Value::as_str).is_some_and(valid_job_id) {
         return bad("id", "a job id like j-000412 is needed");
     }
+    let waits_on = parse_waits_on(&f)?;
+    Ok(Submission { spec: parse_spec(&f)?, waits_on })
+}
+
+fn parse_spec(f: &Fields<'_>) -> Result<JobSpec, Refusal> {
     let shape = match f.text("shape")?.as_str() {
         "array" => Shape::Array,
         "group" => Shape::Gang,
@@ -245,7 +295,7 @@
     fn check(body: &str) -> Result<JobSpec, Refusal> {
         let teams = crate::settings::tests::SAMPLE;
         let (settings, _) = crate::settings::Settings::parse(teams, "f").unwrap();
-        let mut spec = parse_spec(&parse_object(body.as_bytes())?.0)?;
+        let mut spec = parse_submission(&parse_object(body.as_bytes())?.0)?.spec;
         admit(&mut spec, &settings.teams, &[flavor("g8", 96.0, 8.0, 768.0)])?;
         Ok(spec)
     }
@@ -281,6 +331,25 @@
         }
     }
 
+    #[test]
+    fn the_jobs_that_one_waits_for_are_read_once_each() {
+        let parse = |list: &str| {
+            let body = JOB.replace("\"x\":1", &format!("\"waits_on\":{list}"));
+            parse_submission(&parse_object(body.as_bytes())?.0).map(|s| s.waits_on)
+        };
+        for none in ["null", "[]"] {
+            assert_eq!(parse(none), Ok(Vec::new()));
+        }
+        let two = parse(r#"["j-000405","j-000398","j-000405"]"#).unwrap();
+        assert_eq!(two, [JobId::from("j-000398"), JobId::from("j-000405")]);
+        for wrong in ["\"j-1\"", "[1]", "[\"x\"]", "{}", "[\"j-000412\"]", "[null]"] {
+            match parse(wrong) {
+                Err(Refusal::Malformed(why)) => assert!(why.starts_with("waits_on"), "{why}"),
+                other => panic!("{wrong}: {other:?}"),
+            }
+        }
+    }
+
     #[test]
     fn what_can_never_run_is_told_apart_from_what_cannot_be_decided_yet() {
         for (from, to) in [
--- a/src/block.rs
+++ b/src/block.rs
@@ -4,7 +4,7 @@
 //! limit. A machine is written there before the first launch on it: whoever takes the block over
 //! reads every machine that may hold tasks.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -28,11 +28,41 @@
     pub machines: BTreeMap<String, Member>,
 }
 
+/// Removals that a chunk gathers before they are written beside other work.
+const REMOVALS: usize = 8;
+
+impl Member {
+    /// What it takes of a chunk's value, at most.
+    fn bytes(&self, name: &str) -> usize {
+        name.len() + self.flavor.len() + self.zone.len() + 50
+    }
+}
+
 #[derive(Debug, Default)]
 struct Chunk {
     stamp: u64,
     machines: BTreeMap<String, Member>,
-    dirty: bool,
+    bytes: usize,
+    /// Machines were added: nothing can be placed on them before that is written.
+    added: bool,
+    /// Machines taken out since it was last written: their record only costs a successor time.
+    removed: usize,
+    /// Chunks that have taken over machines from this one. As long as they are not written, the
+    /// stored value of this one is the only record of those machines.
+    held: BTreeSet<usize>,
+}
+
+impl Chunk {
+    fn insert(&mut self, name: &str, member: Member) {
+        self.bytes += member.bytes(name);
+        self.machines.insert(name.into(), member);
+    }
+
+    fn remove(&mut self, name: &str) -> Option<Member> {
+        let member = self.machines.remove(name)?;
+        self.bytes -= member.bytes(name);
+        Some(member)
+    }
 }
 
 /// A block as its holder sees it.
@@ -42,16 +72,25 @@
     pub term: u64,
     pub holder: String,
     per_chunk: usize,
+    /// What the members of a chunk may take.
+    room: usize,
     chunks: Vec<Chunk>,
     place: HashMap<String, usize>,
 }
 
 impl Block {
     pub fn new(id: u32, term: u64, holder: &str, value_bytes: usize, chunk: usize) -> Block {
-        // A member takes some 130 bytes with the longest plausible names.
-        let per_chunk = (value_bytes / 160).min(chunk).max(4);
+        let room = value_bytes.saturating_sub(150 + holder.len());
         let place = HashMap::new();
-        Block { id, term, holder: holder.into(), per_chunk, chunks: Vec::new(), place }
+        Block {
+            id,
+            term,
+            holder: holder.into(),
+            per_chunk: chunk.max(1),
+            room,
+            chunks: Vec::new(),
+            place,
+        }
     }
 
     pub fn key(&self, chunk: usize) -> String {
@@ -64,70 +103,110 @@
         rest.strip_prefix('/')?.parse().ok().filter(|n| *n < 100_000)
     }
 
-    /// Takes over what a chunk holds.
+    /// Takes over what a chunk holds. A machine that another chunk holds as well was on its way from
+    /// one to the other; it stays where it was seen first, and is taken out here.
     pub fn load(&mut self, chunk: usize, record: ChunkRecord, stamp: u64) {
         while self.chunks.len() <= chunk {
             self.chunks.push(Chunk::default());
         }
-        for name in record.machines.keys() {
+        let c = &mut self.chunks[chunk];
+        c.stamp = stamp;
+        for (name, member) in record.machines {
+            if self.place.contains_key(&name) {
+                c.removed += 1;
+                continue;
+            }
             self.place.insert(name.clone(), chunk);
+            c.insert(&name, member);
+        }
+    }
+
+    /// Everything has been loaded. Chunks that a holder wrote under larger limits could not be
+    /// written again: what is too much for them moves to others, which are written first.
+    pub fn loaded(&mut self) {
+        for i in 0..self.chunks.len() {
+            let mut moving = Vec::new();
+            let c = &mut self.chunks[i];
+            while c.bytes > self.room || c.machines.len() > self.per_chunk {
+                let Some(name) = c.machines.keys().next_back().cloned() else { break };
+                moving.extend(c.remove(&name).map(|member| (name, member)));
+            }
+            for (name, member) in moving {
+                self.place.remove(&name);
+                let to = self.add(&name, member, Some(i));
+                self.chunks[i].held.insert(to);
+                self.chunks[i].removed += REMOVALS;
+            }
         }
-        self.chunks[chunk].stamp = stamp;
-        self.chunks[chunk].machines = record.machines;
     }
 
     pub fn contains(&self, name: &str) -> bool {
         self.place.contains_key(name)
     }
 
-    /// Adds a machine; it counts only once its chunk is written.
-    pub fn add(&mut self, name: &str, member: Member) {
-        if self.contains(name) {
-            return;
+    /// Adds a machine, but not to chunk `except`; it counts only once its chunk is written.
+    pub fn add(&mut self, name: &str, member: Member, except: Option<usize>) -> usize {
+        if let Some(chunk) = self.place.get(name) {
+            return *chunk;
         }
-        let roomy = self.chunks.iter().position(|c| c.machines.len() < self.per_chunk);
-        let chunk = roomy.unwrap_or_else(|| {
+        let bytes = member.bytes(name);
+        let roomy = |(i, c): (usize, &Chunk)| {
+            // What another chunk waits for must not be held up itself.
+            Some(i) != except
+                && c.held.is_empty()
+                && c.machines.len() < self.per_chunk
+                && c.bytes + bytes <= self.room
+        };
+        let chunk = self.chunks.iter().enumerate().position(roomy).unwrap_or_else(|| {
             self.chunks.push(Chunk::default());
             self.chunks.len() - 1
         });
-        self.chunks[chunk].machines.insert(name.into(), member);
-        self.chunks[chunk].dirty = true;
+        self.chunks[chunk].insert(name, member);
+        self.chunks[chunk].added = true;
         self.place.insert(name.into(), chunk);
+        chunk
     }
 
     /// Takes out a machine that is known to be gone.
     pub fn remove(&mut self, name: &str) {
         if let Some(chunk) = self.place.remove(name) {
-            self.chunks[chunk].machines.remove(name);
-            self.chunks[chunk].dirty = true;
+            self.chunks[chunk].remove(name);
+            self.chunks[chunk].removed += 1;
         }
     }
 
-    /// The next chunk to write: its number, its version and its new value.
-    pub fn dirty(&self) -> Option<(usize, u64, ChunkRecord)> {
-        let (i, c) = self.chunks.iter().enumerate().find(|(_, c)| c.dirty)?;
+    /// The next chunk to write: its number, its version and its new value. `idle`: there is nothing
+    /// else to write.
+    pub fn dirty(&self, idle: bool) -> Option<(usize, u64, ChunkRecord)> {
+        let least = if idle { 1 } else { REMOVALS };
+        let due = |c: &Chunk| c.held.is_empty() && (c.added || c.removed >= least);
+        let (i, c) = self.chunks.iter().enumerate().find(|(_, c)| due(c))?;
         let machines = c.machines.clone();
         Some((i, c.stamp, ChunkRecord { term: self.term, holder: self.holder.clone(), machines }))
     }
 
     /// A chunk is on its way to the store: what changes from here on makes it dirty again.
     pub fn writing(&mut self, chunk: usize) {
-        self.chunks[chunk].dirty = false;
+        self.chunks[chunk].added = false;
+        self.chunks[chunk].removed = 0;
     }
 
     pub fn written(&mut self, chunk: usize, stamp: u64) {
         self.chunks[chunk].stamp = stamp;
+        for c in &mut self.chunks {
+            c.held.remove(&chunk);
+        }
     }
 
     /// A write was not carried out.
     pub fn unwritten(&mut self, chunk: usize) {
-        self.chunks[chunk].dirty = true;
+        self.chunks[chunk].added = true;
     }
 
     /// A write's fate is unknown: write again on top of what the store holds now.
     pub fn rewrite(&mut self, chunk: usize, stamp: u64) {
         self.chunks[chunk].stamp = stamp;
-        self.chunks[chunk].dirty = true;
+        self.chunks[chunk].added = true;
     }
 }
 
@@ -135,24 +214,90 @@
 mod tests {
     use super::*;
 
+    fn member() -> Member {
+        Member { flavor: "g8".into(), zone: "a".into(), spot: false }
+    }
+
+    /// Writes all there is to write, in any number of steps, and returns what the store then holds.
+    fn write_all(block: &mut Block, store: &mut BTreeMap<usize, ChunkRecord>, limit: usize) {
+        while let Some((chunk, _, record)) = block.dirty(true) {
+            assert!(serde_json::to_string(&record).unwrap().len() <= limit);
+            store.insert(chunk, record);
+            block.writing(chunk);
+            block.written(chunk, 9);
+        }
+    }
+
+    fn load(store: &BTreeMap<usize, ChunkRecord>, limit: usize) -> Block {
+        let mut block = Block::new(0, 2, "n1", limit, 100);
+        store.iter().for_each(|(chunk, record)| block.load(*chunk, record.clone(), 9));
+        block.loaded();
+        block
+    }
+
     #[test]
     fn machines_spread_over_chunks_and_a_successor_reads_them_all() {
-        let member = Member { flavor: "g8".into(), zone: "a".into(), spot: false };
         let mut block = Block::new(0, 1, "n0", 1024, 100);
-        for i in 0..14 {
-            block.add(&format!("host-{i}"), member.clone());
+        for i in 0..30 {
+            block.add(&format!("host-{i}"), member(), None);
         }
         block.remove("host-3");
-        let mut next = Block::new(0, 2, "n1", 1024, 100);
-        while let Some((chunk, _, record)) = block.dirty() {
-            assert!(serde_json::to_string(&record).unwrap().len() <= 1024);
-            assert_eq!(next.chunk_of_key(&block.key(chunk)), Some(chunk));
-            next.load(chunk, record, 9);
-            block.writing(chunk);
-        }
+        let mut store = BTreeMap::new();
+        write_all(&mut block, &mut store, 1024);
+        assert!(store.len() > 1);
+        let mut next = load(&store, 1024);
+        assert_eq!(next.chunk_of_key(&block.key(1)), Some(1));
         assert!(next.contains("host-13") && !next.contains("host-3"));
-        assert!(next.dirty().is_none());
-        next.add("host-99", member);
-        assert_eq!(next.dirty().unwrap().0, 0, "the room that host-3 left is used again");
+        assert!(next.dirty(true).is_none());
+        next.add("host-99", member(), None);
+        assert_eq!(next.dirty(false).unwrap().0, 0, "the room that host-3 left is used again");
+    }
+
+    #[test]
+    fn a_chunk_too_large_is_split_and_at_no_moment_is_a_machine_without_a_record() {
+        let mut big = Block::new(0, 1, "n0", 16 * 1024, 100);
+        for i in 0..100 {
+            big.add(&format!("host-{i:06}"), member(), None);
+        }
+        let mut store = BTreeMap::new();
+        write_all(&mut big, &mut store, 16 * 1024);
+        assert_eq!(store.len(), 1);
+        // The one that splits may end after any number of writes, and another goes on.
+        for most in 0..12 {
+            let mut store = store.clone();
+            let mut block = load(&store, 2048);
+            for _ in 0..most {
+                let Some((chunk, _, record)) = block.dirty(true) else { break };
+                assert!(serde_json::to_string(&record).unwrap().len() <= 2048);
+                store.insert(chunk, record);
+                block.writing(chunk);
+                block.written(chunk, 9);
+                let next = load(&store, 2048);
+                assert!((0..100).all(|i| next.contains(&format!("host-{i:06}"))));
+            }
+            let mut next = load(&store, 2048);
+            write_all(&mut next, &mut store, 2048);
+            let sizes = store.values().map(|r| serde_json::to_string(r).unwrap().len());
+            assert!(sizes.max().unwrap() <= 2048 && store.len() >= 4);
+            let total: usize = store.values().map(|r| r.machines.len()).sum();
+            assert_eq!(total, 100, "none is left in two chunks");
+        }
+    }
+
+    #[test]
+    fn removals_wait_for_a_quiet_moment_and_additions_do_not() {
+        let mut block = Block::new(0, 1, "n0", 4096, 100);
+        for i in 0..9 {
+            block.add(&format!("host-{i}"), member(), None);
+        }
+        write_all(&mut block, &mut BTreeMap::new(), 4096);
+        block.remove("host-1");
+        assert!(block.dirty(false).is_none() && block.dirty(true).is_some());
+        block.add("host-10", member(), None);
+        assert!(block.dirty(false).is_some());
+        write_all(&mut block, &mut BTreeMap::new(), 4096);
+        (2..9).for_each(|i| block.remove(&format!("host-{i}")));
+        block.remove("host-10");
+        assert!(block.dirty(false).is_some(), "many removals do not wait for ever");
     }
 }
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -13,10 +13,11 @@
 use crate::model::{
     Flavor, JobId, JobSpec, Micros, Priority, Ranges, Resources, SECOND, Shape, TaskId, seconds,
 };
+use crate::pipeline::{Pipelines, Pull};
 use crate::policy::Setting;
 use crate::saga::{Action, Saga, State};
 use crate::settings::Settings;
-use crate::store::{self, Commit, JobRecord, OverRecord, PART_TASKS, PartRecord};
+use crate::store::{self, Commit, JobRecord, LiveRecord, OverRecord, PART_TASKS, PartRecord};
 use crate::worker::{ExitReason, Order, Report, TaskState};
 
 pub type MachineId = Arc<str>;
@@ -168,7 +169,7 @@
 pub struct Gang {
     pub attempt: u64,
     /// The attempt's own saga: its tasks are vital to it, it is not vital to its job.
-    pub saga: Saga,
+    pub saga: Saga<u32>,
     pub running: bool,
     pub stopping: bool,
 }
@@ -180,14 +181,19 @@
     pub spec: Arc<JobSpec>,
     submitted: Arc<JobSpec>,
     pub team: Option<usize>,
+    /// Time of day at acceptance: deadlines count from here ...
     pub at: u64,
+    /// ... and everything else from here, when the last job that it waited for was done.
+    pub ready: u64,
+    /// What jobs that wait for it ask of it.
+    pub pull: Option<Pull>,
     pub stamp: u64,
     pub done: Ranges,
     /// The part of `done` that the state service holds.
     pub flushed: Ranges,
     pub cancelled: bool,
-    /// The pipeline's saga; this version's pipelines have one job each.
-    pub saga: Saga,
+    /// The job's own saga. [`Pipelines`] holds the one that it shares with what waits for it.
+    pub saga: Saga<u32>,
     pub pending: Ranges,
     pub live: HashMap<u32, (MachineId, u64)>,
     pub gang: Option<Gang>,
@@ -198,6 +204,8 @@
     pub blame: blame::Record,
     dirty_parts: BTreeSet<u32>,
     dirty_since: Option<Micros>,
+    /// Finished tasks of its first part are kept in a key of their own: its value has no room.
+    outgrown: bool,
     writing: bool,
     /// Its version is unknown until it has been read again.
     pub unsure: bool,
@@ -220,8 +228,9 @@
         self.dirty_since.get_or_insert(now);
     }
 
-    pub fn deadline(&self) -> Option<u64> {
-        self.spec.deadline.map(|d| self.at + d)
+    /// Its own priority, or that of a job that needs it.
+    pub fn priority(&self) -> Priority {
+        self.pull.as_ref().map_or(self.spec.priority, |p| p.priority.max(self.spec.priority))
     }
 
     pub fn running(&self) -> u32 {
@@ -241,10 +250,29 @@
 
 /// Part of a transaction in flight.
 #[derive(Debug, Clone)]
-enum Item {
-    Job { id: JobId, parts: BTreeMap<u32, Ranges> },
-    Over { id: JobId },
-    Chunk { index: usize, members: Vec<String> },
+pub enum Item {
+    Job {
+        id: JobId,
+        parts: BTreeMap<u32, Ranges>,
+        whole: bool,
+    },
+    Over {
+        id: JobId,
+        cancelled: bool,
+    },
+    /// A job that waited for others is released.
+    Release {
+        id: JobId,
+        record: Box<JobRecord>,
+    },
+    /// A waiting job is cancelled with one that it needs.
+    Mark {
+        id: JobId,
+    },
+    Chunk {
+        index: usize,
+        members: Vec<String>,
+    },
     Drop,
 }
 
@@ -255,6 +283,11 @@
 }
 
 impl Batch {
+    pub fn push(&mut self, item: Item, key: String) {
+        self.items.push(item);
+        self.keys.push(key);
+    }
+
     /// Keys whose versions are unsure when the transaction's fate is.
     pub fn keys(&self) -> &[String] {
         &self.keys
@@ -266,7 +299,10 @@
     pub term: u64,
     pub settings: Arc<Settings>,
     pub flavors: Arc<Vec<Flavor>>,
+    /// Jobs that wait for no other: only these can be placed.
     pub jobs: BTreeMap<JobId, Job>,
+    /// Jobs that wait for others.
+    pub pipelines: Pipelines,
     pub machines: BTreeMap<MachineId, Machine>,
     pub used: Vec<Resources>,
     /// The size of all machines that are up.
@@ -295,6 +331,8 @@
     pub dark: HashMap<Arc<str>, Micros>,
     /// How often a machine was looked at to place something: the cost of scheduling.
     pub looks: Cell<u64>,
+    /// Transactions in a row that the state service called malformed or too large.
+    pub refusals: u32,
 }
 
 impl Cluster {
@@ -315,6 +353,7 @@
             settings,
             flavors,
             jobs: BTreeMap::new(),
+            pipelines: Pipelines::default(),
             machines: BTreeMap::new(),
             block,
             settled: false,
@@ -330,11 +369,30 @@
             last_pass: 0,
             dark: HashMap::new(),
             looks: Cell::new(0),
+            refusals: 0,
         }
     }
 
     // ---- Loading and following the state service ----
 
+    /// Takes in a live job's record.
+    pub fn live_record(&mut self, id: &str, record: LiveRecord, stamp: u64) {
+        match record {
+            LiveRecord::Job(record) => self.job_record(id, record, stamp),
+            LiveRecord::Waiting(record) => self.waiting_record(id, record, stamp),
+        }
+    }
+
+    /// The newest version of a live record that is known here.
+    pub fn stamp_of(&self, id: &str) -> Option<u64> {
+        self.jobs.get(id).map(|j| j.stamp).or_else(|| self.waiting_stamp(id))
+    }
+
+    /// The job was over at this version.
+    pub fn buried(&self, id: &str, stamp: u64) -> bool {
+        self.buried.get(id).is_some_and(|over| *over >= stamp)
+    }
+
     /// Takes in a job's record: a new job, a cancellation, or what was read back.
     pub fn job_record(&mut self, id: &str, record: JobRecord, stamp: u64) {
         if let Some(job) = self.jobs.get_mut(id) {
@@ -348,9 +406,10 @@
             }
             return;
         }
-        if self.buried.get(id).is_some_and(|over| *over >= stamp) {
+        if self.buried(id, stamp) {
             return;
         }
+        self.upstream_released(&id.into());
         let spec = Arc::new(record.spec);
         let mut done = Ranges::default();
         store::decode_done(&record.done, 0, &mut done);
@@ -364,6 +423,8 @@
             submitted,
             team: self.settings.team(&spec.team),
             at: record.at,
+            ready: record.ready.unwrap_or(record.at),
+            pull: None,
             stamp,
             flushed: done.clone(),
             done,
@@ -377,6 +438,7 @@
             blame: blame::Record::new(record.failing),
             dirty_parts: BTreeSet::new(),
             dirty_since: None,
+            outgrown: false,
             writing: false,
             unsure: false,
             placed: false,
@@ -407,6 +469,7 @@
         };
         match self.jobs.get_mut(id) {
             Some(job) if part < 100 => {
+                job.outgrown |= part == 0;
                 let mut done = Ranges::default();
                 store::decode_done(&record.done, part, &mut done);
                 for x in done.iter().filter(|x| *x < job.spec.tasks) {
@@ -441,6 +504,7 @@
         let actions = job.saga.abort();
         let live: Vec<_> = job.live.iter().map(|(i, p)| (*i, p.clone())).collect();
         tracing::info!(job = id, tasks = live.len(), "cancelled");
+        self.upstream_cancelled(id);
         if actions.contains(&Action::Cancel(0)) {
             for (index, (machine, attempt)) in live {
                 self.stop(id, index, &machine, attempt, 0);
@@ -448,14 +512,20 @@
         }
     }
 
-    /// A live key is gone: the job is over, whoever wrote that.
-    pub fn job_gone(&mut self, id: &str, stamp: u64) {
-        if self.jobs.get(id).is_some_and(|j| j.stamp >= stamp) {
+    /// A live key is gone: the job is over, whoever wrote that. `cancelled`: what its end says,
+    /// where that was read or written here. Else it is read if another job waits for it.
+    pub fn job_gone(&mut self, id: &str, stamp: u64, cancelled: Option<bool>) {
+        if self.stamp_of(id).is_some_and(|known| known >= stamp) {
             return;
         }
         self.buried.insert(id.into(), stamp);
+        if self.waiting_gone(id) {
+            return;
+        }
+        self.upstream_over(id, cancelled);
         if let Some(job) = self.jobs.remove(id) {
-            for part in 1..job.spec.tasks.div_ceil(PART_TASKS) {
+            let first = u32::from(!job.outgrown);
+            for part in first..job.spec.tasks.div_ceil(PART_TASKS) {
                 self.drops.push(format!("{}{id}/{part}", store::PART));
             }
         }
@@ -469,26 +539,21 @@
     /// Everything has been read; leases of recorded machines are counted from here.
     pub fn loaded(&mut self, now: Micros) {
         self.taken_at = now;
+        self.block.loaded();
         self.machines.values_mut().for_each(|m| m.answered_at = now);
     }
 
     /// The next transaction, if anything needs to be written. `holder` is the leader key's version.
     pub fn next_commit(&mut self, now: Micros, holder: u64) -> Option<(Commit, Batch)> {
-        let ops = self.settings.txn_ops;
+        let (ops, limit) = (self.most_changes(), self.settings.value_bytes);
         let mut commit = Commit::default();
         let mut batch = Batch::default();
         let mut bytes = 512;
         commit.guard(store::HOLDER, holder);
-        if let Some((index, stamp, record)) = self.block.dirty() {
-            let key = self.block.key(index);
-            commit.guard(&key, stamp);
-            commit.put(&key, store::raw(&record), None);
-            bytes += self.settings.value_bytes;
-            self.block.writing(index);
-            let members = record.machines.into_keys().collect();
-            batch.items.push(Item::Chunk { index, members });
-            batch.keys.push(key);
-        }
+        // A transaction must be able to carry the end of a job beside machines.
+        let most = (ops / 2).max(1);
+        self.write_block(&mut commit, &mut batch, &mut bytes, most, false);
+        self.write_pipelines(&mut commit, &mut batch, &mut bytes);
         let mut due: Vec<(bool, Micros, JobId)> = Vec::new();
         for job in self.jobs.values().filter(|j| !j.writing && !j.unsure) {
             let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
@@ -510,52 +575,71 @@
                 if room < 2 || bytes > 40_000 {
                     break;
                 }
-                let over = OverRecord { cancelled: job.cancelled, tasks: job.spec.tasks };
-                let key = format!("{}{id}", store::OVER);
+                let cancelled = job.cancelled;
                 commit.guard(&live, job.stamp);
-                commit.guard(&key, 0);
-                commit.delete(&live);
-                commit.put(&key, store::raw(&over), None);
+                commit.end(&id, &OverRecord { cancelled, tasks: job.spec.tasks });
                 bytes += 400;
                 job.writing = true;
-                batch.items.push(Item::Over { id });
-                batch.keys.push(live);
+                batch.push(Item::Over { id, cancelled }, live);
                 continue;
             }
             if room == 0 || bytes > 40_000 {
                 break;
             }
             let mut parts = BTreeMap::new();
-            for part in job.dirty_parts.iter().copied().take(room).collect::<Vec<_>>() {
-                job.dirty_parts.remove(&part);
+            let mut whole = false;
+            let mut room = room;
+            for part in job.dirty_parts.iter().copied().collect::<Vec<_>>() {
                 let done = store::encode_done(&job.done, part);
+                let mut record = None;
+                if part == 0 {
+                    let spec = (*job.submitted).clone();
+                    let mut r = JobRecord::new(spec, job.at);
+                    r.ready = (job.ready != job.at).then_some(job.ready);
+                    (r.cancelled, r.failing) = (job.cancelled, job.suspect());
+                    r.done.clone_from(&done);
+                    let value = store::raw(&r);
+                    job.outgrown |= value.get().len() > limit;
+                    // Both change in one transaction. Whoever reads the parts, the version before
+                    // as well, takes part 0 for what it is.
+                    record = Some(if job.outgrown {
+                        r.done.clear();
+                        store::raw(&r)
+                    } else {
+                        value
+                    });
+                }
+                let in_part = part > 0 || job.outgrown;
+                let changes = usize::from(in_part) + usize::from(record.is_some());
+                if changes > room {
+                    break;
+                }
+                room -= changes;
+                job.dirty_parts.remove(&part);
                 bytes += done.len() + 200;
                 let lo = part * PART_TASKS;
                 parts.insert(part, job.done.slice(lo, lo + PART_TASKS));
-                if part > 0 {
+                if in_part {
                     // Each part is a growing set on its own, so parts need not change together;
                     // the leader's key, guarded above, keeps other writers out.
                     let key = format!("{}{id}/{part}", store::PART);
                     commit.put(&key, store::raw(&PartRecord { done }), None);
-                    continue;
                 }
-                let record = JobRecord {
-                    spec: (*job.submitted).clone(),
-                    at: job.at,
-                    done,
-                    cancelled: job.cancelled,
-                    failing: job.suspect(),
-                };
-                commit.guard(&live, job.stamp);
-                commit.put(&live, store::raw(&record), None);
-                bytes += 1500;
+                if let Some(record) = record {
+                    whole = true;
+                    commit.guard(&live, job.stamp);
+                    commit.put(&live, record, None);
+                    bytes += 1500;
+                }
+            }
+            if parts.is_empty() {
+                break;
             }
             if job.dirty_parts.is_empty() {
                 job.dirty_since = None;
             }
             job.writing = true;
-            batch.items.push(Item::Job { id, parts });
-            batch.keys.push(live);
+            batch.push(Item::Job { id, parts, whole }, live);
         }
         while commit.changes() < ops && bytes < 40_000 {
             let Some(key) = self.drops.pop() else { break };
@@ -563,28 +647,60 @@
             bytes += key.len() + 20;
             batch.items.push(Item::Drop);
         }
+        if commit.changes() == 0 {
+            self.write_block(&mut commit, &mut batch, &mut bytes, ops, true);
+        }
         (commit.changes() > 0).then_some((commit, batch))
     }
 
+    /// Adds parts of the block's record to a transaction, until it has `most` changes.
+    fn write_block(
+        &mut self,
+        commit: &mut Commit,
+        batch: &mut Batch,
+        bytes: &mut usize,
+        most: usize,
+        idle: bool,
+    ) {
+        while commit.changes() < most && *bytes < 40_000 {
+            let Some((index, stamp, record)) = self.block.dirty(idle) else { break };
+            let key = self.block.key(index);
+            let value = store::raw(&record);
+            *bytes += value.get().len() + 200;
+            commit.guard(&key, stamp);
+            commit.put(&key, value, None);
+            self.block.writing(index);
+            let members = record.machines.into_keys().collect();
+            batch.push(Item::Chunk { index, members }, key);
+        }
+    }
+
+    /// Changes that a transaction may have. What the state service has called too large is asked
+    /// for in smaller ones; the end of a job takes two.
+    pub fn most_changes(&self) -> usize {
+        (self.settings.txn_ops >> self.refusals.min(8)).max(2)
+    }
+
     /// A transaction was carried out.
     pub fn committed(&mut self, batch: Batch, stamp: u64) {
+        self.refusals = 0;
         for item in batch.items {
             match item {
-                Item::Job { id, parts } => {
+                Item::Job { id, parts, whole } => {
                     let Some(job) = self.jobs.get_mut(&id) else { continue };
                     job.writing = false;
-                    if parts.contains_key(&0) {
+                    if whole {
                         job.stamp = job.stamp.max(stamp);
                     }
                     for x in parts.values().flat_map(Ranges::iter) {
                         job.flushed.insert(x);
                     }
                 }
-                Item::Over { id } => {
-                    let cancelled = self.jobs.get(&id).is_some_and(|j| j.cancelled);
+                Item::Over { id, cancelled } => {
                     tracing::info!(job = %id, cancelled, "over");
-                    self.job_gone(&id, stamp);
+                    self.job_gone(&id, stamp, Some(cancelled));
                 }
+                Item::Release { .. } | Item::Mark { .. } => self.pipeline_written(&item, stamp),
                 Item::Chunk { index, members } => {
                     self.block.written(index, stamp);
                     for name in members {
@@ -603,7 +719,7 @@
     pub fn uncommitted(&mut self, batch: &Batch, unsure: bool, now: Micros) {
         for item in &batch.items {
             match item {
-                Item::Job { id, parts } => {
+                Item::Job { id, parts, .. } => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.writing = false;
                         job.unsure = unsure;
@@ -611,11 +727,12 @@
                         job.dirty_since.get_or_insert(now);
                     }
                 }
-                Item::Over { id } => {
+                Item::Over { id, .. } | Item::Release { id, .. } | Item::Mark { id } => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.writing = false;
                         job.unsure = unsure;
                     }
+                    self.pipeline_unwritten(id, unsure);
                 }
                 Item::Chunk { index, .. } if !unsure => self.block.unwritten(*index),
                 // A dropped key that stays is found and dropped again at the next takeover.
@@ -741,7 +858,7 @@
             spot: report.spot,
         };
         if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
-            self.block.add(&id, member);
+            self.block.add(&id, member, None);
         }
         if let Some((f, took)) = booted {
             self.fleet.boots.up(f, &zone, self.flavors[f].boot, took, now);
@@ -851,7 +968,7 @@
                 if job.cancelled {
                     entry.stop = Some(0);
                 } else if job.spec.shape == Shape::Gang {
-                    let tasks = job.spec.tasks as usize;
+                    let tasks = job.spec.tasks;
                     let gang = job.gang.get_or_insert_with(|| Gang {
                         attempt,
                         saga: Saga::flat(tasks),
@@ -958,12 +1075,12 @@
             job.backoff.remove(&x);
             job.dirty_parts.insert(x / PART_TASKS);
             if let Some(g) = &mut job.gang {
-                g.saga.commit(x as usize);
+                g.saga.commit(&x);
             }
         }
         job.dirty_since.get_or_insert(now);
         if job.finished() {
-            job.saga.commit(0);
+            job.saga.commit(&0);
             debug_assert_eq!(job.saga.state(), State::Committed);
         }
         if first {
@@ -1012,7 +1129,7 @@
             && matches!(why, None | Some(ExitReason::NoRoom | ExitReason::Error));
         let mut cancels = Vec::new();
         if !replace && !gang.stopping {
-            cancels = gang.saga.abort_element(task.index as usize);
+            cancels = gang.saga.abort_element(&task.index);
             gang.stopping = true;
         }
         if job.live.is_empty() {
@@ -1021,9 +1138,9 @@
         let id = task.job.clone();
         for action in cancels {
             let Action::Cancel(i) = action else { continue };
-            let live = self.jobs.get(&id).and_then(|j| j.live.get(&(i as u32)).cloned());
+            let live = self.jobs.get(&id).and_then(|j| j.live.get(&i).cloned());
             if let Some((machine, attempt)) = live {
-                self.stop(&id, i as u32, &machine, attempt, 0);
+                self.stop(&id, i, &machine, attempt, 0);
             }
         }
     }
@@ -1150,7 +1267,7 @@
         j.pending.remove(index);
         j.live.insert(index, (machine.clone(), attempt));
         let need = j.spec.need;
-        if j.spec.priority >= Priority::High {
+        if j.priority() >= Priority::High {
             m.urgent_at = Some(now);
         }
         m.used += need;
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use crate::api::{self, JobView, Refusal, Route, Status};
+use crate::api::{self, JobView, Refusal, Route, Status, Submission};
 use crate::block::ChunkRecord;
 use crate::cloud::CloudRequest;
 use crate::cluster::{Batch, Cluster, Outcome};
@@ -13,15 +13,17 @@
 use crate::http::{Request, Response};
 use crate::leadership::{Authority, Candidacy, PROMISE};
 use crate::mirror::{Found, Mirror};
-use crate::model::{Flavor, JobId, JobSpec, Micros, Ranges, SECOND, micros, valid_job_id};
+use crate::model::{Flavor, JobId, Micros, Ranges, SECOND, micros, valid_job_id};
 use crate::peer::{
     Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
 };
+use crate::pipeline::Fate;
 use crate::policy::Setting;
 use crate::settings::Settings;
 use crate::store::{
     self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
-    LeadRecord, Listing, OverRecord, PartRecord, StoreRequest, TERM, Urgency,
+    LeadRecord, Listing, LiveRecord, OverRecord, PartRecord, StoreRequest, TERM, Urgency,
+    WaitingRecord,
 };
 use crate::worker::{Report, ReportAnswer, ReportElsewhere};
 
@@ -39,6 +41,8 @@
 const WATCH_PATIENCE: Micros = 400_000;
 /// Queries that may wait for one read; more are told to come back.
 const MAX_ASKING: usize = 4000;
+/// Ends of jobs that others wait for that are asked for at once.
+const MOST_ENDS: usize = 20;
 /// Queries share one read of what has changed, made at most this often ...
 const REFRESH_EVERY: Micros = 100_000;
 /// ... and at least this often, so that few changes pile up.
@@ -112,6 +116,15 @@
         job: JobId,
         over: bool,
     },
+    /// How a job that others wait for ended.
+    Upstream {
+        job: JobId,
+    },
+    /// Whether a job that a submission names was ever accepted.
+    Named {
+        conn: u64,
+        job: JobId,
+    },
     /// A page of all live jobs, for the copy that queries are answered from.
     Copy,
     /// What has changed since.
@@ -134,7 +147,7 @@
     Poll(u64),
     Cancel(u64),
     /// A submission, with what to answer if the job is not known.
-    Submit(u64, Result<Box<JobSpec>, Refusal>),
+    Submit(u64, Result<Box<Submission>, Refusal>),
     /// The commit of an acceptance had no answer: found means accepted.
     Confirm(u64),
 }
@@ -147,6 +160,30 @@
     }
 }
 
+/// Who waits for the next read of what has changed.
+#[derive(Debug)]
+enum Asker {
+    Query(u64, JobId),
+    /// A submission that names jobs which are not known here yet.
+    Submit(u64, JobId, Box<Submission>),
+}
+
+impl Asker {
+    fn conn(&self) -> u64 {
+        match self {
+            Asker::Query(c, _) | Asker::Submit(c, ..) => *c,
+        }
+    }
+}
+
+/// A submission that waits for reads of jobs that it names.
+#[derive(Debug)]
+struct Naming {
+    job: JobId,
+    submission: Box<Submission>,
+    unread: usize,
+}
+
 /// A read that answers those who asked before it began; later askers wait for the next one, so
 /// that nobody is told something older than what another controller has said already.
 #[derive(Debug, Default)]
@@ -217,8 +254,11 @@
     calls: HashMap<u64, (u64, CloudCall)>,
     next_id: u64,
     lookups: HashMap<JobId, Lookup>,
-    accepting: VecDeque<(u64, JobId, Box<JobSpec>)>,
-    accept_specs: HashMap<u64, Box<JobSpec>>,
+    accepting: VecDeque<(u64, JobId, Box<Submission>)>,
+    accept_specs: HashMap<u64, Box<Submission>>,
+    naming: HashMap<u64, Naming>,
+    /// Jobs whose ends are being read, or are to be read again after this time.
+    ends_asked: HashMap<JobId, Micros>,
     deadlines: HashMap<u64, Micros>,
     relays: HashMap<u64, (u64, Micros)>,
     mirror: Mirror,
@@ -226,8 +266,8 @@
     refreshing: bool,
     refresh_at: Micros,
     /// Queries that the read under way answers, and those that the next one will.
-    answering: Vec<(u64, JobId)>,
-    asking: Vec<(u64, JobId)>,
+    answering: Vec<Asker>,
+    asking: Vec<Asker>,
     effects: Vec<Effect>,
     next_tick: Micros,
 }
@@ -255,6 +295,8 @@
             lookups: HashMap::new(),
             accepting: VecDeque::new(),
             accept_specs: HashMap::new(),
+            naming: HashMap::new(),
+            ends_asked: HashMap::new(),
             deadlines: HashMap::new(),
             relays: HashMap::new(),
             mirror: Mirror::default(),
@@ -386,10 +428,12 @@
             self.deadlines.iter().filter(|(_, t)| **t <= now).map(|(c, _)| *c).collect();
         for conn in late {
             self.accept_specs.remove(&conn);
+            self.naming.remove(&conn);
             self.unavailable(conn);
         }
         self.relays.retain(|_, r| r.1 > now);
         self.refresh();
+        self.read_ends();
         if now >= self.beat_at {
             self.beat_at = now + BEAT_EVERY;
             self.beat();
@@ -590,9 +634,9 @@
             Ok(parsed) => parsed,
             Err(refusal) => return self.refuse(conn, &refusal),
         };
-        let checked = api::parse_spec(&map).and_then(|mut spec| {
-            api::admit(&mut spec, &self.settings.teams, &self.flavors)?;
-            Ok(Box::new(spec))
+        let checked = api::parse_submission(&map).and_then(|mut submission| {
+            api::admit(&mut submission.spec, &self.settings.teams, &self.flavors)?;
+            Ok(Box::new(submission))
         });
         let wait = self.budget.wait();
         if wait > SUBMIT_PATIENCE && (id.is_some() || checked.is_ok()) {
@@ -600,10 +644,10 @@
             return self.too_much(conn, wait);
         }
         match (id, checked) {
-            (Some(id), Ok(spec))
+            (Some(id), Ok(submission))
                 if self.mirror.ended(&id).is_none() && !self.mirror.is_live(&id) =>
             {
-                self.accepting.push_back((conn, id, spec));
+                self.accept(conn, id, submission);
             }
             // A known job gets its state, whatever this body would be answered with.
             (Some(id), checked) => self.look(id, Waiter::Submit(conn, checked)),
@@ -627,6 +671,120 @@
         self.reply(conn, response);
     }
 
+    /// Accepts a submission, if it is certain that all jobs which it names were. What is known of a
+    /// job here shows that, however old; what is not known is read.
+    fn accept(&mut self, conn: u64, id: JobId, submission: Box<Submission>) {
+        if submission.waits_on.iter().all(|u| self.mirror.fate(u) != Fate::Unknown) {
+            self.accepting.push_back((conn, id, submission));
+        } else if self.asking.len() >= MAX_ASKING {
+            self.too_much(conn, SECOND);
+        } else {
+            self.asking.push(Asker::Submit(conn, id, submission));
+            self.refresh();
+        }
+    }
+
+    /// The copy of what is alive has been brought up to the present. A job that a submission names
+    /// and that is not alive now is over, or was never accepted before the submission came.
+    fn check_named(&mut self, conn: u64, job: JobId, submission: Box<Submission>) {
+        if !self.deadlines.contains_key(&conn) {
+            return;
+        }
+        if self.mirror.is_live(&job) {
+            return self.look(job, Waiter::Submit(conn, Ok(submission)));
+        }
+        let unknown = |u: &&JobId| self.mirror.fate(u) == Fate::Unknown;
+        let unread: Vec<JobId> = submission.waits_on.iter().filter(unknown).cloned().collect();
+        if unread.is_empty() {
+            return self.accepting.push_back((conn, job, submission));
+        }
+        self.naming.insert(conn, Naming { job, submission, unread: unread.len() });
+        for job in unread {
+            let key = format!("{}{job}", store::OVER);
+            self.send(Urgency::User, StoreRequest::get(&key), Purpose::Named { conn, job });
+        }
+    }
+
+    fn named(&mut self, conn: u64, job: JobId, answer: Option<(u16, Bytes)>) {
+        let end = answer.as_ref().and_then(end_of);
+        if let Some(view) = &end {
+            self.mirror.end(job.clone(), view.clone());
+        }
+        let Some(naming) = self.naming.get_mut(&conn) else { return };
+        match (end, answer) {
+            (Some(_), _) => {
+                naming.unread -= 1;
+                if naming.unread == 0 {
+                    let Some(n) = self.naming.remove(&conn) else { return };
+                    self.accepting.push_back((conn, n.job, n.submission));
+                }
+            }
+            (None, Some((404, _))) => {
+                self.naming.remove(&conn);
+                let why = format!("waits_on: no such job as {job}");
+                self.refuse(conn, &Refusal::Impossible(why));
+            }
+            _ => {
+                self.naming.remove(&conn);
+                self.unavailable(conn);
+            }
+        }
+    }
+
+    /// Reads how jobs ended that others wait for and that are not alive.
+    fn read_ends(&mut self) {
+        let now = self.clock.now;
+        if self.mirror.links.complete()
+            && self.lead.as_ref().is_none_or(|l| l.cluster.pipelines.links.complete())
+        {
+            return;
+        }
+        self.ends_asked.retain(|_, until| now < *until);
+        // While the copy or the state is being read, what is not known yet may still turn up.
+        let lead = self.lead.as_ref().filter(|l| l.loaded());
+        let theirs = lead.into_iter().flat_map(|l| l.cluster.pipelines.links.unknown());
+        let ours = self.mirror.at().into_iter().flat_map(|_| self.mirror.links.unknown());
+        let wanted: BTreeSet<JobId> =
+            theirs.chain(ours).filter(|j| !self.ends_asked.contains_key(*j)).cloned().collect();
+        for job in wanted.into_iter().take(MOST_ENDS) {
+            self.ends_asked.insert(job.clone(), now + 3 * SECOND);
+            let key = format!("{}{job}", store::OVER);
+            self.send(Urgency::Commit, StoreRequest::get(&key), Purpose::Upstream { job });
+        }
+    }
+
+    fn upstream_read(&mut self, job: JobId, answer: Option<(u16, Bytes)>) {
+        let now = self.clock.now;
+        let Some(view) = answer.as_ref().and_then(end_of) else {
+            // Not over, or not to be known now.
+            self.ends_asked.insert(job, now + SECOND / 2);
+            return;
+        };
+        self.ends_asked.remove(&job);
+        if let Some(lead) = self.lead.as_mut().filter(|l| l.loaded()) {
+            lead.cluster.upstream_over(&job, Some(view.status == Status::Cancelled));
+        }
+        self.mirror.upstream_over(job, view);
+        self.refresh();
+    }
+
+    /// The record of a job that is accepted now. What it waits for and is done already is left out.
+    fn record(&self, submission: &Submission) -> (Box<serde_json::value::RawValue>, usize) {
+        let at = self.clock.wall;
+        let spec = submission.spec.clone();
+        let fates = submission.waits_on.iter().map(|u| (u, self.mirror.fate(u)));
+        let (mut open, mut cancelled) = (Vec::new(), false);
+        for (u, fate) in fates.filter(|f| f.1 != Fate::Done) {
+            open.push(u.clone());
+            cancelled |= fate == Fate::Cancelled;
+        }
+        if open.is_empty() {
+            (store::raw(&JobRecord::new(spec, at)), 0)
+        } else {
+            (store::raw(&WaitingRecord::new(spec, at, cancelled, &open)), open.len())
+        }
+    }
+
     /// Submissions that came together are accepted in one transaction.
     fn flush_accepts(&mut self) {
         let max = self.settings.txn_ops.min(8);
@@ -640,16 +798,11 @@
                     continue;
                 }
                 let live = format!("{}{id}", store::LIVE);
-                let record = JobRecord {
-                    spec: (*spec).clone(),
-                    at: self.clock.wall,
-                    done: String::new(),
-                    cancelled: false,
-                    failing: false,
-                };
-                let value = store::raw(&record);
-                if value.get().len() + 1200 > self.settings.value_bytes {
-                    self.reply(conn, Response::error(400, "the description is too long"));
+                let (value, waits) = self.record(&spec);
+                if value.get().len() + 64 > self.settings.value_bytes {
+                    let field = if waits > 0 { "waits_on: " } else { "" };
+                    let why = format!("{field}the description is too long to be kept");
+                    self.reply(conn, Response::error(400, why));
                     continue;
                 }
                 commit.guard(&live, 0);
@@ -676,8 +829,10 @@
             let Some(spec) = self.accept_specs.remove(&conn) else { continue };
             match status {
                 Some(200) => {
-                    tracing::info!(job = %id, class = %spec.class, tasks = spec.tasks, "accepted");
-                    let view = JobView { status: Status::Pending, done: 0, running: 0 };
+                    let (class, tasks) = (&spec.spec.class, spec.spec.tasks);
+                    let waits_on = spec.waits_on.len();
+                    tracing::info!(job = %id, %class, tasks, waits_on, "accepted");
+                    let view = JobView::new(Status::Pending, 0);
                     self.reply(conn, api::answer(201, &id, &view));
                     self.changed(&id, stamp);
                 }
@@ -753,7 +908,7 @@
         if wait > POLL_PATIENCE || self.asking.len() >= MAX_ASKING {
             return self.too_much(conn, wait);
         }
-        self.asking.push((conn, id));
+        self.asking.push(Asker::Query(conn, id));
         self.refresh();
     }
 
@@ -816,12 +971,24 @@
                 // Too far behind: the changes are not kept any more.
                 self.mirror.lost();
             }
-            waiting.into_iter().for_each(|(conn, _)| self.unavailable(conn));
+            waiting.into_iter().for_each(|asker| self.unavailable(asker.conn()));
             return self.refresh();
         };
         self.mirror.followed(&followed);
-        for (conn, id) in waiting {
+        for asker in waiting {
+            let (conn, id) = match asker {
+                Asker::Query(conn, id) => (conn, id),
+                Asker::Submit(conn, id, submission) => {
+                    self.check_named(conn, id, submission);
+                    continue;
+                }
+            };
             match self.mirror.find(&id) {
+                // It is asked again once that end has been read.
+                Found::Unsure if self.deadlines.contains_key(&conn) => {
+                    self.asking.push(Asker::Query(conn, id));
+                }
+                Found::Unsure => {}
                 Found::Job(mut view) => {
                     self.progress(&id, &mut view);
                     self.reply(conn, api::answer(200, &id, &view));
@@ -830,6 +997,7 @@
                 Found::NotLive => self.look_up(id, Waiter::Poll(conn), true),
             }
         }
+        self.read_ends();
         self.refresh();
     }
 
@@ -840,12 +1008,10 @@
                     return self.look_failed(job);
                 };
                 if over {
-                    let Some(r) = item.record::<OverRecord>() else { return self.look_failed(job) };
-                    let status = if r.cancelled { Status::Cancelled } else { Status::Done };
-                    let done = if r.cancelled { 0 } else { r.tasks };
-                    self.found(job, JobView { status, done, running: 0 }, None);
+                    let Some(view) = view_of_end(&item) else { return self.look_failed(job) };
+                    self.found(job, view, None);
                 } else {
-                    let Some(r) = item.record::<JobRecord>() else { return self.look_failed(job) };
+                    let Some(r) = item.live() else { return self.look_failed(job) };
                     let view = self.view(&job, &r);
                     self.found(job, view, Some((r, item.stamp)));
                 }
@@ -861,9 +1027,7 @@
                         Waiter::Poll(c) | Waiter::Cancel(c) => {
                             self.reply(c, Response::error(404, "no such job"));
                         }
-                        Waiter::Submit(c, Ok(spec)) => {
-                            self.accepting.push_back((c, job.clone(), spec));
-                        }
+                        Waiter::Submit(c, Ok(spec)) => self.accept(c, job.clone(), spec),
                         Waiter::Submit(c, Err(refusal)) => self.refuse(c, &refusal),
                         Waiter::Confirm(c) => {
                             let why = "it is not certain yet that the job was accepted";
@@ -901,11 +1065,13 @@
         waiters
     }
 
-    fn view(&self, id: &JobId, record: &JobRecord) -> JobView {
+    fn view(&self, id: &JobId, record: &LiveRecord) -> JobView {
         let mut done = Ranges::default();
-        store::decode_done(&record.done, 0, &mut done);
-        let status = if record.cancelled { Status::Cancelled } else { Status::Pending };
-        let mut view = JobView { status, done: done.len(), running: 0 };
+        if let LiveRecord::Job(record) = record {
+            store::decode_done(&record.done, 0, &mut done);
+        }
+        let status = if record.cancelled() { Status::Cancelled } else { Status::Pending };
+        let mut view = JobView::new(status, done.len());
         self.progress(id, &mut view);
         view
     }
@@ -925,24 +1091,32 @@
         }
     }
 
-    fn found(&mut self, job: JobId, view: JobView, live: Option<(JobRecord, u64)>) {
+    fn found(&mut self, job: JobId, view: JobView, live: Option<(LiveRecord, u64)>) {
         if matches!(view.status, Status::Done | Status::Cancelled) {
             self.mirror.end(job.clone(), view.clone());
         }
         let mut cancels = Vec::new();
         for w in self.take_waiters(&job) {
             match (w, &live) {
-                (Waiter::Cancel(c), Some((r, _))) if !r.cancelled => cancels.push(c),
+                (Waiter::Cancel(c), Some((r, _))) if !r.cancelled() => cancels.push(c),
+                // Whether it is cancelled with one that it needs, its own record does not tell.
+                (w, Some((LiveRecord::Waiting(r), _))) if !r.cancelled => {
+                    if self.mirror.at().is_some() {
+                        self.asking.push(Asker::Query(w.conn(), job.clone()));
+                    } else {
+                        self.unavailable(w.conn());
+                    }
+                }
                 (w, _) => self.reply(w.conn(), api::answer(200, &job, &view)),
             }
         }
-        let Some((mut record, stamp)) = live.filter(|_| !cancels.is_empty()) else { return };
-        record.cancelled = true;
+        self.refresh();
+        let Some((record, stamp)) = live.filter(|_| !cancels.is_empty()) else { return };
         let key = format!("{}{job}", store::LIVE);
         let mut commit = Commit::default();
         commit.guard(&key, stamp);
-        commit.put(&key, store::raw(&record), None);
-        let view = JobView { status: Status::Cancelled, done: view.done, running: 0 };
+        commit.put(&key, record.cancel(self.settings.value_bytes), None);
+        let view = JobView::new(Status::Cancelled, view.done);
         let purpose = Purpose::Cancel { job, conns: cancels, view };
         self.send(Urgency::User, commit.request(), purpose);
     }
@@ -1123,7 +1297,10 @@
                     Some((200, body)) => {
                         let item = serde_json::from_slice::<Item>(&body).ok();
                         let id = key.trim_start_matches(store::OVER);
-                        lead.cluster.job_gone(id, item.map_or(u64::MAX, |i| i.stamp));
+                        let end = item.as_ref().and_then(view_of_end);
+                        let stamp = item.map_or(u64::MAX, |i| i.stamp);
+                        let cancelled = end.map(|v| v.status == Status::Cancelled);
+                        lead.cluster.job_gone(id, stamp, cancelled);
                     }
                     Some((404, _)) => {}
                     _ => {
@@ -1133,6 +1310,8 @@
                 }
             }
             Purpose::Look { job, over } => self.looked(job, over, answer),
+            Purpose::Upstream { job } => self.upstream_read(job, answer),
+            Purpose::Named { conn, job } => self.named(conn, job, answer),
             Purpose::Copy => self.copied(answer),
             Purpose::Refresh => self.refreshed(answer),
             Purpose::Accept { jobs } => self.accepted(jobs, answer),
@@ -1269,9 +1448,9 @@
         for item in &listing.items {
             match stage {
                 0 => {
-                    if let Some(record) = item.record::<JobRecord>() {
+                    if let Some(record) = item.live() {
                         let id = item.k.trim_start_matches(store::LIVE);
-                        lead.cluster.job_record(id, record, item.stamp);
+                        lead.cluster.live_record(id, record, item.stamp);
                     }
                 }
                 1 => {
@@ -1304,8 +1483,9 @@
             Some((410, _)) => {
                 // Too far behind: read everything live again. What ended is found by reading back.
                 tracing::info!("the watch fell behind; reading all jobs again");
-                lead.readbacks
-                    .extend(lead.cluster.jobs.keys().map(|id| format!("{}{id}", store::LIVE)));
+                let waiting = lead.cluster.pipelines.waiting.keys();
+                let known = lead.cluster.jobs.keys().chain(waiting);
+                lead.readbacks.extend(known.map(|id| format!("{}{id}", store::LIVE)));
                 lead.watched = 0;
                 lead.stage = 0;
                 return self.load("");
@@ -1318,18 +1498,18 @@
         };
         for change in followed.log {
             if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(store::LIVE)) {
-                lead.cluster.job_gone(id, change.stamp);
+                lead.cluster.job_gone(id, change.stamp, None);
             }
             let key = change.write.as_deref().and_then(|k| k.strip_prefix(store::LIVE));
             let (Some(id), Some(v)) = (key, &change.v) else { continue };
-            if lead.cluster.jobs.get(id).is_some_and(|j| j.stamp >= change.stamp) {
+            if lead.cluster.stamp_of(id).is_some_and(|known| known >= change.stamp) {
                 continue;
             }
-            match serde_json::from_str::<JobRecord>(v.get()) {
+            match LiveRecord::parse(v.get()) {
                 Ok(record) => {
                     // New work is planned for at once: a machine takes long enough to boot.
                     lead.fleet_at = now;
-                    lead.cluster.job_record(id, record, change.stamp);
+                    lead.cluster.live_record(id, record, change.stamp);
                 }
                 Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
             }
@@ -1365,7 +1545,9 @@
             Some((status, body)) => {
                 let reason = String::from_utf8_lossy(&body).into_owned();
                 tracing::error!(status, reason, "the state service refuses a transaction");
-                lead.write_at = now + SECOND;
+                // Smaller ones are tried, and more and more rarely: it may allow less than we know.
+                lead.cluster.refusals += 1;
+                lead.write_at = now + (SECOND << lead.cluster.refusals.min(6)) / 2;
                 self.unwritten(batch);
             }
             None => self.unwritten(batch),
@@ -1401,8 +1583,8 @@
         let id = key.trim_start_matches(store::LIVE).to_string();
         match (item, answer) {
             (Some(item), _) => {
-                if let Some(record) = item.record::<JobRecord>() {
-                    lead.cluster.job_record(&id, record, item.stamp);
+                if let Some(record) = item.live() {
+                    lead.cluster.live_record(&id, record, item.stamp);
                 }
             }
             (None, Some((404, _))) => {
@@ -1446,3 +1628,18 @@
     let done = answer.and_then(|a| serde_json::from_slice::<Committed>(&a.1).ok());
     done.map_or(u64::MAX, |c| c.ledger_no)
 }
+
+/// How a job ended, as its record in the state service has it.
+fn view_of_end(item: &Item) -> Option<JobView> {
+    let r = item.record::<OverRecord>()?;
+    Some(match r.cancelled {
+        true => JobView::new(Status::Cancelled, 0),
+        false => JobView::new(Status::Done, r.tasks),
+    })
+}
+
+/// The same from the answer to a read of that record, if there was one.
+fn end_of(answer: &(u16, Bytes)) -> Option<JobView> {
+    let item = (answer.0 == 200).then(|| serde_json::from_slice::<Item>(&answer.1).ok());
+    view_of_end(&item.flatten()?)
+}
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -533,7 +533,7 @@
                 }
                 None => {
                     let patience = policy.number(Setting::Patience, &facts);
-                    (job.at + micros(patience)).saturating_sub(self.wall)
+                    (job.ready + micros(patience)).saturating_sub(self.wall)
                 }
             };
             let limit = now + slack;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod mirror;
 pub mod model;
 pub mod peer;
+pub mod pipeline;
 pub mod policy;
 pub mod saga;
 pub mod scheduler;
--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -13,7 +13,8 @@
 
 use crate::api::{JobView, Status};
 use crate::model::{JobId, Ranges};
-use crate::store::{Change, Followed, Item, LIVE, Listing, decode_done};
+use crate::pipeline::{Fate, Links};
+use crate::store::{Change, Followed, Item, LIVE, Listing, decode_done, decode_ids};
 
 /// How many ends, and how many ids that nobody submitted, are remembered.
 const REMEMBERED: usize = 50_000;
@@ -26,6 +27,7 @@
     done: String,
     #[serde(default)]
     cancelled: bool,
+    waiting: Option<BriefWaiting>,
 }
 
 #[derive(Deserialize)]
@@ -33,11 +35,18 @@
     tasks: u32,
 }
 
+#[derive(Deserialize)]
+struct BriefWaiting {
+    on: String,
+}
+
 #[derive(Debug)]
 struct Live {
     tasks: u32,
     done: u32,
     cancelled: bool,
+    /// It waits for other jobs.
+    waiting: bool,
 }
 
 /// What the copy says of a job.
@@ -47,6 +56,8 @@
     Job(JobView),
     /// Not alive; nobody has asked yet whether it is over.
     NotLive,
+    /// It waits for others, and the end of one that somebody waits for has not been read yet.
+    Unsure,
     /// It was never submitted.
     Absent,
 }
@@ -58,6 +69,8 @@
     /// The version at which reading everything began.
     reading: Option<u64>,
     live: HashMap<JobId, Live>,
+    /// Who waits for whom: a waiting job is cancelled with any that it needs.
+    pub links: Links,
     over: HashMap<JobId, JobView>,
     absent: HashSet<JobId>,
 }
@@ -102,18 +115,43 @@
         if let Some(view) = self.over.get(id) {
             return Found::Job(view.clone());
         }
-        match self.live.get(id) {
-            Some(l) => Found::Job(l.view()),
+        match self.live.get_key_value(id) {
+            Some((id, l)) if l.waiting && !l.cancelled => {
+                if self.links.is_cancelled(id) {
+                    return Found::Job(JobView::new(Status::Cancelled, 0));
+                }
+                if !self.links.complete() {
+                    return Found::Unsure;
+                }
+                Found::Job(JobView { waits_on: self.links.open(id), ..l.view() })
+            }
+            Some((_, l)) => Found::Job(l.view()),
             None if self.absent.contains(id) => Found::Absent,
             None => Found::NotLive,
         }
     }
 
+    /// What is known of a job that another one names. All but [`Fate::Unknown`] shows that it was
+    /// accepted, and an end never changes.
+    pub fn fate(&self, id: &JobId) -> Fate {
+        match recorded(&self.over, &self.live, id) {
+            Fate::Alive if self.links.is_cancelled(id) => Fate::Cancelled,
+            fate => fate,
+        }
+    }
+
+    /// The end of a job that others wait for has been read.
+    pub fn upstream_over(&mut self, id: JobId, view: JobView) {
+        self.links.ended(&id, view.status == Status::Cancelled);
+        self.end(id, view);
+    }
+
     /// Changes were missed: everything has to be read again.
     pub fn lost(&mut self) {
         self.at = None;
         self.reading = None;
         self.live.clear();
+        self.links = Links::default();
         self.absent.clear();
     }
 
@@ -132,8 +170,24 @@
 
     fn read(&mut self, item: &Item) {
         if let (Some(id), Some(brief)) = (item.k.strip_prefix(LIVE), item.record::<Brief>()) {
-            self.live.insert(id.into(), Live::new(&brief));
+            self.alive(id.into(), &brief);
+        }
+    }
+
+    /// Takes in what a live job's record says.
+    fn alive(&mut self, id: JobId, brief: &Brief) {
+        self.links.alive(&id);
+        if let Some(w) = &brief.waiting {
+            let upstream = decode_ids(&w.on);
+            let (over, live) = (&self.over, &self.live);
+            self.links.add(&id, &upstream, brief.cancelled, |u| recorded(over, live, u));
+        } else {
+            self.links.released(&id);
+            if brief.cancelled {
+                self.links.cancel(&id);
+            }
         }
+        self.live.insert(id, Live::new(brief));
     }
 
     /// Takes in all changes since [`Mirror::at`].
@@ -150,7 +204,7 @@
             match serde_json::from_str::<Brief>(text) {
                 Ok(brief) => {
                     self.absent.remove(id);
-                    self.live.insert(id.into(), Live::new(&brief));
+                    self.alive(id.into(), &brief);
                 }
                 Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
             }
@@ -159,32 +213,45 @@
         // it said last tells which end that is.
         if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(LIVE)) {
             self.absent.remove(id);
-            if let Some((id, live)) = self.live.remove_entry(id) {
-                self.end(id, live.over());
+            match self.live.remove_entry(id) {
+                Some((id, live)) => self.upstream_over(id, live.over()),
+                None => self.links.lost_sight(&id.into()),
             }
         }
     }
 }
 
+/// What a job's own record says, live or over.
+fn recorded(over: &HashMap<JobId, JobView>, live: &HashMap<JobId, Live>, id: &JobId) -> Fate {
+    match (over.get(id), live.get(id)) {
+        (Some(v), _) if v.status == Status::Cancelled => Fate::Cancelled,
+        (Some(_), _) => Fate::Done,
+        (None, Some(l)) if l.cancelled => Fate::Cancelled,
+        (None, Some(_)) => Fate::Alive,
+        (None, None) => Fate::Unknown,
+    }
+}
+
 impl Live {
     fn new(brief: &Brief) -> Live {
         let mut done = Ranges::default();
         decode_done(&brief.done, 0, &mut done);
-        Live { tasks: brief.spec.tasks, done: done.len(), cancelled: brief.cancelled }
+        let (tasks, waiting) = (brief.spec.tasks, brief.waiting.is_some());
+        Live { tasks, done: done.len(), cancelled: brief.cancelled, waiting }
     }
 
     fn view(&self) -> JobView {
         let status = if self.cancelled { Status::Cancelled } else { Status::Pending };
-        JobView { status, done: self.done, running: 0 }
+        JobView::new(status, self.done)
     }
 
     fn over(&self) -> JobView {
-        let (status, done) = if self.cancelled {
-            (Status::Cancelled, self.done)
+        // A job that was never released did not end any other way.
+        if self.cancelled || self.waiting {
+            JobView::new(Status::Cancelled, self.done)
         } else {
-            (Status::Done, self.tasks)
-        };
-        JobView { status, done, running: 0 }
+            JobView::new(Status::Done, self.tasks)
+        }
     }
 }
 
--- /dev/null
+++ b/src/pipeline.rs
@@ -0,0 +1,478 @@
+//! Pipelines of several jobs: which job waits for which others, and what follows from their ends.
+//!
+//! All live jobs that wait, and those they wait for, are non-vital children of one standing
+//! [`Saga`]: a job is released when every job upstream has committed, and cancelled with any of them.
+//! Both follow from what the state service holds and from nothing else, so every controller comes to
+//! the same answer, whoever leads and whether or not the leader has written it down yet:
+//!
+//! - a job is done when its `over` record says so, and that never changes;
+//! - a job is cancelled when its own record says so, live or over, or when one it waits for is
+//!   cancelled. A cancelled job is never done, so this never changes either;
+//! - a waiting job has another kind of record than one that was released. Only the leader rewrites
+//!   the one into the other, after it has read or written the ends of all jobs upstream, and only what
+//!   it keeps among its jobs, which no waiting job is, can be placed on a machine.
+//!
+//! Of a job that is named by another and is not alive, the end is read.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::cluster::{Batch, Cluster, Item};
+use crate::model::{JobId, JobSpec, Micros, Priority, seconds};
+use crate::saga::{Action, Saga, State};
+use crate::store::{self, Commit, JobRecord, OverRecord, WaitingRecord};
+
+/// How often what downstream jobs ask of those upstream is worked out again.
+const PULL_EVERY: Micros = 500_000;
+/// ... and that often when nothing has changed but what is known of how long tasks run.
+const PULL_AT_LEAST: Micros = 5_000_000;
+
+/// What is known of a job that another one names.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fate {
+    Alive,
+    Done,
+    Cancelled,
+    /// Not alive as far as is known; its end has not been read.
+    Unknown,
+}
+
+/// What a cancellation or an end leads to.
+#[derive(Debug, Default, PartialEq)]
+pub struct Consequences {
+    pub released: Vec<JobId>,
+    pub cancelled: Vec<JobId>,
+}
+
+/// Who waits for whom.
+#[derive(Debug)]
+pub struct Links {
+    saga: Saga<JobId>,
+    /// Jobs that others wait for, whose ends have to be read.
+    unknown: BTreeSet<JobId>,
+}
+
+impl Default for Links {
+    fn default() -> Links {
+        Links { saga: Saga::standing(), unknown: BTreeSet::new() }
+    }
+}
+
+impl Links {
+    /// A job that waits. Its list never changes, so only the first time counts.
+    pub fn add(
+        &mut self,
+        id: &JobId,
+        upstream: &[JobId],
+        cancelled: bool,
+        fate: impl Fn(&JobId) -> Fate,
+    ) -> Consequences {
+        self.unknown.remove(id);
+        let mut lost = cancelled;
+        if self.saga.open(id).next().is_none() {
+            let mut open = Vec::new();
+            for u in upstream {
+                match fate(u) {
+                    Fate::Done => continue,
+                    Fate::Cancelled => lost = true,
+                    Fate::Unknown => {
+                        self.unknown.insert(u.clone());
+                    }
+                    Fate::Alive => {}
+                }
+                open.push(u.clone());
+            }
+            self.saga.add(id.clone(), false, &open);
+        }
+        if lost { self.cancel(id) } else { Consequences::default() }
+    }
+
+    /// A job that others wait for is alive after all.
+    pub fn alive(&mut self, id: &JobId) {
+        self.unknown.remove(id);
+    }
+
+    /// A live job that others wait for is gone, and nothing tells how it ended.
+    pub fn lost_sight(&mut self, id: &JobId) {
+        if self.saga.element(id).is_some() {
+            self.unknown.insert(id.clone());
+        }
+    }
+
+    /// A job has been cancelled, and with it all that wait for it.
+    pub fn cancel(&mut self, id: &JobId) -> Consequences {
+        let cancelled = self.saga.abort_element(id).into_iter().map(|a| match a {
+            Action::Cancel(id) | Action::Compensate(id) => id,
+        });
+        Consequences { cancelled: cancelled.collect(), released: Vec::new() }
+    }
+
+    /// A job that waited has been released.
+    pub fn released(&mut self, id: &JobId) {
+        let waiting: Vec<JobId> = self.saga.downstream(id).cloned().collect();
+        if self.saga.element(id) == Some(State::Waiting) {
+            // Its record says that all it waited for is done: what waits for it stays as it is.
+            self.saga.forget(id);
+            for d in waiting {
+                let open: Vec<JobId> = self.saga.open(&d).cloned().collect();
+                self.saga.add(d, false, &open);
+            }
+        } else if waiting.is_empty() {
+            self.saga.forget(id);
+        }
+    }
+
+    /// A job is over, as the state service has it.
+    pub fn ended(&mut self, id: &JobId, cancelled: bool) -> Consequences {
+        self.unknown.remove(id);
+        if self.saga.element(id).is_none() {
+            return Consequences::default();
+        }
+        let consequences = if cancelled {
+            self.cancel(id)
+        } else {
+            self.released(id);
+            Consequences { released: self.saga.commit(id), cancelled: Vec::new() }
+        };
+        self.saga.forget(id);
+        consequences
+    }
+
+    /// A waiting job is cancelled, itself or with one that it needs.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        self.saga.element(id) == Some(State::Aborted)
+    }
+
+    /// All jobs that it waited for are done.
+    fn is_ready(&self, id: &JobId) -> bool {
+        self.saga.element(id) == Some(State::Active)
+    }
+
+    /// What a job waits for still.
+    pub fn open(&self, id: &JobId) -> Vec<JobId> {
+        self.saga.open(id).cloned().collect()
+    }
+
+    /// Jobs whose ends have to be read.
+    pub fn unknown(&self) -> impl Iterator<Item = &JobId> {
+        self.unknown.iter()
+    }
+
+    /// Every job that is named is alive, or it is known how it ended.
+    pub fn complete(&self) -> bool {
+        self.unknown.is_empty()
+    }
+
+    /// Jobs that wait for others or are waited for, those downstream before those upstream.
+    fn from_the_end(&self) -> Vec<&JobId> {
+        let mut left: HashMap<&JobId, usize> =
+            self.saga.keys().map(|k| (k, self.saga.downstream(k).count())).collect();
+        let mut order: Vec<&JobId> = left.iter().filter(|l| *l.1 == 0).map(|l| *l.0).collect();
+        order.sort();
+        let mut next = 0;
+        while let Some(id) = order.get(next).copied() {
+            next += 1;
+            for u in self.saga.open(id) {
+                if let Some(n) = left.get_mut(u) {
+                    *n -= 1;
+                    if *n == 0 {
+                        order.push(u);
+                    }
+                }
+            }
+        }
+        order
+    }
+}
+
+/// A job that waits for others, as the leader keeps it.
+#[derive(Debug)]
+pub struct Waiting {
+    pub spec: Arc<JobSpec>,
+    pub at: u64,
+    stamp: u64,
+    on: String,
+    /// Its own record says that it is cancelled.
+    marked: bool,
+    writing: bool,
+    unsure: bool,
+}
+
+/// What jobs downstream ask of one upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Pull {
+    pub priority: Priority,
+    /// For each deadline objective: the time of day by which this job has to be done, so that what is
+    /// to run after it can meet the objective.
+    pub due: Vec<Option<u64>>,
+}
+
+/// All jobs that wait, as the leader sees them.
+#[derive(Debug, Default)]
+pub struct Pipelines {
+    pub waiting: BTreeMap<JobId, Waiting>,
+    pub links: Links,
+    /// Waiting jobs about which something is to be written.
+    todo: BTreeSet<JobId>,
+    /// Who waits for whom has changed since the pulls were worked out.
+    changed: bool,
+    pulled_at: Micros,
+    pulled: Vec<JobId>,
+}
+
+impl Cluster {
+    /// Takes in the record of a waiting job.
+    pub fn waiting_record(&mut self, id: &str, record: WaitingRecord, stamp: u64) {
+        let id: JobId = id.into();
+        if self.jobs.contains_key(&id) || self.buried(&id, stamp) {
+            return;
+        }
+        let upstream = store::decode_ids(&record.waiting.on);
+        let lines = &mut self.pipelines;
+        let known = lines.waiting.contains_key(&id);
+        let w = lines.waiting.entry(id.clone()).or_insert_with(|| Waiting {
+            spec: Arc::new(record.waiting.job),
+            at: record.at,
+            stamp,
+            on: record.waiting.on,
+            marked: false,
+            writing: false,
+            unsure: false,
+        });
+        w.stamp = w.stamp.max(stamp);
+        w.marked |= record.cancelled;
+        w.unsure = false;
+        let (jobs, waiting) = (&self.jobs, &lines.waiting);
+        let fate = |u: &JobId| match jobs.get(u) {
+            Some(j) if j.cancelled => Fate::Cancelled,
+            Some(_) => Fate::Alive,
+            None if waiting.contains_key(u) => Fate::Alive,
+            None => Fate::Unknown,
+        };
+        let consequences = lines.links.add(&id, &upstream, record.cancelled, fate);
+        lines.todo.insert(id.clone());
+        lines.changed = true;
+        if !known {
+            let class = &lines.waiting[&id].spec.class;
+            let on = lines.links.open(&id);
+            tracing::info!(job = %id, %class, jobs = on.len(), first = on.first().map(|u| &**u),
+                "waits for others");
+        }
+        self.follow_up(&id, consequences);
+    }
+
+    /// What a change upstream leads to is written down with the next transactions.
+    fn follow_up(&mut self, cause: &str, consequences: Consequences) {
+        let Consequences { released, cancelled } = consequences;
+        if !cancelled.is_empty() {
+            tracing::info!(job = cause, jobs = cancelled.len(), "cancelled with it");
+        }
+        let lines = &mut self.pipelines;
+        if !(released.is_empty() && cancelled.is_empty()) {
+            lines.changed = true;
+        }
+        lines.todo.extend(released);
+        lines.todo.extend(cancelled);
+    }
+
+    /// A job that others may wait for has been cancelled by its user.
+    pub fn upstream_cancelled(&mut self, id: &str) {
+        let consequences = self.pipelines.links.cancel(&id.into());
+        self.follow_up(id, consequences);
+    }
+
+    /// A job that others may wait for is over; `cancelled` is what its stored end says, if it is known.
+    pub fn upstream_over(&mut self, id: &str, cancelled: Option<bool>) {
+        let id: JobId = id.into();
+        match cancelled {
+            Some(cancelled) => {
+                let consequences = self.pipelines.links.ended(&id, cancelled);
+                self.follow_up(&id, consequences);
+            }
+            None => self.pipelines.links.lost_sight(&id),
+        }
+    }
+
+    /// A job's record shows that it waits no more.
+    pub fn upstream_released(&mut self, id: &JobId) {
+        let lines = &mut self.pipelines;
+        lines.links.alive(id);
+        if lines.waiting.remove(id).is_some() {
+            lines.todo.remove(id);
+            lines.links.released(id);
+            lines.changed = true;
+        }
+    }
+
+    /// Adds releases and cancellations to a transaction, as far as its limits go: first what lets
+    /// work begin, then what users were told, then what only tidies up.
+    pub fn write_pipelines(&mut self, commit: &mut Commit, batch: &mut Batch, bytes: &mut usize) {
+        let most = self.most_changes();
+        let lines = &mut self.pipelines;
+        let mut due: Vec<(u8, JobId)> = Vec::new();
+        for id in std::mem::take(&mut lines.todo) {
+            let Some(w) = lines.waiting.get(&id) else { continue };
+            let step = match (lines.links.is_cancelled(&id), w.marked) {
+                (false, _) if lines.links.is_ready(&id) => 0,
+                // It goes on waiting. What happens upstream brings it here again.
+                (false, _) => continue,
+                (true, false) => 1,
+                (true, true) => 2,
+            };
+            due.push((step, id));
+        }
+        due.sort();
+        for (step, id) in due {
+            lines.todo.insert(id.clone());
+            let Some(w) = lines.waiting.get_mut(&id).filter(|w| !w.writing && !w.unsure) else {
+                continue;
+            };
+            let changes = if step == 2 { 2 } else { 1 };
+            if commit.changes() + changes > most || *bytes > 40_000 {
+                continue;
+            }
+            let live = format!("{}{id}", store::LIVE);
+            commit.guard(&live, w.stamp);
+            match step {
+                0 => {
+                    let mut record = JobRecord::new((*w.spec).clone(), w.at);
+                    record.ready = Some(self.wall.max(w.at));
+                    commit.put(&live, store::raw(&record), None);
+                    batch.push(Item::Release { id: id.clone(), record: Box::new(record) }, live);
+                }
+                1 => {
+                    // It is marked before it ends: whoever follows only its own record then sees it
+                    // end as cancelled, the version before pipelines too.
+                    let upstream = store::decode_ids(&w.on);
+                    let spec = (*w.spec).clone();
+                    let record = WaitingRecord::new(spec, w.at, true, &upstream);
+                    commit.put(&live, store::raw(&record), None);
+                    batch.push(Item::Mark { id: id.clone() }, live);
+                }
+                _ => {
+                    let over = OverRecord { cancelled: true, tasks: w.spec.tasks };
+                    commit.end(&id, &over);
+                    batch.push(Item::Over { id: id.clone(), cancelled: true }, live);
+                }
+            }
+            *bytes += 1500;
+            w.writing = true;
+        }
+    }
+
+    /// What was written about a waiting job is in the state service.
+    pub fn pipeline_written(&mut self, item: &Item, stamp: u64) {
+        match item {
+            Item::Release { id, record } => {
+                let on = self.pipelines.waiting.get(id).map(|w| w.on.clone()).unwrap_or_default();
+                let waited_s = seconds(self.wall.saturating_sub(record.at)) as u32;
+                tracing::info!(job = %id, on, waited_s, "released");
+                self.job_record(id, (**record).clone(), stamp);
+            }
+            Item::Mark { id } => {
+                if let Some(w) = self.pipelines.waiting.get_mut(id) {
+                    w.stamp = w.stamp.max(stamp);
+                    w.marked = true;
+                    w.writing = false;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether it was written is not known, or it was not.
+    pub fn pipeline_unwritten(&mut self, id: &JobId, unsure: bool) {
+        if let Some(w) = self.pipelines.waiting.get_mut(id) {
+            w.writing = false;
+            w.unsure = unsure;
+        }
+    }
+
+    /// The stamp of a waiting job's record.
+    pub fn waiting_stamp(&self, id: &str) -> Option<u64> {
+        self.pipelines.waiting.get(id).map(|w| w.stamp)
+    }
+
+    /// A waiting job's live record is gone: only a cancelled one ends without a release.
+    pub fn waiting_gone(&mut self, id: &str) -> bool {
+        let gone = self.pipelines.waiting.remove(id).is_some();
+        if gone {
+            self.pipelines.todo.remove(id);
+            self.upstream_over(id, Some(true));
+        }
+        gone
+    }
+
+    /// Works out what jobs downstream ask of those that they wait for: the highest priority, and the
+    /// time that the final deadline leaves after what is still to run behind them.
+    pub fn pull(&mut self, now: Micros) {
+        let lines = &mut self.pipelines;
+        let every = if lines.changed { PULL_EVERY } else { PULL_AT_LEAST };
+        if now < lines.pulled_at + every {
+            return;
+        }
+        lines.pulled_at = now;
+        lines.changed = false;
+        let times: Vec<(Option<&str>, f64)> = self
+            .settings
+            .objectives
+            .iter()
+            .filter(|o| o.kind == "deadline")
+            .map(|o| (o.class.as_deref(), o.times))
+            .collect();
+        let mut pulls: HashMap<&JobId, Pull> = HashMap::new();
+        let mut found: Vec<(JobId, Pull)> = Vec::new();
+        for id in self.pipelines.links.from_the_end() {
+            let job = self.jobs.get(id);
+            let spec = job.map(|j| &j.spec).or(self.pipelines.waiting.get(id).map(|w| &w.spec));
+            let Some(spec) = spec else { continue };
+            let pulled = pulls.remove(id);
+            if let (Some(_), Some(pull)) = (job, &pulled) {
+                found.push((id.clone(), pull.clone()));
+            }
+            let Some(w) = self.pipelines.waiting.get(id) else { continue };
+            if self.pipelines.links.is_cancelled(id) {
+                continue;
+            }
+            // Its own deadlines or those of what follows it, whichever come first.
+            let own = times.iter().map(|(class, times)| {
+                let due = spec.deadline.filter(|_| class.is_none_or(|c| *c == *spec.class))?;
+                Some(w.at + (due as f64 * times) as Micros)
+            });
+            let after = pulled.as_ref().map_or(&[][..], |p| &p.due);
+            let step = self.stage_time(spec);
+            let due: Vec<Option<u64>> = own
+                .enumerate()
+                .map(|(i, own)| {
+                    let both = [own, after.get(i).copied().flatten()];
+                    Some(both.into_iter().flatten().min()?.saturating_sub(step))
+                })
+                .collect();
+            let priority = pulled.map_or(spec.priority, |p| p.priority.max(spec.priority));
+            for u in self.pipelines.links.saga.open(id) {
+                let pull = pulls.entry(u).or_insert_with(|| Pull { priority, due: due.clone() });
+                pull.priority = pull.priority.max(priority);
+                for (mine, theirs) in pull.due.iter_mut().zip(&due) {
+                    *mine = [*mine, *theirs].into_iter().flatten().min();
+                }
+            }
+        }
+        for id in std::mem::take(&mut self.pipelines.pulled) {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.pull = None;
+            }
+        }
+        for (id, pull) in found {
+            if let Some(j) = self.jobs.get_mut(&id) {
+                j.pull = Some(pull);
+                self.pipelines.pulled.push(id);
+            }
+        }
+    }
+
+    /// What a job takes from its release to its end, when it finds room: until workers are told
+    /// and tell, the image, and its tasks at their expected time and a quarter more.
+    fn stage_time(&self, spec: &JobSpec) -> Micros {
+        2 * self.settings.report + self.fetch_time(spec) + self.expected_run(spec) * 5 / 4
+    }
+}
--- a/src/saga.rs
+++ b/src/saga.rs
@@ -5,6 +5,8 @@
 //! order. A non-vital child's abort cancels only what waits for it. A pipeline is a saga of jobs;
 //! a gang attempt is a saga of tasks, non-vital to its job, so that a lost attempt is repeated.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum State {
     /// Waits for upstream elements to commit.
@@ -16,132 +18,203 @@
 
 /// What the owner of a saga has to do after an abort.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Action {
-    /// The element was active: stop it.
-    Cancel(usize),
+pub enum Action<K> {
+    /// The element was active, or waited for one that has been aborted: stop it.
+    Cancel(K),
     /// The element had committed: run its compensating step.
-    Compensate(usize),
+    Compensate(K),
 }
 
 #[derive(Clone, Debug)]
-struct Element {
+struct Element<K> {
     vital: bool,
-    upstream: Vec<usize>,
+    /// Upstream elements that have not committed.
+    open: BTreeSet<K>,
+    /// Elements that wait for this one.
+    downstream: BTreeSet<K>,
     state: State,
 }
 
+/// A saga whose elements go by `K`. What a commit or an abort costs follows what it changes.
 #[derive(Clone, Debug)]
-pub struct Saga {
-    elements: Vec<Element>,
-    commit_order: Vec<usize>,
+pub struct Saga<K> {
+    elements: BTreeMap<K, Element<K>>,
+    commit_order: Vec<K>,
+    unfinished: usize,
+    /// It goes on when no element is left to run: others may come.
+    standing: bool,
     state: State,
 }
 
-impl Default for Saga {
-    fn default() -> Saga {
-        Saga { elements: Vec::new(), commit_order: Vec::new(), state: State::Active }
+impl<K> Default for Saga<K> {
+    fn default() -> Saga<K> {
+        Saga {
+            elements: BTreeMap::new(),
+            commit_order: Vec::new(),
+            unfinished: 0,
+            standing: false,
+            state: State::Active,
+        }
     }
 }
 
-impl Saga {
-    /// A saga of `n` vital elements that wait for nothing: a gang attempt, or a one-job pipeline.
-    pub fn flat(n: usize) -> Saga {
+impl Saga<u32> {
+    /// A saga of `n` vital elements that wait for nothing: a gang attempt, or a job on its own.
+    pub fn flat(n: u32) -> Saga<u32> {
         let mut saga = Saga::default();
-        for _ in 0..n {
-            saga.add(true, &[]);
-        }
+        (0..n).for_each(|i| saga.add(i, true, &[]));
         saga
     }
+}
+
+impl<K: Ord + Clone> Saga<K> {
+    /// A saga that elements keep joining and leaving.
+    pub fn standing() -> Saga<K> {
+        Saga { standing: true, ..Saga::default() }
+    }
 
-    /// Adds an element that is released when every element of `upstream` has committed.
-    pub fn add(&mut self, vital: bool, upstream: &[usize]) -> usize {
-        let state = if upstream.is_empty() { State::Active } else { State::Waiting };
-        self.elements.push(Element { vital, upstream: upstream.to_vec(), state });
-        self.elements.len() - 1
+    fn enter(&mut self, key: &K, vital: bool) -> &mut Element<K> {
+        let unfinished = &mut self.unfinished;
+        self.elements.entry(key.clone()).or_insert_with(|| {
+            *unfinished += 1;
+            let (open, downstream) = (BTreeSet::new(), BTreeSet::new());
+            Element { vital, open, downstream, state: State::Active }
+        })
+    }
+
+    /// Adds an element that is released when every element of `upstream` has committed. Upstream
+    /// elements that are not known yet are taken to be active, and may be added later.
+    pub fn add(&mut self, key: K, vital: bool, upstream: &[K]) {
+        let mut open = BTreeSet::new();
+        for u in upstream {
+            let element = self.enter(u, false);
+            if element.state != State::Committed {
+                element.downstream.insert(key.clone());
+                open.insert(u.clone());
+            }
+        }
+        let lost = open.iter().any(|u| self.element(u) == Some(State::Aborted));
+        let element = self.enter(&key, vital);
+        element.vital = vital;
+        if !open.is_empty() && element.state == State::Active {
+            element.state = State::Waiting;
+        }
+        element.open = open;
+        if lost {
+            self.abort_element(&key);
+        }
     }
 
     pub fn state(&self) -> State {
         self.state
     }
 
-    pub fn element(&self, i: usize) -> Option<State> {
-        self.elements.get(i).map(|e| e.state)
+    pub fn element(&self, key: &K) -> Option<State> {
+        self.elements.get(key).map(|e| e.state)
+    }
+
+    /// What an element still waits for.
+    pub fn open(&self, key: &K) -> impl Iterator<Item = &K> {
+        self.elements.get(key).into_iter().flat_map(|e| &e.open)
+    }
+
+    /// What waits for an element.
+    pub fn downstream(&self, key: &K) -> impl Iterator<Item = &K> {
+        self.elements.get(key).into_iter().flat_map(|e| &e.downstream)
+    }
+
+    pub fn keys(&self) -> impl Iterator<Item = &K> {
+        self.elements.keys()
     }
 
     /// Commits an element and returns those it releases, in order.
-    pub fn commit(&mut self, i: usize) -> Vec<usize> {
-        if self.state != State::Active || self.element(i) != Some(State::Active) {
+    pub fn commit(&mut self, key: &K) -> Vec<K> {
+        let Some(element) = self.elements.get_mut(key) else { return Vec::new() };
+        if self.state != State::Active || element.state != State::Active {
             return Vec::new();
         }
-        self.elements[i].state = State::Committed;
-        self.commit_order.push(i);
+        element.state = State::Committed;
+        self.commit_order.push(key.clone());
         let mut released = Vec::new();
-        for j in 0..self.elements.len() {
-            let committed = |&u: &usize| self.element(u) == Some(State::Committed);
-            if self.elements[j].state == State::Waiting
-                && self.elements[j].upstream.iter().all(committed)
-            {
-                self.elements[j].state = State::Active;
-                released.push(j);
+        for d in std::mem::take(&mut element.downstream) {
+            let Some(e) = self.elements.get_mut(&d) else { continue };
+            e.open.remove(key);
+            if e.state == State::Waiting && e.open.is_empty() {
+                e.state = State::Active;
+                released.push(d);
             }
         }
-        self.settle();
+        self.finished();
         released
     }
 
-    /// The saga commits when no element is left to run and it has not been aborted.
-    fn settle(&mut self) {
-        let over = |e: &Element| matches!(e.state, State::Committed | State::Aborted);
-        if self.state == State::Active && self.elements.iter().all(over) {
+    /// One element less is left to run. The saga commits with the last one.
+    fn finished(&mut self) {
+        self.unfinished -= 1;
+        if self.state == State::Active && self.unfinished == 0 && !self.standing {
             self.state = State::Committed;
         }
     }
 
-    /// Aborts one element; a vital one takes the saga with it.
-    pub fn abort_element(&mut self, i: usize) -> Vec<Action> {
-        let active = matches!(self.element(i), Some(State::Active | State::Waiting));
-        if self.state != State::Active || !active {
+    /// Aborts one element; a vital one takes the saga with it, any other what waits for it.
+    pub fn abort_element(&mut self, key: &K) -> Vec<Action<K>> {
+        let open = |s| matches!(s, Some(State::Active | State::Waiting));
+        if self.state != State::Active || !open(self.element(key)) {
             return Vec::new();
         }
-        if self.elements[i].vital {
-            self.elements[i].state = State::Aborted;
+        if self.elements.get(key).is_some_and(|e| e.vital) {
+            if let Some(e) = self.elements.get_mut(key) {
+                e.state = State::Aborted;
+            }
             return self.abort();
         }
         let mut actions = Vec::new();
-        let mut gone = vec![i];
+        // A list of what is left to do rather than calls within calls: chains may be long.
+        let mut gone = vec![key.clone()];
         while let Some(x) = gone.pop() {
-            if self.elements[x].state == State::Active && x != i {
+            let Some(e) = self.elements.get_mut(&x).filter(|e| open(Some(e.state))) else {
+                continue;
+            };
+            e.state = State::Aborted;
+            gone.extend(e.downstream.iter().cloned());
+            if x != *key {
                 actions.push(Action::Cancel(x));
             }
-            self.elements[x].state = State::Aborted;
-            for j in 0..self.elements.len() {
-                if self.elements[j].state == State::Waiting
-                    && self.elements[j].upstream.contains(&x)
-                {
-                    gone.push(j);
-                }
-            }
+            self.finished();
         }
-        self.settle();
         actions
     }
 
+    /// Takes an element that is over, or that nothing waits for, out of the saga.
+    pub fn forget(&mut self, key: &K) {
+        let Some(e) = self.elements.remove(key) else { return };
+        if matches!(e.state, State::Active | State::Waiting) {
+            self.unfinished -= 1;
+        }
+        for u in e.open {
+            if let Some(u) = self.elements.get_mut(&u) {
+                u.downstream.remove(key);
+            }
+        }
+        self.commit_order.retain(|k| k != key);
+    }
+
     /// Aborts the whole saga. Only an active saga can be aborted.
-    pub fn abort(&mut self) -> Vec<Action> {
+    pub fn abort(&mut self) -> Vec<Action<K>> {
         if self.state != State::Active {
             return Vec::new();
         }
         self.state = State::Aborted;
         let mut actions = Vec::new();
-        for (i, e) in self.elements.iter_mut().enumerate() {
+        for (k, e) in self.elements.iter_mut() {
             match e.state {
-                State::Active => actions.push(Action::Cancel(i)),
+                State::Active => actions.push(Action::Cancel(k.clone())),
                 State::Committed => continue,
                 State::Waiting | State::Aborted => {}
             }
             e.state = State::Aborted;
         }
-        actions.extend(self.commit_order.iter().rev().map(|&i| Action::Compensate(i)));
+        actions.extend(self.commit_order.iter().rev().cloned().map(Action::Compensate));
         actions
     }
 }
@@ -153,12 +226,13 @@
     #[test]
     fn a_job_is_released_when_all_upstream_jobs_have_committed() {
         let mut s = Saga::default();
-        let (a, b) = (s.add(true, &[]), s.add(true, &[]));
-        let c = s.add(true, &[a, b]);
-        assert!(s.commit(a).is_empty());
-        assert_eq!(s.element(c), Some(State::Waiting));
-        assert_eq!(s.commit(b), vec![c]);
-        s.commit(c);
+        s.add("a", true, &[]);
+        s.add("b", true, &[]);
+        s.add("c", true, &["a", "b"]);
+        assert!(s.commit(&"a").is_empty());
+        assert_eq!(s.element(&"c"), Some(State::Waiting));
+        assert_eq!(s.commit(&"b"), vec!["c"]);
+        s.commit(&"c");
         assert_eq!(s.state(), State::Committed);
         assert_eq!(s.abort(), vec![], "a committed saga cannot be aborted");
     }
@@ -166,10 +240,10 @@
     #[test]
     fn a_vital_abort_cancels_the_running_and_compensates_in_reverse_commit_order() {
         let mut s = Saga::flat(4);
-        s.commit(2);
-        s.commit(0);
+        s.commit(&2);
+        s.commit(&0);
         assert_eq!(
-            s.abort_element(1),
+            s.abort_element(&1),
             vec![Action::Cancel(3), Action::Compensate(0), Action::Compensate(2)]
         );
         assert_eq!(s.state(), State::Aborted);
@@ -178,13 +252,31 @@
     #[test]
     fn a_non_vital_abort_cancels_only_what_waits_for_it() {
         let mut s = Saga::default();
-        let a = s.add(false, &[]);
-        let b = s.add(true, &[a]);
-        let c = s.add(true, &[]);
-        assert_eq!(s.abort_element(a), vec![]);
-        assert_eq!(s.element(b), Some(State::Aborted));
+        s.add("a", false, &[]);
+        s.add("b", true, &["a"]);
+        s.add("c", true, &[]);
+        assert_eq!(s.abort_element(&"a"), vec![Action::Cancel("b")]);
+        assert_eq!(s.element(&"b"), Some(State::Aborted));
         assert_eq!(s.state(), State::Active);
-        s.commit(c);
+        s.commit(&"c");
         assert_eq!(s.state(), State::Committed);
     }
+
+    #[test]
+    fn a_standing_saga_takes_elements_in_any_order_and_cancels_long_chains() {
+        let mut s = Saga::standing();
+        // Downstream first, as a list in the order of ids may have it.
+        (1..50_000).rev().for_each(|i: u32| s.add(i, false, &[i - 1]));
+        s.add(70_000, false, &[10, 20, 30]);
+        assert_eq!(s.commit(&0), [1]);
+        s.forget(&0);
+        assert_eq!(s.abort_element(&1).len(), 49_999);
+        assert_eq!(s.element(&70_000), Some(State::Aborted));
+        s.add(70_001, false, &[49_999]);
+        assert_eq!(s.element(&70_001), Some(State::Aborted), "it names one that is cancelled");
+        s.add(70_002, false, &[70_003]);
+        s.commit(&70_003);
+        assert_eq!(s.element(&70_002), Some(State::Active));
+        assert_eq!(s.state(), State::Active);
+    }
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -68,7 +68,7 @@
     /// became ready. With each comes whether it lies within its team's guarantee.
     pub fn queue(&self) -> Vec<(JobId, bool)> {
         let mut ready: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
-        ready.sort_by_key(|j| (j.at, j.id.clone()));
+        ready.sort_by_key(|j| (j.ready, j.id.clone()));
         let within = self.within_guarantee(&ready);
         let mut keyed: Vec<_> = ready
             .into_iter()
@@ -79,7 +79,7 @@
                 let weight = self.settings.policy.number(Setting::QueueWeight, &facts);
                 // As whole thousandths, so that the order is total.
                 let weight = (weight * 1000.0) as i64;
-                (Reverse(j.spec.priority), !within, latest.is_none(), weight, j.at, j.id.clone())
+                (Reverse(j.priority()), !within, latest.is_none(), weight, j.ready, j.id.clone())
             })
             .collect();
         keyed.sort();
@@ -90,7 +90,7 @@
     /// `latest` is what [`Cluster::latest_start`] says of it.
     pub fn facts<'a>(&self, job: &'a Job, within: bool, latest: Option<u64>) -> [Value<'a>; 12] {
         let spec = &job.spec;
-        let priority = match spec.priority {
+        let priority = match job.priority() {
             Priority::Low => "low",
             Priority::Normal => "normal",
             Priority::High => "high",
@@ -104,7 +104,7 @@
             Value::Number(f64::from(spec.tasks)),
             Value::Number(f64::from(job.done.len())),
             Value::Number(spec.need.cpu as f64 / 1000.0),
-            number(self.wall.saturating_sub(job.at)),
+            number(self.wall.saturating_sub(job.ready)),
             number(latest.unwrap_or(0).saturating_sub(self.wall)),
             number(self.share_of_work(job)),
             number(self.expected_run(spec)),
@@ -152,9 +152,9 @@
                 return None;
             }
             match o.kind.as_str() {
-                "wait" => Some(job.at + o.within),
-                "guarantee" if within => Some(job.at + o.within),
-                "finished" => Some((job.at + o.within).saturating_sub(run)),
+                "wait" => Some(job.ready + o.within),
+                "guarantee" if within => Some(job.ready + o.within),
+                "finished" => Some((job.ready + o.within).saturating_sub(run)),
                 "deadline" => {
                     let due = (job.spec.deadline? as f64 * o.times) as Micros;
                     Some((job.at + due).saturating_sub(run))
@@ -162,7 +162,9 @@
                 _ => None,
             }
         });
-        starts.map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall).min()
+        // What waits for it has to be in time as well.
+        let pulled = job.pull.iter().flat_map(|p| &p.due).flatten().map(|t| t.saturating_sub(run));
+        starts.chain(pulled).map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall).min()
     }
 
     /// The time the job's remaining work takes when its team uses all that it may.
@@ -256,6 +258,7 @@
         if !self.settled {
             return;
         }
+        self.pull(now);
         let mut slots = self.slots(now);
         let queue = self.queue();
         for (id, within) in &queue {
@@ -287,7 +290,7 @@
             }
             let Some(job) = self.jobs.get(&id) else { continue };
             if !job.placed && (job.pending.is_empty() || self.headroom(job) <= 0) {
-                let waited_s = seconds(self.wall.saturating_sub(job.at)) as u32;
+                let waited_s = seconds(self.wall.saturating_sub(job.ready)) as u32;
                 let (class, team, tasks) = (&job.spec.class, &job.spec.team, job.spec.tasks);
                 tracing::info!(job = %id, %class, %team, tasks, within, waited_s, "placed");
                 if let Some(job) = self.jobs.get_mut(&id) {
@@ -479,7 +482,7 @@
                 None => self.next_attempt(),
             };
             if let Some(j) = self.jobs.get_mut(id).filter(|j| j.gang.is_none()) {
-                let saga = Saga::flat(spec.tasks as usize);
+                let saga = Saga::flat(spec.tasks);
                 j.gang = Some(Gang { attempt, saga, running: false, stopping: false });
             }
             for (index, slot) in missing.iter().copied().zip(taken) {
@@ -690,7 +693,8 @@
     ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        let urgent = spec.priority >= Priority::High;
+        let priority = job.priority();
+        let urgent = priority >= Priority::High;
         let gang = spec.shape == Shape::Gang;
         // An array's tasks find room as others end; stopping as many others only moves the work.
         // Only guests, whose teams have no guarantee at all, make way for them, where they save.
@@ -729,7 +733,7 @@
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds && a.stop.is_none()) {
                 let victim = self.jobs.get(&task.job).filter(|j| j.spec.shape != Shape::Gang);
                 if let Some(j) = victim {
-                    let lower = urgent && j.spec.priority < spec.priority;
+                    let lower = urgent && j.priority() < priority;
                     let above = job.within
                         && !j.within
                         && j.team != job.team
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -156,7 +156,32 @@
         gang_peer_s: 5.0,
         cancel_s: 40.0,
     });
-    section!(State { rps: 100.0, write_rps: 40.0, value_kb: 16.0, txn_ops: 16.0 });
+    #[derive(Deserialize)]
+    #[serde(default)]
+    pub struct State {
+        pub rps: f64,
+        pub write_rps: f64,
+        pub value_kb: f64,
+        pub txn_ops: f64,
+        pub next: NextState,
+    }
+
+    impl Default for State {
+        fn default() -> State {
+            let next = NextState::default();
+            State { rps: 100.0, write_rps: 40.0, value_kb: 16.0, txn_ops: 16.0, next }
+        }
+    }
+
+    #[derive(Deserialize, Default)]
+    #[serde(default)]
+    pub struct NextState {
+        pub rps: Option<f64>,
+        pub write_rps: Option<f64>,
+        pub value_kb: Option<f64>,
+        pub txn_ops: Option<f64>,
+    }
+
     section!(Cloud { rps: 3.0, list_lag_s: 5.0 });
     section!(Quota { max_connections: 1000.0 });
 }
@@ -292,6 +317,13 @@
                 times: self.amount(&at("times"), o.times)?,
             });
         }
+        // The state service goes over to its next limits without notice: both are kept to.
+        let both = |check: &Self, name: &str, now: f64, next: Option<f64>| {
+            let now = check.positive(&format!("cluster.state.{name}"), now)?;
+            let next = next.map(|x| check.positive(&format!("cluster.state.next.{name}"), x));
+            Ok::<f64, SettingsError>(next.transpose()?.map_or(now, |next| next.min(now)))
+        };
+        let (state, next) = (&c.state, &c.state.next);
         let w = &c.workers;
         let duration = |check: &Self, f: &str, x: f64| check.positive(f, x).map(micros);
         let settings = Settings {
@@ -310,11 +342,11 @@
             gang_wait: duration(&self, "cluster.workers.gang_wait_s", w.gang_wait_s)?,
             gang_peer: duration(&self, "cluster.workers.gang_peer_s", w.gang_peer_s)?,
             cancel: duration(&self, "cluster.workers.cancel_s", w.cancel_s)?,
-            state_rps: self.positive("cluster.state.rps", c.state.rps)?,
-            state_write_rps: self.positive("cluster.state.write_rps", c.state.write_rps)?,
-            value_bytes: (self.positive("cluster.state.value_kb", c.state.value_kb)? * 1024.0)
+            state_rps: both(&self, "rps", state.rps, next.rps)?,
+            state_write_rps: both(&self, "write_rps", state.write_rps, next.write_rps)?,
+            value_bytes: (both(&self, "value_kb", state.value_kb, next.value_kb)? * 1024.0)
                 as usize,
-            txn_ops: self.positive("cluster.state.txn_ops", c.state.txn_ops)? as usize,
+            txn_ops: both(&self, "txn_ops", state.txn_ops, next.txn_ops)? as usize,
             cloud_rps: self.positive("cluster.cloud.rps", c.cloud.rps)?,
             list_lag: micros(self.amount("cluster.cloud.list_lag_s", c.cloud.list_lag_s)?),
             max_connections: self
@@ -381,6 +413,16 @@
         assert_eq!(s.team("blue"), Some(1));
     }
 
+    #[test]
+    fn what_the_state_service_will_allow_is_kept_to_from_the_start() {
+        let next = "[cluster.state]\ntxn_ops = 8\nvalue_kb = 4.0\n[cluster.state.next]\n\
+            write_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 16\n[cluster.workers]";
+        let text = SAMPLE.replace("[cluster.workers]", next);
+        let (s, _) = Settings::parse(&text, "f").unwrap();
+        assert_eq!((s.value_bytes, s.txn_ops), (2048, 8));
+        assert_eq!((s.state_rps, s.state_write_rps), (100.0, 18.0));
+    }
+
     #[test]
     fn impossible_values_are_refused_with_their_field() {
         let cases = [
@@ -389,6 +431,11 @@
             ("host_name = \"n1\"", "host_name = \"n0\"", "siblings[0].host_name"),
             ("bind = \"10.0.0.1:8080\"", "bind = \"here\"", "bind"),
             ("lease_s = 10.0", "lease_s = nan", "cluster.workers.lease_s"),
+            (
+                "[cluster.workers]",
+                "[cluster.state.next]\nwrite_rps = 0.0\n[cluster.workers]",
+                "cluster.state.next.write_rps",
+            ),
         ];
         for (from, to, field) in cases {
             let error = Settings::parse(&SAMPLE.replace(from, to), "f").unwrap_err().to_string();
--- a/src/store.rs
+++ b/src/store.rs
@@ -4,19 +4,19 @@
 //! | --- | --- |
 //! | `gh/lead/holder` | the leader, under its grant |
 //! | `gh/lead/term` | the highest term ever taken, and by whom |
-//! | `gh/live/<job>` | a pipeline that is not over |
-//! | `gh/part/<job>/<n>` | finished tasks of a large array beyond its first part |
-//! | `gh/over/<job>` | a pipeline that is done or was cancelled and has no task left |
+//! | `gh/live/<job>` | a job that is not over: [`JobRecord`], or [`WaitingRecord`] before its release |
+//! | `gh/part/<job>/<n>` | finished tasks that the job's own value has no room for |
+//! | `gh/over/<job>` | a job that is done, or was cancelled and has no task left |
 //! | `gh/block/<block>/<chunk>` | machines of a block, written before the first launch on them |
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
 use crate::http::Method;
-use crate::model::{JobSpec, Micros, Ranges, SECOND};
+use crate::model::{JobId, JobSpec, Micros, Ranges, SECOND};
 
 pub const HOLDER: &str = "gh/lead/holder";
 pub const TERM: &str = "gh/lead/term";
@@ -33,12 +33,15 @@
     pub term: u64,
 }
 
-/// The value of a live pipeline.
+/// The value of a live job that waits for no other, or no longer.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct JobRecord {
     pub spec: JobSpec,
     /// Time of day at acceptance, in microseconds.
     pub at: u64,
+    /// Time of day at its release, if it waited for other jobs.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ready: Option<u64>,
     #[serde(default)]
     pub done: String,
     #[serde(default)]
@@ -48,7 +51,138 @@
     pub failing: bool,
 }
 
-/// What is kept of a pipeline that is over.
+impl JobRecord {
+    /// Of a job that is accepted at `at`.
+    pub fn new(spec: JobSpec, at: u64) -> JobRecord {
+        let (done, ready) = (String::new(), None);
+        JobRecord { spec, at, ready, done, cancelled: false, failing: false }
+    }
+}
+
+/// The value of a live job that waits for others. It is so written that a controller of the
+/// version before pipelines answers queries from it, and cannot start the job: what that version's
+/// queries need is where they look for it, and what its leader needs is not.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct WaitingRecord {
+    spec: Size,
+    /// Time of day at acceptance, in microseconds.
+    pub at: u64,
+    pub cancelled: bool,
+    pub waiting: Held,
+}
+
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+struct Size {
+    tasks: u32,
+}
+
+/// What a waiting job is, and which jobs it waits for ([`encode_ids`]).
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct Held {
+    pub job: JobSpec,
+    pub on: String,
+}
+
+impl WaitingRecord {
+    pub fn new(job: JobSpec, at: u64, cancelled: bool, upstream: &[JobId]) -> WaitingRecord {
+        let on = encode_ids(upstream);
+        WaitingRecord { spec: Size { tasks: job.tasks }, at, cancelled, waiting: Held { job, on } }
+    }
+}
+
+/// The value of a live job.
+#[derive(Clone, Debug, PartialEq)]
+pub enum LiveRecord {
+    Job(JobRecord),
+    Waiting(WaitingRecord),
+}
+
+impl LiveRecord {
+    pub fn parse(text: &str) -> Result<LiveRecord, serde_json::Error> {
+        serde_json::from_str(text).map(LiveRecord::Job).or_else(|e| {
+            // What is neither is explained as what it is most likely meant to be.
+            serde_json::from_str(text).map(LiveRecord::Waiting).map_err(|_| e)
+        })
+    }
+
+    pub fn cancelled(&self) -> bool {
+        match self {
+            LiveRecord::Job(r) => r.cancelled,
+            LiveRecord::Waiting(r) => r.cancelled,
+        }
+    }
+
+    /// The record of the same job once its user has cancelled it, within `limit` bytes. What was
+    /// done of it counts for nothing any more, and goes where there is no room for it.
+    pub fn cancel(self, limit: usize) -> Box<RawValue> {
+        match self {
+            LiveRecord::Job(mut r) => {
+                r.cancelled = true;
+                let whole = raw(&r);
+                if whole.get().len() <= limit {
+                    return whole;
+                }
+                r.done.clear();
+                raw(&r)
+            }
+            LiveRecord::Waiting(mut r) => {
+                r.cancelled = true;
+                raw(&r)
+            }
+        }
+    }
+}
+
+/// Writes job ids briefly: by their number of digits, as numbers and ranges of them, in order.
+pub fn encode_ids(ids: &[JobId]) -> String {
+    use std::fmt::Write;
+    let mut by_digits: BTreeMap<usize, BTreeSet<u64>> = BTreeMap::new();
+    for digits in ids.iter().filter_map(|id| id.strip_prefix("j-")) {
+        if let Ok(n) = digits.parse() {
+            by_digits.entry(digits.len()).or_default().insert(n);
+        }
+    }
+    let mut out = String::new();
+    for (digits, numbers) in by_digits {
+        let sep = if out.is_empty() { "" } else { ";" };
+        // Writing to a String cannot fail.
+        let _ = write!(out, "{sep}{digits}:");
+        let mut numbers = numbers.into_iter().peekable();
+        while let Some(first) = numbers.next() {
+            let mut last = first;
+            while let Some(next) = numbers.next_if(|n| *n == last + 1) {
+                last = next;
+            }
+            let sep = if numbers.peek().is_some() { "," } else { "" };
+            let _ = match last == first {
+                true => write!(out, "{first}{sep}"),
+                false => write!(out, "{first}-{last}{sep}"),
+            };
+        }
+    }
+    out
+}
+
+/// Reads what [`encode_ids`] wrote.
+pub fn decode_ids(text: &str) -> Vec<JobId> {
+    let mut ids = Vec::new();
+    for (digits, numbers) in text.split(';').filter_map(|group| group.split_once(':')) {
+        let Ok(digits) = digits.parse::<usize>() else { continue };
+        for item in numbers.split(',') {
+            let (a, b) = item.split_once('-').unwrap_or((item, item));
+            if let (Ok(a), Ok(b)) = (a.parse::<u64>(), b.parse::<u64>()) {
+                let most = b.min(a.saturating_add(MAX_UPSTREAM as u64));
+                ids.extend((a..=most).map(|n| JobId::from(format!("j-{n:0digits$}"))));
+            }
+        }
+    }
+    ids
+}
+
+/// The most jobs that one may wait for; a body of 64 KiB holds no more.
+pub const MAX_UPSTREAM: usize = 16_000;
+
+/// What is kept of a job that is over.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct OverRecord {
     pub cancelled: bool,
@@ -220,6 +354,14 @@
         self.writes.push(Write::Delete { delete: key.into() });
     }
 
+    /// Moves a job from the live to those that are over. The caller guards its live record.
+    pub fn end(&mut self, id: &str, over: &OverRecord) {
+        let key = format!("{OVER}{id}");
+        self.guard(&key, 0);
+        self.delete(&format!("{LIVE}{id}"));
+        self.put(&key, raw(over), None);
+    }
+
     pub fn changes(&self) -> usize {
         self.writes.len()
     }
@@ -240,6 +382,15 @@
 }
 
 impl Item {
+    /// The value as a live job's record, if it is one.
+    pub fn live(&self) -> Option<LiveRecord> {
+        let parsed = LiveRecord::parse(self.v.get());
+        if let Err(e) = &parsed {
+            tracing::error!(key = %self.k, error = %e, "a value in the state service is not ours");
+        }
+        parsed.ok()
+    }
+
     /// The value as a record, if it is one.
     pub fn record<'a, T: Deserialize<'a>>(&'a self) -> Option<T> {
         let parsed = serde_json::from_str(self.v.get());
@@ -431,6 +582,19 @@
         }
     }
 
+    #[test]
+    fn ids_are_written_briefly_and_come_back_as_they_were() {
+        let ids: Vec<JobId> =
+            ["j-000398", "j-000399", "j-000400", "j-7", "j-007", "j-999999999999999999"]
+                .map(JobId::from)
+                .to_vec();
+        let text = encode_ids(&ids);
+        assert_eq!(text, "1:7;3:7;6:398-400;18:999999999999999999");
+        let back: BTreeSet<JobId> = decode_ids(&text).into_iter().collect();
+        assert_eq!(back, ids.into_iter().collect());
+        assert!(decode_ids("").is_empty() && decode_ids("x:1;3:y;").is_empty());
+    }
+
     #[test]
     fn the_budget_lets_renewals_pass_and_holds_the_rest_to_its_rates() {
         let mut b = Budget::new(4.0, 2.0);
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -133,7 +133,7 @@
     };
     f.submit("j-3", spec(Shape::Array, "red", 1, 30.0));
     assert!(wait(&mut f).is_empty(), "something waits for room");
-    f.c.job_gone("j-3", u64::MAX);
+    f.c.job_gone("j-3", u64::MAX, None);
     let leaving = wait(&mut f);
     assert_eq!(leaving.len(), 1, "a part at a time");
     let m = &f.c.machines[leaving[0].as_str()];
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -92,14 +92,7 @@
 
     pub fn submit(&mut self, id: &str, spec: JobSpec) {
         self.stamp += 1;
-        let record = JobRecord {
-            spec,
-            at: WALL + self.now,
-            done: String::new(),
-            cancelled: false,
-            failing: false,
-        };
-        self.c.job_record(id, record, self.stamp);
+        self.c.job_record(id, JobRecord::new(spec, WALL + self.now), self.stamp);
     }
 
     /// A report with these tasks; the orders it is answered with.
