--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -164,7 +164,7 @@
     }
 
     /// Jobs that wait for others or are waited for, those downstream before those upstream.
-    fn from_the_end(&self) -> Vec<&JobId> {
+    fn ends_first(&self) -> Vec<&JobId> {
         let mut left: HashMap<&JobId, usize> =
             self.saga.keys().map(|k| (k, self.saga.downstream(k).count())).collect();
         let mut order: Vec<&JobId> = left.iter().filter(|l| *l.1 == 0).map(|l| *l.0).collect();
@@ -422,7 +422,7 @@
             .collect();
         let mut pulls: HashMap<&JobId, Pull> = HashMap::new();
         let mut found: Vec<(JobId, Pull)> = Vec::new();
-        for id in self.pipelines.links.from_the_end() {
+        for id in self.pipelines.links.ends_first() {
             let job = self.jobs.get(id);
             let spec = job.map(|j| &j.spec).or(self.pipelines.waiting.get(id).map(|w| &w.spec));
             let Some(spec) = spec else { continue };
