Inherited priority orders the queue but stops no other work

Now a job's own priority decides whether it stops work; the inherited one only its place in the queue.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -693,8 +693,7 @@
     ) {
         let Some(job) = self.jobs.get(id) else { return };
         let spec = job.spec.clone();
-        let priority = job.priority();
-        let urgent = priority >= Priority::High;
+        let urgent = spec.priority >= Priority::High;
         let gang = spec.shape == Shape::Gang;
         // An array's tasks find room as others end; stopping as many others only moves the work.
         // Only guests, whose teams have no guarantee at all, make way for them, where they save.
@@ -733,7 +732,7 @@
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds && a.stop.is_none()) {
                 let victim = self.jobs.get(&task.job).filter(|j| j.spec.shape != Shape::Gang);
                 if let Some(j) = victim {
-                    let lower = urgent && j.priority() < priority;
+                    let lower = urgent && j.priority() < spec.priority;
                     let above = job.within
                         && !j.within
                         && j.team != job.team
