--- a/src/controller.rs
+++ b/src/controller.rs
@@ -350,8 +350,8 @@
         let n = self.settings.siblings.len() as f64;
         let share = match (self.lead.is_some(), n > 0.0) {
             (_, false) => 0.95,
-            (true, true) => 0.6,
-            (false, true) => 0.35 / n,
+            (true, true) => 0.5,
+            (false, true) => 0.6 / n,
         };
         self.budget
             .set_share(self.settings.state_rps * share, self.settings.state_write_rps * share);
