--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -256,9 +256,11 @@
         parts: BTreeMap<u32, Ranges>,
         whole: bool,
     },
+    /// `late_s`: by how much it missed its deadline.
     Over {
         id: JobId,
         cancelled: bool,
+        late_s: Option<u32>,
     },
     /// A job that waited for others is released.
     Release {
@@ -580,7 +582,10 @@
                 commit.end(&id, &OverRecord { cancelled, tasks: job.spec.tasks });
                 bytes += 400;
                 job.writing = true;
-                batch.push(Item::Over { id, cancelled }, live);
+                let due = job.submitted.deadline.filter(|_| !cancelled).map(|d| job.at + d);
+                let late = due.and_then(|due| self.wall.checked_sub(due));
+                let late_s = late.map(|t| seconds(t) as u32);
+                batch.push(Item::Over { id, cancelled, late_s }, live);
                 continue;
             }
             if room == 0 || bytes > 40_000 {
@@ -696,8 +701,11 @@
                         job.flushed.insert(x);
                     }
                 }
-                Item::Over { id, cancelled } => {
-                    tracing::info!(job = %id, cancelled, "over");
+                Item::Over { id, cancelled, late_s } => {
+                    match late_s {
+                        Some(late_s) => tracing::info!(job = %id, late_s, "over"),
+                        None => tracing::info!(job = %id, cancelled, "over"),
+                    }
                     self.job_gone(&id, stamp, Some(cancelled));
                 }
                 Item::Release { .. } | Item::Mark { .. } => self.pipeline_written(&item, stamp),
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -254,9 +254,8 @@
         lines.changed = true;
         if !known {
             let class = &lines.waiting[&id].spec.class;
-            let on = lines.links.open(&id);
-            tracing::info!(job = %id, %class, jobs = on.len(), first = on.first().map(|u| &**u),
-                "waits for others");
+            let on = lines.links.open(&id).join(" ");
+            tracing::info!(job = %id, %class, %on, "waits for others");
         }
         self.follow_up(&id, consequences);
     }
@@ -352,7 +351,7 @@
                 _ => {
                     let over = OverRecord { cancelled: true, tasks: w.spec.tasks };
                     commit.end(&id, &over);
-                    batch.push(Item::Over { id: id.clone(), cancelled: true }, live);
+                    batch.push(Item::Over { id: id.clone(), cancelled: true, late_s: None }, live);
                 }
             }
             *bytes += 1500;
@@ -364,9 +363,8 @@
     pub fn pipeline_written(&mut self, item: &Item, stamp: u64) {
         match item {
             Item::Release { id, record } => {
-                let on = self.pipelines.waiting.get(id).map(|w| w.on.clone()).unwrap_or_default();
                 let waited_s = seconds(self.wall.saturating_sub(record.at)) as u32;
-                tracing::info!(job = %id, on, waited_s, "released");
+                tracing::info!(job = %id, class = %record.spec.class, waited_s, "released");
                 self.job_record(id, (**record).clone(), stamp);
             }
             Item::Mark { id } => {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -292,7 +292,10 @@
             if !job.placed && (job.pending.is_empty() || self.headroom(job) <= 0) {
                 let waited_s = seconds(self.wall.saturating_sub(job.ready)) as u32;
                 let (class, team, tasks) = (&job.spec.class, &job.spec.team, job.spec.tasks);
-                tracing::info!(job = %id, %class, %team, tasks, within, waited_s, "placed");
+                // The time it could still have waited, for its own sake and for what waits for it.
+                let latest = self.latest_start(job, within);
+                let slack_s = latest.map(|t| seconds(t.saturating_sub(self.wall)) as u32);
+                tracing::info!(job = %id, %class, %team, tasks, within, waited_s, slack_s, "placed");
                 if let Some(job) = self.jobs.get_mut(&id) {
                     job.placed = true;
                 }
