Rent for jobs that will be released before a machine rented now is up

Waiting jobs whose upstream is expected to end within the shortest boot now enter the plan with their expected release; machines they are planned on are not returned meanwhile. They keep no room and hold no limit.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -109,6 +109,8 @@
     pub images: HashSet<String>,
     /// Room that is being kept for a waiting job.
     pub kept: Option<Kept>,
+    /// Work that will be released soon is planned here: it is not returned until then.
+    pub awaited_until: Micros,
     pub refused_until: Micros,
     /// When work of high priority was last placed here.
     pub urgent_at: Option<Micros>,
@@ -818,6 +820,7 @@
             failures: HashMap::new(),
             images: HashSet::new(),
             kept: None,
+            awaited_until: 0,
             refused_until: 0,
             urgent_at: None,
             digest: None,
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -19,6 +19,9 @@
 /// that start on one machine at one time.
 const PLANNED_STEPS: usize = 3000;
 
+/// The part of the time left that is counted on for work that will be released soon.
+const FORESEEN_SLACK: f64 = 0.2;
+
 /// A zone from which nothing was heard for this long is tried with one machine.
 const DARK: Micros = 30 * SECOND;
 
@@ -145,6 +148,8 @@
     tasks: i64,
     zones: Zones,
     run: Micros,
+    /// When its tasks can start at the earliest: those of a job that waits for others, at its release.
+    from: Micros,
     /// When its tasks have to start, on our clock.
     limit: Micros,
 }
@@ -160,6 +165,8 @@
     ready: Micros,
     /// The earliest last: when, how many tasks end, and the room of all of them.
     releases: Vec<(Micros, u32, Resources)>,
+    /// The machine, if it is there.
+    machine: Option<MachineId>,
 }
 
 impl Lane {
@@ -362,8 +369,10 @@
 
     /// Gives back machines that have been idle for as long as policy keeps them.
     fn return_idle(&mut self, now: Micros) {
-        let empty =
-            |m: &&Machine| m.up && !m.deleting && m.attempts.is_empty() && m.kept(now).is_none();
+        let empty = |m: &&Machine| {
+            let awaited = now < m.awaited_until;
+            m.up && !m.deleting && m.attempts.is_empty() && m.kept(now).is_none() && !awaited
+        };
         // The shortest idle first: the others have that many spares beside them.
         let mut idle: Vec<(Micros, MachineId)> =
             self.machines.values().filter(empty).map(|m| (m.idle_since, m.id.clone())).collect();
@@ -537,11 +546,47 @@
                 }
             };
             let limit = now + slack;
-            out.push(Waiting { spec: job.spec.clone(), tasks, zones, run, limit });
+            let spec = job.spec.clone();
+            out.push(Waiting { spec, tasks, zones, run, from: now, limit });
         }
+        self.foresee(&mut out, &mut spare, now);
         out
     }
 
+    /// Adds the work of jobs that will be released before a machine rented now is up.
+    fn foresee(&self, out: &mut Vec<Waiting>, spare: &mut [Resources], now: Micros) {
+        let boots = self.flavors.iter().enumerate().flat_map(|(f, flavor)| {
+            let zones = flavor.zones.iter();
+            zones.map(move |z| self.fleet.boots.expected(f, z, flavor.boot, now))
+        });
+        let until = now + boots.min().unwrap_or(0);
+        for (from, _, w) in self.foreseen(now, until) {
+            let Some(t) = self.settings.team(&w.spec.team) else { continue };
+            spare[t].mem = UNLIMITED;
+            let need = Resources { mem: 0, ..w.spec.need };
+            let all = i64::from(w.spec.tasks);
+            let mut tasks = all.min(need.times_in(&spare[t]));
+            if w.spec.shape == Shape::Gang && tasks < all {
+                tasks = 0;
+            }
+            if tasks <= 0 {
+                continue;
+            }
+            spare[t] -= need.times(tasks);
+            let ready = self.wall + (from - now);
+            let latest = self.latest(&w.spec, w.at, ready, w.pull.as_ref(), false);
+            let slack = latest.map_or(0, |t| t.saturating_sub(ready));
+            out.push(Waiting {
+                spec: w.spec.clone(),
+                tasks,
+                zones: Zones::new(),
+                run: self.expected_run(&w.spec),
+                from,
+                limit: from + (slack as f64 * FORESEEN_SLACK) as Micros,
+            });
+        }
+    }
+
     fn lane(&self, flavor: usize, zone: &Arc<str>, spot: bool, ready: Micros) -> Lane {
         Lane {
             flavor,
@@ -551,6 +596,7 @@
             free: self.flavors[flavor].size,
             ready,
             releases: Vec::new(),
+            machine: None,
         }
     }
 
@@ -565,7 +611,7 @@
         if !w.spec.need.fits(&self.flavors[lane.flavor].size) || !self.lane_allows(lane, w) {
             return;
         }
-        let start = lane.earliest(&w.spec.need, now);
+        let start = lane.earliest(&w.spec.need, now).max(w.from);
         // Prices are positive, and such numbers are in the order of their bits.
         let price = lane.price.max(0.0).to_bits();
         let late = start > w.limit;
@@ -591,6 +637,7 @@
             }
             let mut lane = self.lane(flavor, &m.zone, m.spot, now);
             lane.free = m.free();
+            lane.machine = Some(m.id.clone());
             for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
                 lane.releases.push((self.expected_end(task, a, now), 1, a.need));
             }
@@ -612,6 +659,7 @@
         let mut lanes = self.lanes(now);
         let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
         let mut budget = PLANNED_STEPS;
+        let mut awaited: HashSet<MachineId> = HashSet::new();
         for i in 0..waiting.len() {
             let (head, rest) = waiting.split_at_mut(i + 1);
             let w = &mut head[i];
@@ -634,6 +682,9 @@
                     let ready = offer.iter().flatten().next().map(|o: &Offer| self.boots(o, now));
                     // A new machine would be there no sooner than the room there is.
                     if !late || ready.is_none_or(|r| start <= r) {
+                        if w.from > now {
+                            awaited.extend(lanes[l].machine.clone());
+                        }
                         lanes[l].take(w, start);
                         self.choose(&mut choices, &lanes, l, w, now);
                         continue;
@@ -642,7 +693,7 @@
                 }
                 let found = offer.take().unwrap_or_else(|| self.best_offer(w, rest, now));
                 let Some(found) = found else { break };
-                let ready = self.boots(&found, now);
+                let ready = self.boots(&found, now).max(w.from);
                 let mut lane =
                     self.lane(found.flavor, &found.zone.as_str().into(), found.spot, ready);
                 lane.take(w, ready);
@@ -651,6 +702,11 @@
                 *wanted.entry(found).or_default() += 1;
             }
         }
+        for id in awaited {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.awaited_until = now + 2 * SECOND;
+            }
+        }
         for (offer, count) in wanted {
             if !self.fleet.may_call(0.0) {
                 break;
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -17,8 +17,8 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
-use crate::cluster::{Batch, Cluster, Item};
-use crate::model::{JobId, JobSpec, Micros, Priority, seconds};
+use crate::cluster::{Batch, Cluster, Item, Job};
+use crate::model::{JobId, JobSpec, Micros, Priority, TaskId, seconds};
 use crate::saga::{Action, Saga, State};
 use crate::store::{self, Commit, JobRecord, OverRecord, WaitingRecord};
 
@@ -192,6 +192,8 @@
     pub at: u64,
     stamp: u64,
     on: String,
+    /// What jobs that wait for it ask of it.
+    pub pull: Option<Pull>,
     /// Its own record says that it is cancelled.
     marked: bool,
     writing: bool,
@@ -235,6 +237,7 @@
             at: record.at,
             stamp,
             on: record.waiting.on,
+            pull: None,
             marked: false,
             writing: false,
             unsure: false,
@@ -425,7 +428,7 @@
             let spec = job.map(|j| &j.spec).or(self.pipelines.waiting.get(id).map(|w| &w.spec));
             let Some(spec) = spec else { continue };
             let pulled = pulls.remove(id);
-            if let (Some(_), Some(pull)) = (job, &pulled) {
+            if let Some(pull) = &pulled {
                 found.push((id.clone(), pull.clone()));
             }
             let Some(w) = self.pipelines.waiting.get(id) else { continue };
@@ -464,10 +467,51 @@
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.pull = Some(pull);
                 self.pipelines.pulled.push(id);
+            } else if let Some(w) = self.pipelines.waiting.get_mut(&id) {
+                w.pull = Some(pull);
             }
         }
     }
 
+    /// Waiting jobs that are expected to be released by `until`, and when, the first one first.
+    pub fn foreseen(&self, now: Micros, until: Micros) -> Vec<(Micros, &JobId, &Waiting)> {
+        let lines = &self.pipelines;
+        if lines.waiting.is_empty() {
+            return Vec::new();
+        }
+        // When each is expected to end, those upstream first.
+        let mut ends: HashMap<&JobId, Micros> = HashMap::new();
+        let mut out = Vec::new();
+        for id in lines.links.ends_first().into_iter().rev() {
+            if let Some(job) = self.jobs.get(id).filter(|j| !j.cancelled) {
+                ends.insert(id, self.job_end(job, now));
+            }
+            let Some((id, w)) = lines.waiting.get_key_value(id) else { continue };
+            let upstream = lines.links.saga.open(id).map(|u| ends.get(u).copied());
+            let Some(upstream) = upstream.collect::<Option<Vec<_>>>() else { continue };
+            let release = upstream.into_iter().max().unwrap_or(now);
+            if !lines.links.is_cancelled(id) {
+                ends.insert(id, release + self.stage_time(&w.spec));
+                if release <= until {
+                    out.push((release, id, w));
+                }
+            }
+        }
+        out.sort_by_key(|f| (f.0, f.1));
+        out
+    }
+
+    /// When a job is expected to end at the earliest.
+    fn job_end(&self, job: &Job, now: Micros) -> Micros {
+        let ends = job.live.iter().map(|(index, (machine, attempt))| {
+            let key = (TaskId { job: job.id.clone(), index: *index }, *attempt);
+            let attempt = self.machines.get(machine).and_then(|m| m.attempts.get(&key));
+            attempt.map_or(now, |a| self.expected_end(&key.0, a, now))
+        });
+        let last = ends.max().unwrap_or(now);
+        if job.pending.is_empty() { last } else { last.max(now + self.expected_run(&job.spec)) }
+    }
+
     /// What a job takes from its release to its end, when it finds room: until workers are told
     /// and tell, the image, and its tasks at their expected time and a quarter more.
     fn stage_time(&self, spec: &JobSpec) -> Micros {
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -9,6 +9,7 @@
     JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team, UNLIMITED, micros,
     seconds,
 };
+use crate::pipeline::Pull;
 use crate::policy::{Setting, Value};
 use crate::saga::Saga;
 
@@ -145,25 +146,37 @@
     /// The time of day by which the job's tasks have to start to meet the next objective that can
     /// still be met; `None` if none can.
     pub fn latest_start(&self, job: &Job, within: bool) -> Option<u64> {
-        let run = self.expected_run(&job.spec) * 5 / 4;
-        let fetch = self.fetch_time(&job.spec);
+        self.latest(&job.spec, job.at, job.ready, job.pull.as_ref(), within)
+    }
+
+    /// The same for a job that was accepted and is released at these times of day.
+    pub fn latest(
+        &self,
+        spec: &JobSpec,
+        at: u64,
+        ready: u64,
+        pull: Option<&Pull>,
+        within: bool,
+    ) -> Option<u64> {
+        let run = self.expected_run(spec) * 5 / 4;
+        let fetch = self.fetch_time(spec);
         let starts = self.settings.objectives.iter().filter_map(|o| {
-            if o.class.as_ref().is_some_and(|c| *c != job.spec.class) {
+            if o.class.as_ref().is_some_and(|c| *c != spec.class) {
                 return None;
             }
             match o.kind.as_str() {
-                "wait" => Some(job.ready + o.within),
-                "guarantee" if within => Some(job.ready + o.within),
-                "finished" => Some((job.ready + o.within).saturating_sub(run)),
+                "wait" => Some(ready + o.within),
+                "guarantee" if within => Some(ready + o.within),
+                "finished" => Some((ready + o.within).saturating_sub(run)),
                 "deadline" => {
-                    let due = (job.spec.deadline? as f64 * o.times) as Micros;
-                    Some((job.at + due).saturating_sub(run))
+                    let due = (spec.deadline? as f64 * o.times) as Micros;
+                    Some((at + due).saturating_sub(run))
                 }
                 _ => None,
             }
         });
         // What waits for it has to be in time as well.
-        let pulled = job.pull.iter().flat_map(|p| &p.due).flatten().map(|t| t.saturating_sub(run));
+        let pulled = pull.iter().flat_map(|p| &p.due).flatten().map(|t| t.saturating_sub(run));
         starts.chain(pulled).map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall).min()
     }
 
