Do not give up a final deadline that can still be met if the stages go fast

Now a deadline is given up only when the least possible times exceed it; until then the work is due at once.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -204,9 +204,43 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Pull {
     pub priority: Priority,
-    /// For each deadline objective: the time of day by which this job has to be done, so that what is
-    /// to run after it can meet the objective.
-    pub due: Vec<Option<u64>>,
+    /// For each deadline objective: when this job has to be done, so that what is to run after it can
+    /// meet the objective.
+    pub due: Vec<Option<Due>>,
+}
+
+/// Times of day by which a job has to be done.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Due {
+    /// If what comes after it takes as long as it may well take.
+    pub by: u64,
+    /// If that goes as fast as can be: later than this is too late for certain.
+    pub last: u64,
+}
+
+impl Due {
+    /// The same for a job whose own time, from its release to its end, lies before these.
+    fn less(self, stage: Stage) -> Due {
+        let by = self.by.saturating_sub(stage.likely);
+        Due { by, last: self.last.saturating_sub(stage.least) }
+    }
+
+    fn first(self, other: Due) -> Due {
+        Due { by: self.by.min(other.by), last: self.last.min(other.last) }
+    }
+
+    /// The time of day by which the job has to start, if that is not too late.
+    pub fn start(self, stage: Stage, now: u64) -> Option<u64> {
+        let due = self.less(stage);
+        (due.last >= now).then(|| due.by.max(now))
+    }
+}
+
+/// How long a job takes from its start to its end.
+#[derive(Clone, Copy, Debug)]
+pub struct Stage {
+    pub likely: Micros,
+    pub least: Micros,
 }
 
 /// All jobs that wait, as the leader sees them.
@@ -438,15 +472,16 @@
             // Its own deadlines or those of what follows it, whichever come first.
             let own = times.iter().map(|(class, times)| {
                 let due = spec.deadline.filter(|_| class.is_none_or(|c| *c == *spec.class))?;
-                Some(w.at + (due as f64 * times) as Micros)
+                let due = w.at + (due as f64 * times) as Micros;
+                Some(Due { by: due, last: due })
             });
             let after = pulled.as_ref().map_or(&[][..], |p| &p.due);
             let step = self.stage_time(spec);
-            let due: Vec<Option<u64>> = own
+            let due: Vec<Option<Due>> = own
                 .enumerate()
                 .map(|(i, own)| {
                     let both = [own, after.get(i).copied().flatten()];
-                    Some(both.into_iter().flatten().min()?.saturating_sub(step))
+                    Some(both.into_iter().flatten().reduce(Due::first)?.less(step))
                 })
                 .collect();
             let priority = pulled.map_or(spec.priority, |p| p.priority.max(spec.priority));
@@ -454,7 +489,7 @@
                 let pull = pulls.entry(u).or_insert_with(|| Pull { priority, due: due.clone() });
                 pull.priority = pull.priority.max(priority);
                 for (mine, theirs) in pull.due.iter_mut().zip(&due) {
-                    *mine = [*mine, *theirs].into_iter().flatten().min();
+                    *mine = [*mine, *theirs].into_iter().flatten().reduce(Due::first);
                 }
             }
         }
@@ -491,7 +526,7 @@
             let Some(upstream) = upstream.collect::<Option<Vec<_>>>() else { continue };
             let release = upstream.into_iter().max().unwrap_or(now);
             if !lines.links.is_cancelled(id) {
-                ends.insert(id, release + self.stage_time(&w.spec));
+                ends.insert(id, release + self.stage_time(&w.spec).likely);
                 if release <= until {
                     out.push((release, id, w));
                 }
@@ -513,8 +548,17 @@
     }
 
     /// What a job takes from its release to its end, when it finds room: until workers are told
-    /// and tell, the image, and its tasks at their expected time and a quarter more.
-    fn stage_time(&self, spec: &JobSpec) -> Micros {
-        2 * self.settings.report + self.fetch_time(spec) + self.expected_run(spec) * 5 / 4
+    /// and tell, the image, and its tasks at their expected time and a quarter more. At least: a part of
+    /// that time, with the image there.
+    fn stage_time(&self, spec: &JobSpec) -> Stage {
+        let told = 2 * self.settings.report;
+        let stage = self.run_time(spec);
+        Stage { likely: stage.likely + told, least: stage.least + told / 2 }
+    }
+
+    /// The same from the start of its tasks.
+    pub fn run_time(&self, spec: &JobSpec) -> Stage {
+        let run = self.expected_run(spec);
+        Stage { likely: self.fetch_time(spec) + run * 5 / 4, least: run * 3 / 4 }
     }
 }
--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -176,8 +176,11 @@
             }
         });
         // What waits for it has to be in time as well.
-        let pulled = pull.iter().flat_map(|p| &p.due).flatten().map(|t| t.saturating_sub(run));
-        starts.chain(pulled).map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall).min()
+        let stage = self.run_time(spec);
+        let pulled = pull.iter().flat_map(|p| &p.due).flatten();
+        let pulled = pulled.filter_map(|due| due.start(stage, self.wall));
+        let own = starts.map(|t| t.saturating_sub(fetch)).filter(|t| *t >= self.wall);
+        own.chain(pulled).min()
     }
 
     /// The time the job's remaining work takes when its team uses all that it may.
