Stories of pipelines and of the upgrade; the checker learns too_early and orphaned

The fake state service refuses too large values and transactions and drops its limits without notice; random stories draw upstream jobs and limit drops.

--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -1,8 +1,10 @@
 //! Short stories: a whole cluster in memory, on a simulated clock, with the rules checked.
 
 mod ops;
+mod pipelines;
 mod scale;
 mod sim;
+mod upgrade;
 
 use gannethub::leadership::PROMISE;
 use rand::Rng;
@@ -326,7 +328,10 @@
 #[test]
 fn random_troubles_break_no_rule() {
     for seed in 100..112 {
-        let mut w = World::new(3, seed);
+        let limits = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 60.0\n\
+            [cluster.cloud]";
+        let next_limits = |text: String| text.replace("[cluster.cloud]", limits);
+        let mut w = World::with_settings(3, seed, LEASE as f64 / SECOND as f64, &next_limits);
         w.run(2);
         let mut next = 1;
         let mut mistakes = 0;
@@ -339,12 +344,23 @@
             let (together, scatter) = (w.rng.random_bool(0.3), w.rng.random_bool(0.2));
             let stamp = if w.rng.random_bool(0.5) { 1.0 } else { 0.0 };
             if next < 12 {
+                // Up to two of those before it, if they were accepted: nobody names a service.
+                let names = |w: &World, i: u32| {
+                    let id = format!("j-{i:06}");
+                    let j = &w.jobs[&id];
+                    (j.accepted.is_some() && j.body["shape"] != "service").then_some(id)
+                };
+                let draw: Vec<u32> = (0..2).map(|_| w.rng.random_range(0..2 * next)).collect();
+                let before = draw.into_iter().filter(|i| (1..next).contains(i));
+                let on: Vec<String> = before.filter_map(|i| names(&w, i)).collect();
                 let more = json!({"shape": shape, "crew": crew, "rank": rank, "together": together,
-                    "scatter": scatter && !together, "stamp_every_s": stamp, "stamp_s": stamp});
+                    "scatter": scatter && !together, "stamp_every_s": stamp, "stamp_s": stamp,
+                    "waits_on": on});
                 w.submit(job(next, tasks, more));
                 next += 1;
             }
-            match w.rng.random_range(0..16) {
+            match w.rng.random_range(0..17) {
+                15 => w.state.limits = (2048, 4),
                 0 | 1 => {
                     let n = w.rng.random_range(0..3);
                     w.crash(n, 6 * SECOND);
@@ -416,6 +432,7 @@
             .for_each(|i| services.push(i));
         services.drain(..).for_each(|i| w.cancel(i));
         w.run_until(400, "all are over", World::all_over);
+        assert_eq!(w.state.too_large, 0, "seed {seed}");
         w.finish();
     }
 }
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -51,6 +51,7 @@
     pub told_cancelled: Option<u64>,
     pub told_done: Option<u64>,
     pub status: String,
+    pub waits_on: Vec<String>,
     pub polls: usize,
 }
 
@@ -167,7 +168,7 @@
             rng: StdRng::seed_from_u64(seed),
             nodes: Vec::new(),
             settings: (0..nodes).map(|i| settings(i, nodes, believed_s, change)).collect(),
-            state: State::default(),
+            state: State::new(16 * 1024, 8),
             refused: HashSet::new(),
             cut: HashSet::new(),
             held: Vec::new(),
@@ -567,6 +568,7 @@
                 told_cancelled: None,
                 told_done: None,
                 status: String::new(),
+                waits_on: Vec::new(),
                 polls: 0,
             },
         );
@@ -621,21 +623,42 @@
         let status = body["status"].as_str().unwrap_or("").to_string();
         let now = self.now;
         let all_done = self.completed(id);
+        let chain = self.upstream(id);
+        let cancel_asked = chain.iter().any(|u| self.jobs.get(u).is_some_and(|j| j.cancel_asked));
+        let told = |u: &String| self.jobs.get(u).and_then(|j| j.told_cancelled);
+        let lost = chain.iter().filter(|u| *u != id).filter_map(told).min();
+        let named =
+            chain.iter().all(|u| self.jobs.get(u).is_some_and(|j| u == id || j.accepted.is_some()));
         let Some(j) = self.jobs.get_mut(id) else { return };
         let mut broken = Vec::new();
+        if response.status == 200 && matches!(&*status, "pending" | "running") {
+            // It counts from when the user was told, or from this job's acceptance if that is later.
+            let since = lost.map(|t| t.max(j.accepted.unwrap_or(now)));
+            if since.is_some_and(|t| asked > t + CANCEL) {
+                broken.push(format!("orphaned: {id} is {status}"));
+            }
+        }
+        if response.status == 422 && named && chain.len() > 1 {
+            broken.push(format!("forgotten: all that {id} names was accepted"));
+        }
         match response.status {
             200 | 201 => {
                 if what == "submit" {
                     j.accepted.get_or_insert(now);
+                    if !named {
+                        broken.push(format!("invented: {id} names a job that nobody submitted"));
+                    }
                 }
                 if what == "poll" {
+                    let ids = body["waits_on"].as_array().into_iter().flatten();
+                    j.waits_on = ids.filter_map(Value::as_str).map(String::from).collect();
                     j.polls += 1;
                 }
                 // Answers may overtake one another: only what was asked after being told counts.
                 let knew = |told: Option<u64>| told.is_some_and(|t| t < asked);
                 if (knew(j.told_done) && status != "done")
                     || (knew(j.told_cancelled) && status != "cancelled")
-                    || (status == "cancelled" && !j.cancel_asked)
+                    || (status == "cancelled" && !cancel_asked)
                 {
                     broken.push(format!("went_back: {id} is {status}"));
                 }
@@ -661,6 +684,23 @@
         self.broken.extend(broken);
     }
 
+    /// The job itself and all that it needs, directly or through others.
+    fn upstream(&self, id: &str) -> Vec<String> {
+        let mut all = vec![id.to_string()];
+        let mut next = 0;
+        while let Some(id) = all.get(next).cloned() {
+            next += 1;
+            let named = self.jobs.get(&id).map(|j| &j.body["waits_on"]);
+            for u in named.and_then(Value::as_array).into_iter().flatten() {
+                let u = u.as_str().unwrap_or("").to_string();
+                if !all.contains(&u) {
+                    all.push(u);
+                }
+            }
+        }
+        all
+    }
+
     /// Whether each of the job's tasks has completed on some machine at some time.
     fn completed(&self, id: &str) -> bool {
         let n = self.jobs.get(id).and_then(|j| j.body["pieces"].as_u64()).unwrap_or(0);
@@ -670,6 +710,11 @@
         })
     }
 
+    /// What a job's user was last told that it waits for.
+    pub fn waits_on(&self, id: &str) -> &[String] {
+        &self.jobs[id].waits_on
+    }
+
     pub fn all_over(&self) -> bool {
         self.jobs.values().all(|j| {
             j.told_done.is_some()
@@ -690,6 +735,15 @@
         };
         let body = &job.body;
         let mut broken = Vec::new();
+        for u in self.upstream(&id).iter().filter(|u| **u != id) {
+            if !self.completed(u) {
+                broken.push(format!("too_early: {name} before {u} is done"));
+            }
+            let lost = self.jobs.get(u).and_then(|j| j.told_cancelled);
+            if lost.is_some_and(|t| self.now > t + CANCEL) {
+                broken.push(format!("ran_cancelled: {name}, which needs {u}"));
+            }
+        }
         let others = || self.workers.values().filter(|o| !o.dead && o.name != w.name);
         if others().any(|o| o.tasks.get(name).is_some_and(|t| t.on_machine())) {
             broken.push(format!("ran_twice: {name} on {}", w.name));
--- a/tests/stories/sim/state.rs
+++ b/tests/stories/sim/state.rs
@@ -23,6 +23,10 @@
     pub down: bool,
     /// Requests so far.
     pub requests: usize,
+    /// Bytes of a value and changes of a transaction that it allows; they may fall without notice.
+    pub limits: (usize, usize),
+    /// Transactions refused for their size.
+    pub too_large: usize,
 }
 
 /// What a request comes to: an answer, or a watch that waits.
@@ -32,6 +36,10 @@
 }
 
 impl State {
+    pub fn new(value: usize, changes: usize) -> State {
+        State { limits: (value, changes), ..State::default() }
+    }
+
     fn change(&mut self, key: &str, value: Option<(Value, Option<u64>)>) {
         let revision = self.revision;
         match value {
@@ -166,9 +174,13 @@
             if w["permit"].as_u64().is_some_and(|g| !self.grants.contains_key(&g)) {
                 return (400, json!({"error": "no such lease"}));
             }
-            assert!(w["v"].to_string().len() <= 16 * 1024, "a value outgrew the limit");
         }
-        assert!(writes.len() <= 8, "too many operations in one transaction");
+        let (value, changes) = self.limits;
+        let large = |w: &Value| w["v"].to_string().len() > value;
+        if writes.len() > changes || writes.iter().any(large) || guards.len() > 4 * changes {
+            self.too_large += 1;
+            return (400, json!({"error": "too large"}));
+        }
         let stamp = |k: &str| self.entries.get(k).map_or(0, |e| e.stamp);
         let failed: Vec<&str> = guards
             .iter()
@@ -190,6 +202,18 @@
         (200, json!({"ledger_no": self.revision}))
     }
 
+    /// What an earlier version has left behind.
+    pub fn put(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        let value = serde_json::from_str(value).expect("the fixture is JSON");
+        self.change(key, Some((value, None)));
+    }
+
+    /// A key's value, for the tests to look at.
+    pub fn value(&self, key: &str) -> Option<&Value> {
+        self.entries.get(key).map(|e| &e.value)
+    }
+
     /// Keys with a prefix, for the tests to look at.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.entries.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
--- /dev/null
+++ b/tests/stories/upgrade.rs
@@ -0,0 +1,189 @@
+//! Both versions on each other's data. The fixtures are what the version before pipelines writes:
+//! they were printed by its own record types and frames in a test added to that commit. Its reading
+//! side is kept here as small types of the same fields.
+
+use bytes::BytesMut;
+use gannethub::block::ChunkRecord;
+use gannethub::model::{JobId, JobSpec};
+use gannethub::peer::{self, Body};
+use gannethub::store::{
+    self, JobRecord, LeadRecord, LiveRecord, OverRecord, PartRecord, WaitingRecord,
+};
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::sim::{SECOND, World, job};
+
+const SPEC: &str = r#"{"class":"scale-ticket","team":"blue","shape":"Array","priority":"Low","tasks":70,"need":{"cpu":1000,"gpu":0,"mem":2300},"image":"img-07","image_gb":0.6,"types":["small"],"zone":null,"one_zone":false,"spread":false,"spot":true,"estimate":30500000,"checkpoint_every":0,"save":0,"deadline":71000000}"#;
+const TAIL: &str = r#","at":1790000000000000,"done":"0-2,9","cancelled":false}"#;
+const FAILING: &str = r#","at":1790000000000000,"done":"","cancelled":true,"failing":true}"#;
+const OVER: &str = r#"{"cancelled":false,"tasks":70}"#;
+const PART: &str = r#"{"done":"4096-4100"}"#;
+const LEAD: &str = r#"{"holder":"n0","term":7}"#;
+const CHUNK: &str = r#"{"term":7,"holder":"n0","machines":{"host-000001":{"flavor":"small","zone":"a","spot":true},"host-000002":{"flavor":"gpu","zone":"b","spot":false}}}"#;
+const FRAMES: &str = "000000170a026e31121108071001180122090a036a2d31100218030000000c0a026e31\
+    1a06080912027b7d0000000f0a026e312209080910c8011a027b7d0000000f0a026e312a090801100718c096b102\
+    0000000a0a026e313204080110070000000d0a026e313a070a036a2d31102c";
+
+fn record(tail: &str) -> String {
+    format!("{{\"spec\":{SPEC}{tail}")
+}
+
+/// What the leader of the version before reads of a live job; every field without a default is needed.
+#[derive(Deserialize)]
+struct OldJob {
+    spec: JobSpec,
+    at: u64,
+    #[serde(default)]
+    done: String,
+    #[serde(default)]
+    cancelled: bool,
+    #[serde(default)]
+    failing: bool,
+}
+
+/// What its copy for queries reads.
+#[derive(Deserialize)]
+struct OldBrief {
+    spec: OldSize,
+    #[serde(default)]
+    cancelled: bool,
+}
+
+#[derive(Deserialize)]
+struct OldSize {
+    tasks: u32,
+}
+
+#[test]
+fn what_the_version_before_writes_is_read_and_written_as_it_was() {
+    for tail in [TAIL, FAILING] {
+        let text = record(tail);
+        let LiveRecord::Job(r) = LiveRecord::parse(&text).expect("a job") else {
+            panic!("it does not wait")
+        };
+        assert_eq!(store::raw(&r).get(), text, "not a byte differs where nothing is new");
+    }
+    let over: OverRecord = serde_json::from_str(OVER).expect("an end");
+    assert_eq!(store::raw(&over).get(), OVER);
+    let part: PartRecord = serde_json::from_str(PART).expect("a part");
+    assert_eq!(store::raw(&part).get(), PART);
+    let lead: LeadRecord = serde_json::from_str(LEAD).expect("a leader");
+    assert_eq!(store::raw(&lead).get(), LEAD);
+    let chunk: ChunkRecord = serde_json::from_str(CHUNK).expect("a chunk");
+    assert_eq!(store::raw(&chunk).get(), CHUNK);
+}
+
+#[test]
+fn frames_between_controllers_are_as_they_were() {
+    let bytes: Vec<u8> = (0..FRAMES.len() / 2)
+        .map(|i| u8::from_str_radix(&FRAMES[2 * i..2 * i + 2], 16).expect("hex"))
+        .collect();
+    let mut wire = BytesMut::from(&bytes[..]);
+    let mut again = BytesMut::new();
+    let mut kinds = Vec::new();
+    while let Some(message) = peer::decode(&mut wire).expect("a frame") {
+        peer::encode(&message, &mut again);
+        kinds.push(match message.body.expect("a body") {
+            Body::Heartbeat(b) => (b.leading, b.running.len()),
+            Body::Relay(r) => (r.id, r.report.len()),
+            Body::Relayed(r) => (r.id, r.status as usize),
+            Body::PromiseAsk(p) => (p.term, p.micros as usize),
+            Body::Promise(p) => (p.term, p.round as usize),
+            Body::Changed(c) => (c.stamp, c.job.len()),
+        });
+    }
+    assert_eq!(kinds, [(7, 1), (9, 2), (9, 200), (7, 5_000_000), (7, 1), (44, 3)]);
+    assert_eq!(again, bytes);
+}
+
+#[test]
+fn the_version_before_answers_from_a_waiting_record_and_cannot_start_it() {
+    let LiveRecord::Job(r) = LiveRecord::parse(&record(TAIL)).expect("a job") else { panic!() };
+    let on = [JobId::from("j-000398")];
+    for cancelled in [false, true] {
+        let waiting = WaitingRecord::new(r.spec.clone(), r.at, cancelled, &on);
+        let text = store::raw(&waiting).get().to_string();
+        assert!(serde_json::from_str::<OldJob>(&text).is_err(), "its leader finds nothing to run");
+        let brief: OldBrief = serde_json::from_str(&text).expect("its copy has an answer");
+        assert_eq!((brief.spec.tasks, brief.cancelled), (70, cancelled));
+        assert_eq!(LiveRecord::parse(&text).expect("ours"), LiveRecord::Waiting(waiting));
+    }
+    // Once released it is a job like any other, and losing `ready` only costs it its place.
+    let mut released = JobRecord::new(r.spec.clone(), r.at);
+    released.ready = Some(r.at + 5);
+    released.done = "0-2,9".into();
+    let old: OldJob = serde_json::from_str(store::raw(&released).get()).expect("a job to it too");
+    assert_eq!((old.spec, old.at, &*old.done), (r.spec, r.at, "0-2,9"));
+    assert!(!old.cancelled && !old.failing);
+}
+
+/// A job record as the version before keeps it, with these tasks done.
+fn old_record(tasks: u32, done: &str) -> String {
+    let mut record: Value = serde_json::from_str(&record(TAIL)).expect("JSON");
+    record["spec"]["tasks"] = json!(tasks);
+    record["spec"]["class"] = json!("c".repeat(120));
+    record["done"] = json!(done);
+    record.to_string()
+}
+
+#[test]
+fn large_values_of_the_version_before_are_taken_over_and_split_under_smaller_limits() {
+    let limits = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n[cluster.cloud]";
+    let mut w = World::with_settings(3, 80, 10.0, &|t| t.replace("[cluster.cloud]", limits));
+    w.capacity = 100;
+    // A block of 90 machines in one chunk, all of them gone, and a job that nobody has started.
+    let machines: serde_json::Map<String, Value> = (0..90)
+        .map(|i| (format!("host-9{i:05}"), json!({"flavor": "small", "zone": "a", "spot": false})))
+        .collect();
+    let chunk = json!({"term": 1, "holder": "n0", "machines": machines});
+    assert!(chunk.to_string().len() > 4096);
+    w.state.put("gh/block/0/0", &chunk.to_string());
+    w.state.put("gh/live/j-000077", &old_record(4, ""));
+    w.submit(job(77, 4, json!({})));
+    w.submit(job(1, 2, json!({"waits_on": ["j-000077"]})));
+    // The limits fall while they are still in store.
+    w.state.limits = (2048, 4);
+    w.run_until(120, "the job left behind is done, and the new one after it", World::all_over);
+    for n in 0..3 {
+        w.crash(n, SECOND);
+    }
+    w.run_until(120, "the block is small again", |w| {
+        w.state.value("gh/block/0/0").is_some_and(|v| v.to_string().len() < 2048)
+    });
+    assert_eq!(w.state.too_large, 0);
+    w.finish();
+}
+
+#[test]
+fn finished_tasks_that_a_value_has_no_room_for_go_to_a_part_that_both_versions_read() {
+    // As many ranges as a value of the version before could have under its larger limit, and a
+    // name as long as they may be.
+    let limits = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\n[cluster.cloud]";
+    let mut w = World::with_settings(1, 81, 10.0, &|t| t.replace("[cluster.cloud]", limits));
+    let ranges: Vec<String> = (0..2000).step_by(2).map(|i| i.to_string()).collect();
+    let mut record: Value = serde_json::from_str(&old_record(2000, "")).expect("JSON");
+    let mut done = gannethub::model::Ranges::default();
+    for r in &ranges {
+        done.insert(r.parse().expect("a number"));
+    }
+    record["done"] = json!(store::encode_done(&done, 0));
+    record["spec"]["image"] = json!("i".repeat(128));
+    let types: Vec<String> = (0..60).map(|i| format!("type-{i:02}")).collect();
+    record["spec"]["types"] = json!([types, vec!["small".to_string()]].concat());
+    record["spec"]["estimate"] = json!(1_000_000);
+    assert!(record.to_string().len() > 2048);
+    w.state.put("gh/live/j-000077", &record.to_string());
+    w.submit(job(77, 2000, json!({})));
+    w.state.limits = (2048, 4);
+    w.run_until(60, "progress is written", |w| w.state.value("gh/part/j-000077/0").is_some());
+    assert_eq!(w.state.too_large, 0);
+    let live = w.state.value("gh/live/j-000077").expect("alive");
+    let part = w.state.value("gh/part/j-000077/0").expect("its part");
+    let old: OldJob = serde_json::from_value(live.clone()).expect("the version before reads it");
+    assert_eq!(old.done, "");
+    let mut back = gannethub::model::Ranges::default();
+    store::decode_done(part["done"].as_str().expect("text"), 0, &mut back);
+    assert!(ranges.iter().all(|r| back.contains(r.parse().expect("a number"))));
+    assert!(back.len() > 1000, "what was done before and since");
+}
