--- a/src/mirror.rs
+++ b/src/mirror.rs
@@ -120,7 +120,7 @@
                 if self.links.is_cancelled(id) {
                     return Found::Job(JobView::new(Status::Cancelled, 0));
                 }
-                if !self.links.complete() {
+                if !self.links.complete_for(id) {
                     return Found::Unsure;
                 }
                 Found::Job(JobView { waits_on: self.links.open(id), ..l.view() })
--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -163,6 +163,22 @@
         self.unknown.is_empty()
     }
 
+    /// The same of all jobs that this one needs, directly or through others.
+    pub fn complete_for(&self, id: &JobId) -> bool {
+        if self.complete() {
+            return true;
+        }
+        let mut seen = BTreeSet::from([id]);
+        let mut left = vec![id];
+        while let Some(id) = left.pop() {
+            if self.unknown.contains(id) {
+                return false;
+            }
+            left.extend(self.saga.open(id).filter(|u| seen.insert(u)));
+        }
+        true
+    }
+
     /// Jobs that wait for others or are waited for, those downstream before those upstream.
     fn ends_first(&self) -> Vec<&JobId> {
         let mut left: HashMap<&JobId, usize> =
@@ -493,12 +509,22 @@
                 }
             }
         }
-        for id in std::mem::take(&mut self.pipelines.pulled) {
+        let kept: BTreeSet<&JobId> = found.iter().map(|f| &f.0).collect();
+        for id in self.pipelines.pulled.extract_if(.., |id| !kept.contains(id)) {
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.pull = None;
             }
         }
+        self.pipelines.pulled.clear();
         for (id, pull) in found {
+            let before = match (self.jobs.get(&id), self.pipelines.waiting.get(&id)) {
+                (Some(j), _) => j.pull.as_ref(),
+                (None, w) => w.and_then(|w| w.pull.as_ref()),
+            };
+            let late = |p: &Pull| p.due.iter().flatten().any(|due| due.last < self.wall);
+            if late(&pull) && !before.is_some_and(late) {
+                tracing::info!(job = %id, "too late for the final deadline");
+            }
             if let Some(j) = self.jobs.get_mut(&id) {
                 j.pull = Some(pull);
                 self.pipelines.pulled.push(id);
