Hold room that is too little for a stage of a pipeline until there is enough

For stages of pipelines a pass now holds such bits, on as many machines as the stage has tasks left. Ruled out: machines missing, for the plan rented none then.

--- a/src/scheduler.rs
+++ b/src/scheduler.rs
@@ -24,6 +24,9 @@
 const GATHER_EVERY: Micros = 800;
 const GATHER_AT_LEAST: Micros = 500_000;
 
+/// Room held for a stage of a pipeline lapses unless a pass holds it again.
+const HELD: Micros = 2 * SECOND;
+
 /// A machine's room that tasks can be placed in.
 #[derive(Clone, Debug)]
 pub struct Slot {
@@ -301,6 +304,7 @@
                     let short = self.place_tasks(&id, &mut slots, now);
                     if short > 0 && !suspect {
                         self.make_room(&id, short, &mut borrowed, now);
+                        self.hold_room(&id, short, &mut slots, now);
                     }
                 }
             }
@@ -341,8 +345,14 @@
             })
         };
         let Some(first) = candidates().find(|job| self.headroom(job) > 0) else { return };
-        if slot.reserved.is_some() {
-            return self.schedule(now);
+        if let Some((holder, _)) = &slot.reserved {
+            let array = self.jobs.get(holder).filter(|j| j.spec.shape == Shape::Array);
+            return match array.map(|j| (j.id.clone(), j.spec.need.fits(&slot.free))) {
+                Some((holder, true)) => drop(self.place_tasks(&holder, &mut [slot], now)),
+                // What came free is held until there is enough of it.
+                Some((_, false)) => {}
+                None => self.schedule(now),
+            };
         }
         // Cheaper room elsewhere, or a smaller machine's, is to be used first: so that dear and
         // large machines empty, a pass decides.
@@ -414,6 +424,32 @@
         short
     }
 
+    /// Smaller tasks further down the queue would take all room as it comes free, bit by bit, and a
+    /// task that needs more would never find any. For a stage of a pipeline, what is free and too little
+    /// is held on the machines where most can end next.
+    fn hold_room(&mut self, id: &JobId, tasks: usize, slots: &mut [Slot], now: Micros) {
+        let Some(job) = self.jobs.get(id).filter(|j| j.pull.is_some() && !j.spec.zoned()) else {
+            return;
+        };
+        let spec = job.spec.clone();
+        let mut choices: Vec<(usize, usize)> = Vec::new();
+        for (i, s) in slots.iter().enumerate() {
+            let some = s.free.cpu > 0 && !spec.need.fits(&s.free) && s.reserved.is_none();
+            let Some(m) = self.machines.get(&s.machine).filter(|_| some) else { continue };
+            if spec.need.fits(&m.size) && self.may_host(m, id, &spec, &Zones::new(), now) {
+                choices.push((m.attempts.len(), i));
+            }
+        }
+        choices.sort_by_key(|c| Reverse(c.0));
+        for (_, i) in choices.into_iter().take(tasks) {
+            let slot = &mut slots[i];
+            slot.reserved = Some((id.clone(), spec.need));
+            if let Some(m) = self.machines.get_mut(&slot.machine) {
+                m.kept = Some(Kept { job: id.clone(), tasks: 1, until: now + HELD });
+            }
+        }
+    }
+
     /// Takes room for up to `n` tasks of a job, first-fit in the order of [`Cluster::slots`]; among
     /// machines whose room costs the same, those that hold the job's image come first. Returns a
     /// slot for each task.
--- a/tests/stories/pipelines.rs
+++ b/tests/stories/pipelines.rs
@@ -1,7 +1,11 @@
 //! Stories of jobs that wait for others.
 
+use gannethub::fleet::CloudCall;
+use gannethub::model::{JobSpec, Priority, Shape};
+use gannethub::store::WaitingRecord;
 use serde_json::json;
 
+use crate::scale::{Floor, WALL, spec};
 use crate::sim::{CANCEL, SECOND, World, job};
 
 /// A job that waits for these.
@@ -195,3 +199,62 @@
     w.run_until(120, "both are done", World::all_over);
     w.finish();
 }
+
+#[test]
+fn machines_are_rented_for_a_job_shortly_before_it_is_released_and_no_room_is_held_for_it() {
+    let mut f = Floor::new();
+    f.machines("up", 1, "small", "a");
+    let long = JobSpec { estimate: 60 * SECOND, ..spec(Shape::Array, "blue", 1, 4.0) };
+    f.submit("j-1", long);
+    f.c.schedule(f.now);
+    f.run_all();
+    let held = WaitingRecord::new(spec(Shape::Array, "blue", 6, 4.0), 0, false, &["j-1".into()]);
+    f.stamp += 1;
+    f.c.waiting_record("j-2", held, f.stamp);
+    let rents = |f: &mut Floor| {
+        let calls = f.c.plan_fleet(f.now);
+        calls.iter().filter(|c| matches!(c, CloudCall::Rent { .. })).count()
+    };
+    f.pass(1);
+    f.run_all();
+    assert_eq!(rents(&mut f), 0, "its release is further off than a boot");
+    f.pass(34);
+    f.run_all();
+    assert!(rents(&mut f) > 0);
+    f.c.schedule(f.now);
+    assert!(f.c.machines.values().all(|m| m.kept(f.now).is_none()));
+    assert!(f.c.order.is_empty(), "it is not in the queue");
+}
+
+#[test]
+fn smaller_tasks_do_not_take_all_room_bit_by_bit_before_a_stage_of_a_pipeline() {
+    let mut f = Floor::new();
+    f.machines("up", 1, "small", "a");
+    f.submit("j-1", spec(Shape::Array, "blue", 30, 1.0));
+    f.c.schedule(f.now);
+    f.run_all();
+    f.submit("j-2", spec(Shape::Array, "blue", 1, 2.0));
+    let last = JobSpec {
+        priority: Priority::High,
+        deadline: Some(60 * SECOND),
+        ..spec(Shape::Array, "blue", 1, 1.0)
+    };
+    f.stamp += 1;
+    let held = WaitingRecord::new(last, WALL + f.now, false, &["j-2".into()]);
+    f.c.waiting_record("j-3", held, f.stamp);
+    f.pass(1);
+    f.c.schedule(f.now);
+    assert_eq!(f.c.jobs["j-2"].priority(), Priority::High, "what needs it is urgent");
+    // One small task ends, then another: the bit of room that the first leaves is held.
+    let running: Vec<_> = f.c.machines["up-0000"].attempts.keys().cloned().collect();
+    for ended in 1..=2 {
+        let tasks: Vec<(String, u64, bool)> =
+            running.iter().enumerate().map(|(i, (t, a))| (t.to_string(), *a, i < ended)).collect();
+        let tasks: Vec<_> = tasks.iter().map(|(t, a, d)| (t.as_str(), *a, *d)).collect();
+        f.pass(1);
+        f.report("up-0000", "small", "a", &tasks);
+        f.c.schedule(f.now);
+        assert_eq!(f.c.jobs["j-1"].live.len(), 4 - ended, "nothing else has started");
+        assert_eq!(f.c.jobs["j-2"].live.len(), usize::from(ended == 2));
+    }
+}
--- a/tests/stories/scale.rs
+++ b/tests/stories/scale.rs
@@ -13,14 +13,14 @@
 use gannethub::worker::{ExitReason, Order, Report, ReportedTask, TaskState};
 use serde_json::json;
 
-const WALL: u64 = 1_700_000_000 * SECOND;
+pub const WALL: u64 = 1_700_000_000 * SECOND;
 const TERM: u64 = 1;
 
 /// A leader's view alone, with machines and time in the story's hands.
 pub struct Floor {
     pub c: Cluster,
     pub now: u64,
-    stamp: u64,
+    pub stamp: u64,
     seqs: BTreeMap<String, u64>,
 }
 
