--- a/src/controller.rs
+++ b/src/controller.rs
@@ -19,7 +19,7 @@
 };
 use crate::pipeline::Fate;
 use crate::policy::Setting;
-use crate::settings::Settings;
+use crate::settings::{Rates, Settings};
 use crate::store::{
     self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
     LeadRecord, Listing, LiveRecord, OverRecord, PartRecord, StoreRequest, TERM, Urgency,
@@ -41,6 +41,8 @@
 const WATCH_PATIENCE: Micros = 400_000;
 /// Queries that may wait for one read; more are told to come back.
 const MAX_ASKING: usize = 4000;
+/// After this long without a refusal a little more is asked of the state service again.
+const FORGIVEN: Micros = 5 * SECOND;
 /// Ends of jobs that others wait for that are asked for at once.
 const MOST_ENDS: usize = 20;
 /// Queries share one read of what has changed, made at most this often ...
@@ -250,6 +252,10 @@
     probe_at: Micros,
     beat_at: Micros,
     budget: Budget<(u64, StoreRequest)>,
+    /// What the state service is believed to allow, and the part of it that is used after refusals.
+    rates: Rates,
+    restraint: f64,
+    slowed_at: Micros,
     purposes: HashMap<u64, Purpose>,
     calls: HashMap<u64, (u64, CloudCall)>,
     next_id: u64,
@@ -278,6 +284,9 @@
         let mut controller = Controller {
             candidacy: Candidacy::new(&settings.name, clock.now),
             budget: Budget::new(1.0, 1.0),
+            rates: settings.state_rates,
+            restraint: 1.0,
+            slowed_at: 0,
             settings,
             clock,
             flavors: Arc::default(),
@@ -353,8 +362,25 @@
             (true, true) => 0.5,
             (false, true) => 0.6 / n,
         };
-        self.budget
-            .set_share(self.settings.state_rps * share, self.settings.state_write_rps * share);
+        let share = share * self.restraint;
+        self.budget.set_share(self.rates.requests * share, self.rates.changes * share);
+    }
+
+    /// The state service has had too much: it has gone over to its next rates, or all controllers
+    /// together ask for more than it allows.
+    fn slow_down(&mut self) {
+        if self.clock.now < self.slowed_at + SECOND {
+            return;
+        }
+        self.slowed_at = self.clock.now;
+        if self.rates != self.settings.state_rates_next {
+            self.rates = self.settings.state_rates_next;
+            let Rates { requests, changes } = self.rates;
+            tracing::info!(requests, changes, "the state service allows less from now on");
+        } else {
+            self.restraint = (self.restraint * 0.9).max(0.5);
+        }
+        self.share_budget();
     }
 
     fn send(&mut self, urgency: Urgency, request: StoreRequest, purpose: Purpose) {
@@ -432,6 +458,11 @@
             self.unavailable(conn);
         }
         self.relays.retain(|_, r| r.1 > now);
+        if self.restraint < 1.0 && now >= self.slowed_at + FORGIVEN {
+            self.restraint = (self.restraint + 0.05).min(1.0);
+            self.slowed_at = now;
+            self.share_budget();
+        }
         self.refresh();
         self.read_ends();
         if now >= self.beat_at {
@@ -1269,6 +1300,9 @@
         {
             self.state_ok_at = Some(now);
         }
+        if status == Some(429) {
+            self.slow_down();
+        }
         match purpose {
             Purpose::Probe => self.probed(answer),
             Purpose::Grant { sent } => self.granted(sent, answer),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -31,6 +31,13 @@
     pub times: f64,
 }
 
+/// What the state service allows a second, all controllers together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rates {
+    pub requests: f64,
+    pub changes: f64,
+}
+
 #[derive(Clone, Debug)]
 pub struct Sibling {
     pub name: String,
@@ -55,8 +62,9 @@
     pub gang_wait: Micros,
     pub gang_peer: Micros,
     pub cancel: Micros,
-    pub state_rps: f64,
-    pub state_write_rps: f64,
+    pub state_rates: Rates,
+    /// The state service goes over to these without notice.
+    pub state_rates_next: Rates,
     pub value_bytes: usize,
     pub txn_ops: usize,
     pub cloud_rps: f64,
@@ -317,7 +325,8 @@
                 times: self.amount(&at("times"), o.times)?,
             });
         }
-        // The state service goes over to its next limits without notice: both are kept to.
+        // The state service goes over to its next limits without notice. What it would call too
+        // large is never written; rates are kept to once it has been heard of.
         let both = |check: &Self, name: &str, now: f64, next: Option<f64>| {
             let now = check.positive(&format!("cluster.state.{name}"), now)?;
             let next = next.map(|x| check.positive(&format!("cluster.state.next.{name}"), x));
@@ -342,8 +351,14 @@
             gang_wait: duration(&self, "cluster.workers.gang_wait_s", w.gang_wait_s)?,
             gang_peer: duration(&self, "cluster.workers.gang_peer_s", w.gang_peer_s)?,
             cancel: duration(&self, "cluster.workers.cancel_s", w.cancel_s)?,
-            state_rps: both(&self, "rps", state.rps, next.rps)?,
-            state_write_rps: both(&self, "write_rps", state.write_rps, next.write_rps)?,
+            state_rates: Rates {
+                requests: both(&self, "rps", state.rps, None)?,
+                changes: both(&self, "write_rps", state.write_rps, None)?,
+            },
+            state_rates_next: Rates {
+                requests: both(&self, "rps", state.rps, next.rps)?,
+                changes: both(&self, "write_rps", state.write_rps, next.write_rps)?,
+            },
             value_bytes: (both(&self, "value_kb", state.value_kb, next.value_kb)? * 1024.0)
                 as usize,
             txn_ops: both(&self, "txn_ops", state.txn_ops, next.txn_ops)? as usize,
@@ -414,13 +429,14 @@
     }
 
     #[test]
-    fn what_the_state_service_will_allow_is_kept_to_from_the_start() {
+    fn what_the_state_service_will_allow_is_known_from_the_start() {
         let next = "[cluster.state]\ntxn_ops = 8\nvalue_kb = 4.0\n[cluster.state.next]\n\
             write_rps = 18.0\nvalue_kb = 2.0\ntxn_ops = 16\n[cluster.workers]";
         let text = SAMPLE.replace("[cluster.workers]", next);
         let (s, _) = Settings::parse(&text, "f").unwrap();
         assert_eq!((s.value_bytes, s.txn_ops), (2048, 8));
-        assert_eq!((s.state_rps, s.state_write_rps), (100.0, 18.0));
+        assert_eq!(s.state_rates, Rates { requests: 100.0, changes: 40.0 });
+        assert_eq!(s.state_rates_next, Rates { requests: 100.0, changes: 18.0 });
     }
 
     #[test]
--- a/tests/stories/pipelines.rs
+++ b/tests/stories/pipelines.rs
@@ -260,3 +260,20 @@
         assert_eq!(f.c.jobs["j-2"].live.len(), usize::from(ended == 2));
     }
 }
+
+#[test]
+fn a_rate_that_falls_without_notice_is_kept_to_after_the_first_refusals() {
+    let limits = "[cluster.state.next]\nwrite_rps = 15.0\n[cluster.cloud]";
+    let mut w = World::with_settings(3, 74, 10.0, &|t| t.replace("[cluster.cloud]", limits));
+    w.run(2);
+    w.state.rate = Some(15.0);
+    (100..240).for_each(|i| w.submit(job(i, 1, json!({}))));
+    w.run_until(60, "all are accepted", |w| w.jobs.values().all(|j| j.accepted.is_some()));
+    let learning = w.state.too_many;
+    assert!(learning > 0, "the old rate was tried");
+    (300..400).for_each(|i| w.submit(after(i, 1, &[i - 200])));
+    w.run_until(400, "all are done", World::all_over);
+    let later = w.state.too_many - learning;
+    assert!(later < 10, "{later} refusals after {learning}");
+    w.finish();
+}
--- a/tests/stories/sim/state.rs
+++ b/tests/stories/sim/state.rs
@@ -27,6 +27,11 @@
     pub limits: (usize, usize),
     /// Transactions refused for their size.
     pub too_large: usize,
+    /// Changes a second that it allows, if it counts them; and requests refused for coming too often.
+    pub rate: Option<f64>,
+    pub too_many: usize,
+    /// What is left of this second's changes, and when that was.
+    left: (f64, u64),
 }
 
 /// What a request comes to: an answer, or a watch that waits.
@@ -144,6 +149,10 @@
                 self.grants.insert(self.next_grant, (ttl, now + ttl));
                 (200, json!({"permit": self.next_grant}))
             }
+            (Method::Post, "/commit") if !self.may_change(&body, now) => {
+                self.too_many += 1;
+                (429, json!({"error": "too many"}))
+            }
             (Method::Post, "/commit") => self.commit(&body),
             (Method::Post, p) => {
                 let id = p.trim_start_matches("/grants/").trim_end_matches("/renew").parse();
@@ -166,6 +175,17 @@
         Outcome::Answer(status, answer)
     }
 
+    /// Takes a transaction's changes off the rate; bursts of one second's worth are allowed.
+    fn may_change(&mut self, body: &Value, now: u64) -> bool {
+        let Some(rate) = self.rate else { return true };
+        let changes = body["writes"].as_array().map_or(0, Vec::len) as f64;
+        let earned = (now - self.left.1) as f64 / 1e6 * rate;
+        self.left = ((self.left.0 + earned).min(rate), now);
+        let may = self.left.0 >= changes;
+        self.left.0 -= if may { changes } else { 0.0 };
+        may
+    }
+
     fn commit(&mut self, body: &Value) -> (u16, Value) {
         let empty = Vec::new();
         let guards = body["guards"].as_array().unwrap_or(&empty);
