--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -555,12 +555,22 @@
 
     /// Adds the work of jobs that will be released before a machine rented now is up.
     fn foresee(&self, out: &mut Vec<Waiting>, spare: &mut [Resources], now: Micros) {
-        let boots = self.flavors.iter().enumerate().flat_map(|(f, flavor)| {
+        // The boot of the cheapest room that a task fits into: most likely it is what will be rented.
+        let boot = |spec: &JobSpec| {
+            let fits = |f: &usize| spec.need.fits(&self.flavors[*f].size);
+            let price = |f: &usize| self.room_price(*f, spec.spot);
+            let f = (0..self.flavors.len())
+                .filter(fits)
+                .min_by(|a, b| price(a).total_cmp(&price(b)))?;
+            let flavor = &self.flavors[f];
             let zones = flavor.zones.iter();
-            zones.map(move |z| self.fleet.boots.expected(f, z, flavor.boot, now))
-        });
-        let until = now + boots.min().unwrap_or(0);
-        for (from, _, w) in self.foreseen(now, until) {
+            zones.map(|z| self.fleet.boots.expected(f, z, flavor.boot, now)).min()
+        };
+        let longest = self.flavors.iter().map(|f| 2 * f.boot).max().unwrap_or(0);
+        for (from, _, w) in self.foreseen(now, now + longest) {
+            if boot(&w.spec).is_none_or(|boot| from > now + boot) {
+                continue;
+            }
             let Some(t) = self.settings.team(&w.spec.team) else { continue };
             spare[t].mem = UNLIMITED;
             let need = Resources { mem: 0, ..w.spec.need };
