--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -606,7 +606,7 @@
                     (r.cancelled, r.failing) = (job.cancelled, job.suspect());
                     r.done.clone_from(&done);
                     let value = store::raw(&r);
-                    job.outgrown |= value.get().len() > limit;
+                    job.outgrown |= value.get().len() + store::SLACK > limit;
                     // Both change in one transaction. Whoever reads the parts, the version before
                     // as well, takes part 0 for what it is.
                     record = Some(if job.outgrown {
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -830,7 +830,7 @@
                 }
                 let live = format!("{}{id}", store::LIVE);
                 let (value, waits) = self.record(&spec);
-                if value.get().len() + 64 > self.settings.value_bytes {
+                if value.get().len() + store::SLACK > self.settings.value_bytes {
                     let field = if waits > 0 { "waits_on: " } else { "" };
                     let why = format!("{field}the description is too long to be kept");
                     self.reply(conn, Response::error(400, why));
--- a/src/store.rs
+++ b/src/store.rs
@@ -119,7 +119,7 @@
             LiveRecord::Job(mut r) => {
                 r.cancelled = true;
                 let whole = raw(&r);
-                if whole.get().len() <= limit {
+                if whole.get().len() + SLACK <= limit {
                     return whole;
                 }
                 r.done.clear();
@@ -195,6 +195,9 @@
     pub done: String,
 }
 
+/// Values stay this far below their limit, as the state service may write them less tightly.
+pub const SLACK: usize = 64;
+
 /// Tasks whose completions share one value. A bitmap of this many always fits into 2 KiB.
 pub const PART_TASKS: u32 = 4096;
 
