Saga: forgetting keeps both sides in agreement, and release is a step of its own

Found on rereading: forget left the key in the open sets of what waited for it. A job cancelled and forgotten, then named again, had fewer downstream elements than elements that named it, and the count in ends_first went below zero: a panic in a debug build, a wrong order in a release build. Links::released worked around the mechanism by forgetting and adding everything again; it is a release of the saga's element now. The new assertions in the saga's story fail without it.

--- a/src/pipeline.rs
+++ b/src/pipeline.rs
@@ -69,7 +69,7 @@
     ) -> Consequences {
         self.unknown.remove(id);
         let mut lost = cancelled;
-        if self.saga.open(id).next().is_none() {
+        if !matches!(self.saga.element(id), Some(State::Waiting | State::Aborted)) {
             let mut open = Vec::new();
             for u in upstream {
                 match fate(u) {
@@ -107,17 +107,10 @@
         Consequences { cancelled: cancelled.collect(), released: Vec::new() }
     }
 
-    /// A job that waited has been released.
+    /// A job that waited has been released: its record says that all it waited for is done.
     pub fn released(&mut self, id: &JobId) {
-        let waiting: Vec<JobId> = self.saga.downstream(id).cloned().collect();
-        if self.saga.element(id) == Some(State::Waiting) {
-            // Its record says that all it waited for is done: what waits for it stays as it is.
-            self.saga.forget(id);
-            for d in waiting {
-                let open: Vec<JobId> = self.saga.open(&d).cloned().collect();
-                self.saga.add(d, false, &open);
-            }
-        } else if waiting.is_empty() {
+        self.saga.release(id);
+        if self.saga.downstream(id).next().is_none() {
             self.saga.forget(id);
         }
     }
--- a/src/saga.rs
+++ b/src/saga.rs
@@ -191,12 +191,33 @@
         if matches!(e.state, State::Active | State::Waiting) {
             self.unfinished -= 1;
         }
-        for u in e.open {
+        self.detach(key, e.open);
+        // An aborted element's downstream is aborted as well: nothing must go on naming it.
+        for d in e.downstream {
+            if let Some(d) = self.elements.get_mut(&d) {
+                d.open.remove(key);
+            }
+        }
+        self.commit_order.retain(|k| k != key);
+    }
+
+    /// A waiting element is known to be released: all that it waited for has committed elsewhere.
+    pub fn release(&mut self, key: &K) {
+        let Some(e) = self.elements.get_mut(key).filter(|e| e.state == State::Waiting) else {
+            return;
+        };
+        e.state = State::Active;
+        let open = std::mem::take(&mut e.open);
+        self.detach(key, open);
+    }
+
+    /// `key` does not wait for these any more.
+    fn detach(&mut self, key: &K, upstream: BTreeSet<K>) {
+        for u in upstream {
             if let Some(u) = self.elements.get_mut(&u) {
                 u.downstream.remove(key);
             }
         }
-        self.commit_order.retain(|k| k != key);
     }
 
     /// Aborts the whole saga. Only an active saga can be aborted.
@@ -274,6 +295,13 @@
         assert_eq!(s.element(&70_000), Some(State::Aborted));
         s.add(70_001, false, &[49_999]);
         assert_eq!(s.element(&70_001), Some(State::Aborted), "it names one that is cancelled");
+        // One that was cancelled and forgotten may be named again: both sides still agree.
+        s.forget(&1);
+        s.add(80_000, false, &[1]);
+        assert!(s.open(&2).next().is_none() && s.downstream(&1).eq([&80_000]));
+        s.release(&80_000);
+        assert_eq!(s.element(&80_000), Some(State::Active));
+        assert!(s.downstream(&1).next().is_none());
         s.add(70_002, false, &[70_003]);
         s.commit(&70_003);
         assert_eq!(s.element(&70_002), Some(State::Active));
