--- /dev/null
+++ b/benches/day.rs
@@ -0,0 +1,326 @@
+//! What it costs to lead a cluster, against its size: the core under a driver of its own, with simulated
+//! machines that run tasks by the clock, a cloud that grants what it has and a state service that
+//! carries out every transaction.
+//!
+//!     cargo bench --bench day -- [--machines 1000,3000,10000] [--seconds 120] [--load 1.0]
+//!
+//! Prints, for each size, processor time a simulated second by kind of work, and state changes and
+//! cloud calls a started task; then the cost against the first size's, which is the figure: as long as
+//! it is no more than the ratio of the sizes, deciding does not outgrow the cluster. Absolute times are
+//! this machine's. `--load` above 1 keeps a long queue.
+
+#[allow(dead_code)]
+#[path = "../tests/stories/floor.rs"]
+mod floor;
+
+use std::borrow::Cow;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+use clap::Parser;
+use floor::{Floor, WALL, spec};
+use gannethub::cluster::Outcome;
+use gannethub::fleet::CloudCall;
+use gannethub::model::{JobSpec, SECOND, Shape};
+use gannethub::worker::{ExitReason, Order, ReportedTask, TaskState};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+const STEP: u64 = 50_000;
+const REPORT: u64 = 5 * SECOND;
+const CLOUD: u64 = 300_000;
+
+#[derive(Parser)]
+struct Options {
+    /// Sizes to play, in machines.
+    #[arg(long, value_delimiter = ',', default_values_t = [1000usize, 3000, 10_000])]
+    machines: Vec<usize>,
+    /// Simulated seconds.
+    #[arg(long, default_value_t = 120)]
+    seconds: u64,
+    /// Work that arrives, as a part of what the machines can do.
+    #[arg(long, default_value_t = 0.8)]
+    load: f64,
+    /// Given by cargo.
+    #[arg(long, hide = true)]
+    bench: bool,
+}
+
+struct Worker {
+    flavor: String,
+    zone: String,
+    spot: bool,
+    /// Task, attempt, when it runs, when it is done.
+    tasks: BTreeMap<(String, u64), (u64, u64)>,
+}
+
+/// Processor time by kind of work, and what was asked of others.
+#[derive(Default)]
+struct Spent {
+    reports: Duration,
+    passes: Duration,
+    plans: Duration,
+    rest: Duration,
+    started: u64,
+    changes: u64,
+    calls: u64,
+    longest: [Duration; 4],
+    queue: usize,
+    machines: usize,
+}
+
+impl Spent {
+    fn total(&self) -> Duration {
+        self.reports + self.passes + self.plans + self.rest
+    }
+}
+
+fn timed<T>(into: &mut Duration, longest: &mut Duration, work: impl FnOnce() -> T) -> T {
+    let start = Instant::now();
+    let out = work();
+    let took = start.elapsed();
+    *into += took;
+    *longest = (*longest).max(took);
+    out
+}
+
+struct Day {
+    floor: Floor,
+    rng: StdRng,
+    workers: HashMap<String, Worker>,
+    due: BinaryHeap<Reverse<(u64, String)>>,
+    /// Machines of each kind that the cloud still has.
+    stock: HashMap<(String, String, bool), usize>,
+    calls: Vec<(u64, CloudCall)>,
+    next_job: u32,
+    spent: Spent,
+}
+
+impl Day {
+    fn new(machines: usize) -> Day {
+        let share = machines as f64 * 7.0;
+        let teams = [
+            ("red", share * 0.3, share * 0.7),
+            ("blue", share * 0.3, share * 0.7),
+            ("green", share * 0.2, share * 0.5),
+        ];
+        let floor = Floor::with(&teams, Some(30.0));
+        let mut stock = HashMap::new();
+        for zone in ["a", "b"] {
+            for spot in [false, true] {
+                stock.insert(("small".to_string(), zone.to_string(), spot), machines * 9 / 40);
+                stock.insert(("large".to_string(), zone.to_string(), spot), machines / 40);
+            }
+        }
+        Day {
+            floor,
+            rng: StdRng::seed_from_u64(1),
+            workers: HashMap::new(),
+            due: BinaryHeap::new(),
+            stock,
+            calls: Vec::new(),
+            next_job: 1,
+            spent: Spent::default(),
+        }
+    }
+
+    fn submit(&mut self) {
+        let id = format!("j-{}", self.next_job);
+        self.next_job += 1;
+        let team = ["red", "blue", "green"][self.rng.random_range(0..3)];
+        let gang = self.rng.random_bool(0.45);
+        let mut job = if gang {
+            JobSpec {
+                estimate: 100 * SECOND,
+                checkpoint_every: 15 * SECOND,
+                save: 3 * SECOND,
+                ..spec(Shape::Gang, team, self.rng.random_range(1..4), 30.0)
+            }
+        } else {
+            let cpus = f64::from(self.rng.random_range(6..15u32)) / 10.0;
+            spec(Shape::Array, team, self.rng.random_range(40..600), cpus)
+        };
+        job.spot = true;
+        job.image = format!("img-{}", self.rng.random_range(0..20));
+        let Spent { rest, longest: [.., longest], .. } = &mut self.spent;
+        let floor = &mut self.floor;
+        timed(rest, longest, || floor.submit(&id, job));
+    }
+
+    fn report(&mut self, name: &str) {
+        let now = self.floor.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        let tasks = w.tasks.iter().map(|((task, attempt), (from, until))| ReportedTask {
+            task: Cow::Owned(task.clone()),
+            attempt: *attempt,
+            state: match (now >= *from, now >= *until) {
+                (_, true) => TaskState::Exited,
+                (true, false) => TaskState::Running,
+                _ => TaskState::Fetching,
+            },
+            why: (now >= *until).then_some(ExitReason::Done),
+            saved: false,
+        });
+        let tasks: Vec<_> = tasks.collect();
+        let floor = &mut self.floor;
+        let Spent { reports, longest: [longest, ..], started, .. } = &mut self.spent;
+        let outcome =
+            timed(reports, longest, || floor.send(name, &w.flavor, &w.zone, w.spot, tasks));
+        let Outcome::Orders(orders) = outcome else { return };
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    *started += 1;
+                    let from = now + 2 * SECOND;
+                    let run = self.rng.random_range(15..45) * SECOND;
+                    w.tasks.insert((task, attempt), (from, from + run));
+                }
+                Order::Forget { task, attempt } | Order::Stop { task, attempt, .. } => {
+                    w.tasks.remove(&(task, attempt));
+                }
+            }
+        }
+        self.due.push(Reverse((now + REPORT, name.to_string())));
+    }
+
+    /// The cloud answers what was asked some time ago.
+    fn answer(&mut self, call: CloudCall) {
+        let now = self.floor.now;
+        let body = match &call {
+            CloudCall::Rent { name, offer, count, .. } => {
+                let flavor = self.floor.c.flavors[offer.flavor].name.to_string();
+                let kind = (flavor.clone(), offer.zone.clone(), offer.spot);
+                let left = self.stock.entry(kind).or_default();
+                let granted = (*count as usize).min(*left);
+                *left -= granted;
+                let hosts: Vec<String> = (0..granted).map(|i| format!("{name}-{i}")).collect();
+                for host in &hosts {
+                    let worker = Worker {
+                        flavor: flavor.clone(),
+                        zone: offer.zone.clone(),
+                        spot: offer.spot,
+                        tasks: BTreeMap::new(),
+                    };
+                    self.workers.insert(host.clone(), worker);
+                    let boot = self.rng.random_range(25..35) * SECOND;
+                    self.due.push(Reverse((now + boot, host.clone())));
+                }
+                if hosts.is_empty() { None } else { Some(json!({ "hosts": hosts })) }
+            }
+            CloudCall::Delete { machines } => {
+                for m in machines {
+                    if let Some(w) = self.workers.remove(m) {
+                        *self.stock.entry((w.flavor, w.zone, w.spot)).or_default() += 1;
+                    }
+                }
+                Some(json!({}))
+            }
+            // The machine types do not change, and a list would only repeat what is known.
+            CloudCall::Flavors | CloudCall::List { .. } => None,
+        };
+        let c = &mut self.floor.c;
+        let (status, text) = match body {
+            Some(body) => (200, body.to_string()),
+            None => (503, json!({"error": "no capacity"}).to_string()),
+        };
+        let Spent { rest, longest: [.., longest], .. } = &mut self.spent;
+        timed(rest, longest, || c.cloud_answer(call, Some((status, text.as_bytes())), now));
+    }
+
+    fn play(&mut self, machines: usize, seconds: u64, load: f64) {
+        // What the machines can do, in thousandths of a CPU; an average job is some 200 CPUs for 30 s.
+        let cpus = machines as f64 * 6.8;
+        let rate = load * cpus / (0.55 * 320.0 * 32.0 + 0.45 * 2.0 * 30.0 * 32.0);
+        let end = self.floor.now + seconds * SECOND;
+        let (mut arrived, mut schedule_at, mut plan_at, mut write_at) = (0.0, 0, 0, 0);
+        while self.floor.now < end {
+            self.floor.now += STEP;
+            let now = self.floor.now;
+            arrived += rate * STEP as f64 / SECOND as f64;
+            while arrived >= 1.0 {
+                arrived -= 1.0;
+                self.submit();
+                plan_at = now;
+            }
+            while self.due.peek().is_some_and(|Reverse((at, _))| *at <= now) {
+                if let Some(Reverse((_, name))) = self.due.pop() {
+                    self.report(&name);
+                }
+            }
+            let (ready, waiting) = std::mem::take(&mut self.calls)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(at, _)| *at <= now);
+            self.calls = waiting;
+            ready.into_iter().for_each(|(_, call)| self.answer(call));
+            let c = &mut self.floor.c;
+            let s = &mut self.spent;
+            timed(&mut s.rest, &mut s.longest[3], || c.tick(now, WALL + now));
+            if now >= schedule_at.max(c.next_pass) && (c.stirred || now >= c.last_pass + SECOND) {
+                schedule_at = now + 100_000;
+                timed(&mut s.passes, &mut s.longest[1], || c.schedule(now));
+            }
+            if now >= plan_at.max(c.next_plan) {
+                plan_at = now + 500_000;
+                let calls = timed(&mut s.plans, &mut s.longest[2], || c.plan_fleet(now));
+                s.calls += calls.len() as u64;
+                self.calls.extend(calls.into_iter().map(|call| (now + CLOUD, call)));
+            }
+            if now >= write_at {
+                write_at = now + 100_000;
+                let stamp = &mut self.floor.stamp;
+                timed(&mut s.rest, &mut s.longest[3], || {
+                    if let Some((commit, batch)) = c.next_commit(now, 1) {
+                        s.changes += commit.changes() as u64;
+                        *stamp += 1;
+                        c.committed(batch, *stamp);
+                    }
+                });
+            }
+        }
+        self.spent.queue = self.floor.c.order.len();
+        self.spent.machines = self.floor.c.machines.len();
+    }
+}
+
+fn main() {
+    let options = Options::parse();
+    println!(
+        "simulated machines; milliseconds of processor a simulated second, load {}",
+        options.load
+    );
+    let heads =
+        ["size", "rented", "queue", "reports", "passes", "plans", "rest", "total", "starts"];
+    let heads = heads.into_iter().chain(["changes", "calls"]).map(|h| format!("{h:>8}"));
+    println!("{}", heads.collect::<Vec<_>>().join(" "));
+    let mut first = None;
+    for &machines in &options.machines {
+        let mut day = Day::new(machines);
+        day.play(machines, options.seconds, options.load);
+        let s = &day.spent;
+        assert!(s.started > 0, "nothing was started");
+        assert_eq!(day.floor.c.misplaced(), Vec::<String>::new(), "the index of room is wrong");
+        let ms = |d: Duration| d.as_secs_f64() * 1000.0 / options.seconds as f64;
+        let each = |n: u64| n as f64 / s.started as f64;
+        let costs = [s.reports, s.passes, s.plans, s.rest, s.total()];
+        let costs = costs.map(|d| format!("{:8.2}", ms(d))).join(" ");
+        println!(
+            "{machines:>8} {:>8} {:>8} {costs} {:>8} {:>8.4} {:>8.4}",
+            s.machines,
+            s.queue,
+            s.started,
+            each(s.changes),
+            each(s.calls)
+        );
+        let longest = s.longest.map(|d| format!("{:.1}", d.as_secs_f64() * 1000.0));
+        println!("{:>8} longest report, pass, plan, other: {} ms", "", longest.join(", "));
+        let (size, cost) = *first.get_or_insert((machines, ms(s.total())));
+        println!(
+            "{:>8} {:.1} times the machines cost {:.1} times the processor",
+            "",
+            machines as f64 / size as f64,
+            ms(s.total()) / cost
+        );
+    }
+}
--- /dev/null
+++ b/benches/decide.rs
@@ -0,0 +1,116 @@
+//! The pieces of a leader's work at three sizes: a report that frees room, a pass over a queue that
+//! finds none, a plan of the fleet, and a takeover. The ratio between sizes is the figure.
+//!
+//!     cargo bench --bench decide
+
+#[allow(dead_code)]
+#[path = "../tests/stories/floor.rs"]
+mod floor;
+
+use std::cell::RefCell;
+use std::hint::black_box;
+
+use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
+use floor::{Floor, WALL, spec};
+use gannethub::block::{ChunkRecord, Member};
+use gannethub::model::{JobSpec, SECOND, Shape};
+use gannethub::store::JobRecord;
+
+const SIZES: [usize; 3] = [1000, 3000, 10_000];
+
+/// A full cluster with a queue to match.
+fn crowded(machines: usize) -> Floor {
+    let cpus = machines as f64 * 6.8;
+    let teams = [("red", cpus * 0.5, cpus * 4.0), ("blue", cpus * 0.1, cpus * 4.0)];
+    let mut f = Floor::with(&teams, Some(20.0));
+    f.machines("small", machines * 9 / 10, "small", "a");
+    f.machines("large", machines / 10, "large", "b");
+    f.submit(
+        "j-1",
+        JobSpec {
+            checkpoint_every: SECOND,
+            ..spec(Shape::Array, "blue", 7 * machines as u32, 1.0)
+        },
+    );
+    f.c.schedule(f.now);
+    f.run_all();
+    for i in 0..machines / 20 {
+        let cpus = 0.6 + (i % 9) as f64 * 0.1;
+        f.submit(&format!("j-{}", 2 * i + 2), spec(Shape::Array, "red", 40, cpus));
+        f.submit(&format!("j-{}", 2 * i + 3), spec(Shape::Gang, "red", 2, 30.0));
+    }
+    f.c.schedule(f.now);
+    f
+}
+
+fn decide(c: &mut Criterion) {
+    let mut group = c.benchmark_group("decide");
+    group.sample_size(20);
+    for machines in SIZES {
+        let mut f = crowded(machines);
+        group.bench_with_input(BenchmarkId::new("pass", machines), &machines, |b, _| {
+            b.iter(|| {
+                f.now += 100_000;
+                f.c.schedule(f.now);
+            });
+        });
+        group.bench_with_input(BenchmarkId::new("plan", machines), &machines, |b, _| {
+            b.iter(|| black_box(f.c.wanted(f.now)));
+        });
+        // One task ends at each report, and another takes its place; passes are kept apart from it.
+        let f = RefCell::new(crowded(machines));
+        let names: Vec<String> = (0..machines * 9 / 10).map(|i| format!("small-{i:04}")).collect();
+        let mut next = 0;
+        group.bench_with_input(BenchmarkId::new("report", machines), &machines, |b, _| {
+            b.iter_batched(
+                || {
+                    next = (next + 1) % names.len();
+                    let name = names[next].clone();
+                    let tasks: Vec<(String, u64)> = f.borrow().c.machines[name.as_str()]
+                        .attempts
+                        .keys()
+                        .map(|(task, attempt)| (task.to_string(), *attempt))
+                        .collect();
+                    (name, tasks)
+                },
+                |(name, tasks)| {
+                    let mut f = f.borrow_mut();
+                    f.c.last_pass = f.now;
+                    let done = tasks.iter().enumerate().map(|(i, (t, n))| (t.as_str(), *n, i == 0));
+                    black_box(f.report(&name, "small", "a", &done.collect::<Vec<_>>()))
+                },
+                BatchSize::PerIteration,
+            );
+        });
+        group.bench_with_input(BenchmarkId::new("takeover", machines), &machines, |b, n| {
+            b.iter(|| takeover(*n));
+        });
+    }
+    group.finish();
+}
+
+/// Reads the records of jobs and machines, hears every machine, and places.
+fn takeover(machines: usize) -> usize {
+    let cpus = machines as f64 * 6.8;
+    let mut f = Floor::unread(&[("red", cpus * 0.5, cpus * 4.0)], Some(20.0));
+    for i in 0..machines / 10 {
+        let record = JobRecord::new(spec(Shape::Array, "red", 40, 1.0), WALL);
+        f.c.job_record(&format!("j-{i}"), record, 5);
+    }
+    let names: Vec<String> = (0..machines).map(|i| format!("host-{i:06}")).collect();
+    for (chunk, names) in names.chunks(40).enumerate() {
+        let member = Member { flavor: "small".into(), zone: "a".into(), spot: false };
+        let machines = names.iter().map(|n| (n.clone(), member.clone())).collect();
+        let record = ChunkRecord { term: 0, holder: "n1".into(), machines };
+        f.c.chunk_record(&f.c.block.key(chunk), record, 5);
+    }
+    f.c.loaded(f.now);
+    names.iter().for_each(|n| drop(f.report(n, "small", "a", &[])));
+    f.pass(1);
+    assert!(f.c.settled);
+    f.c.schedule(f.now);
+    f.c.order.len()
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -15,6 +15,8 @@
 };
 use crate::pipeline::{Pipelines, Pull};
 use crate::policy::Setting;
+use crate::queue::Queue;
+use crate::room::{Kind, Rooms};
 use crate::saga::{Action, Saga, State};
 use crate::settings::Settings;
 use crate::store::{self, Commit, JobRecord, LiveRecord, OverRecord, PART_TASKS, PartRecord};
@@ -29,6 +31,10 @@
 /// Added to every lease that is waited out.
 const LEASE_MARGIN: Micros = 250_000;
 
+/// All machines are looked over this often, for each machine there is, and at least so often.
+const SCAN_EVERY: Micros = 50;
+const SCAN_AT_LEAST: Micros = SECOND / 2;
+
 /// A duration as a clock that runs 0.1% fast against ours would need it.
 fn with_drift(d: Micros) -> Micros {
     d + d / 1000
@@ -117,6 +123,10 @@
     /// The tasks of the last report taken in, unless they have been told something since: a report
     /// of the same holds no news.
     pub digest: Option<u64>,
+    /// Where it stands in [`Rooms`]: its shelf's number, and with how much free CPU, if it may be
+    /// placed on.
+    pub shelf: Option<usize>,
+    pub open: Option<i64>,
 }
 
 /// What tells a report's tasks and their states from another's.
@@ -217,6 +227,12 @@
     pub within: bool,
     /// When room was last gathered or made for it.
     pub gathered_at: Option<Micros>,
+    /// When other work was last stopped to make room for it.
+    pub made_at: Option<Micros>,
+    /// No room is kept for it after this.
+    pub kept_until: Micros,
+    /// The last pass that found it in the queue with work to place.
+    pub queued: u64,
 }
 
 impl Job {
@@ -298,6 +314,17 @@
     }
 }
 
+/// What deciding has cost, in steps: looks at machines, jobs and lanes.
+#[derive(Debug, Default)]
+pub struct Spent {
+    pub passes: u64,
+    pub pass_steps: u64,
+    pub plans: u64,
+    pub plan_steps: u64,
+    /// The most that one pass or plan took.
+    pub most: u64,
+}
+
 #[derive(Debug)]
 pub struct Cluster {
     pub term: u64,
@@ -308,6 +335,8 @@
     /// Jobs that wait for others.
     pub pipelines: Pipelines,
     pub machines: BTreeMap<MachineId, Machine>,
+    /// The same machines by where there is room.
+    pub rooms: Rooms,
     pub used: Vec<Resources>,
     /// The size of all machines that are up.
     pub size: Resources,
@@ -327,14 +356,30 @@
     freed: bool,
     /// Something changed that a pass over the whole queue should see.
     pub stirred: bool,
+    /// All jobs in the order in which they are served.
+    pub queue: Queue,
     /// Jobs with work to place, in queue order, as of the last pass.
     pub order: Vec<JobId>,
     pub last_pass: Micros,
+    /// Kinds of machines with room, in first-fit order, as of the last pass.
+    pub tiers: Vec<Vec<usize>>,
+    /// How many passes there have been; when the next one may begin, and the next plan.
+    pub passes: u64,
+    pub next_pass: Micros,
+    pub next_plan: Micros,
+    /// When room was last gathered for all gangs that wait.
+    pub gathered_at: Micros,
+    /// When all machines were last looked over for what time alone changes.
+    scanned_at: Micros,
+    /// The time of the last step.
+    pub now: Micros,
     /// Zones whose machines have all fallen silent while others are heard, and when that was last
     /// seen.
     pub dark: HashMap<Arc<str>, Micros>,
-    /// How often a machine was looked at to place something: the cost of scheduling.
+    /// Looks at machines, jobs and lanes: what deciding costs.
     pub looks: Cell<u64>,
+    /// What passes and plans have cost since that was last logged.
+    pub spent: Spent,
     /// Transactions in a row that the state service called malformed or too large.
     pub refusals: u32,
 }
@@ -359,6 +404,7 @@
             jobs: BTreeMap::new(),
             pipelines: Pipelines::default(),
             machines: BTreeMap::new(),
+            rooms: Rooms::default(),
             block,
             settled: false,
             taken_at: now,
@@ -369,10 +415,19 @@
             buried: HashMap::new(),
             freed: false,
             stirred: true,
+            queue: Queue::default(),
             order: Vec::new(),
             last_pass: 0,
+            tiers: Vec::new(),
+            passes: 0,
+            next_pass: 0,
+            next_plan: 0,
+            gathered_at: 0,
+            scanned_at: 0,
+            now,
             dark: HashMap::new(),
             looks: Cell::new(0),
+            spent: Spent::default(),
             refusals: 0,
         }
     }
@@ -448,16 +503,20 @@
             placed: false,
             within: false,
             gathered_at: None,
+            made_at: None,
+            kept_until: 0,
+            queued: 0,
             spec,
         };
         if job.spec.spot {
-            let within = self.within_guarantee(&[&job]).contains(&job.id);
+            let within = self.fits_guarantee(&job);
             let facts = self.facts(&job, within, self.latest_start(&job, within));
             let spot = self.settings.policy.truth(Setting::UseSpot, &facts);
             if !spot {
                 job.spec = Arc::new(JobSpec { spot, ..(*job.submitted).clone() });
             }
         }
+        self.queue.arrived(job.id.clone());
         self.jobs.insert(job.id.clone(), job);
         self.stirred = true;
         if record.cancelled {
@@ -716,6 +775,8 @@
                     for name in members {
                         if let Some(m) = self.machines.get_mut(name.as_str()) {
                             m.recorded = true;
+                            let id = m.id.clone();
+                            self.reshelve(&id, self.now);
                         }
                     }
                 }
@@ -791,7 +852,11 @@
         let flavor = self.flavors.iter().position(|f| *f.name == *flavor);
         let size = flavor.map(|i| self.flavors[i].size).unwrap_or_default();
         let id: MachineId = name.into();
+        let rooms = &mut self.rooms;
         self.machines.entry(id.clone()).or_insert_with(|| Machine {
+            shelf: flavor
+                .map(|flavor| rooms.enter(Kind { flavor, zone: zone.into(), spot }, id.clone())),
+            open: None,
             id,
             flavor,
             size,
@@ -829,6 +894,7 @@
 
     /// Answers a worker's report. The caller has checked that this controller may act.
     pub fn report(&mut self, now: Micros, report: &Report<'_>) -> Outcome {
+        self.now = now;
         if report.token > self.term {
             return Outcome::Deposed;
         }
@@ -904,6 +970,7 @@
         if self.machines.get(&id).is_some_and(|m| m.notice) {
             self.drain(&id);
         }
+        self.reshelve(&id, now);
         if std::mem::take(&mut self.freed) {
             // What came free is used at once: the launches go out with this very answer.
             self.fill(&id, now);
@@ -1002,12 +1069,9 @@
         let (need, team) = (entry.need, entry.team);
         if let Some(m) = self.machines.get_mut(id) {
             m.attempts.insert(key, entry);
-            if holds {
-                m.used += need;
-            }
         }
-        if let Some(t) = team.filter(|_| holds) {
-            self.used[t] += need;
+        if holds {
+            self.occupy(id, team, need, now);
         }
     }
 
@@ -1059,13 +1123,10 @@
         self.freed = true;
         self.stirred = true;
         let (need, team) = (a.need, a.team);
-        m.used -= need;
         if !m.holds_any() {
             m.idle_since = now;
         }
-        if let Some(t) = team {
-            self.used[t] -= need;
-        }
+        self.occupy(id, team, need.times(-1), now);
     }
 
     /// A task is done: its saga commits, and with the last one its job's does.
@@ -1225,7 +1286,11 @@
     pub fn remove_machine(&mut self, id: &MachineId, now: Micros, why: &str) {
         self.lose(id, now, why);
         self.block.remove(id);
-        self.machines.remove(id);
+        if let Some(m) = self.machines.remove(id)
+            && let Some(number) = m.shelf
+        {
+            self.rooms.leave(number, id, m.open);
+        }
     }
 
     fn orders(&mut self, id: &MachineId) -> Vec<Order> {
@@ -1281,16 +1346,12 @@
         if j.priority() >= Priority::High {
             m.urgent_at = Some(now);
         }
-        m.used += need;
         if let Some(kept) = m.kept.as_mut().filter(|k| k.job == *job) {
             kept.tasks -= 1;
             if kept.tasks <= 0 {
                 m.kept = None;
             }
         }
-        if let Some(t) = j.team {
-            self.used[t] += need;
-        }
         let entry = Attempt {
             phase: Phase::Starting,
             since: now,
@@ -1300,8 +1361,10 @@
             team: j.team,
             holds: true,
         };
+        let team = j.team;
         m.digest = None;
         m.attempts.insert((TaskId { job: job.clone(), index }, attempt), entry);
+        self.occupy(machine, team, need, now);
     }
 
     /// A number that no other start of any task has, in this term or another.
@@ -1313,6 +1376,14 @@
     /// Runs out leases of silent machines, and finds out whether placing may begin.
     pub fn tick(&mut self, now: Micros, wall: u64) {
         self.wall = wall;
+        self.now = now;
+        // What time alone changes is looked for less often in a large cluster, but at once while
+        // placing waits for it.
+        let every = (SCAN_EVERY * self.machines.len() as Micros).min(SCAN_AT_LEAST);
+        if self.settled && now < self.scanned_at + every {
+            return;
+        }
+        self.scanned_at = now;
         let limit = self.lease_limit();
         self.size = Resources::default();
         self.machines.values().filter(|m| m.up).for_each(|m| self.size += m.size);
@@ -1346,6 +1417,7 @@
                 self.settled = true;
             }
         }
+        self.reshelve_all(now);
         let empty = |j: &&mut Job| j.live.is_empty() && j.gang.is_some();
         self.jobs.values_mut().filter(empty).for_each(|j| j.gang = None);
     }
--- a/src/controller.rs
+++ b/src/controller.rs
@@ -548,12 +548,13 @@
         }
         lead.cluster.tick(now, wall);
         let due = lead.cluster.stirred || now >= lead.cluster.last_pass + SECOND;
-        if now >= lead.schedule_at && due {
+        // Passes and plans are spaced by what they cost: reports, renewals and users come first.
+        if now >= lead.schedule_at.max(lead.cluster.next_pass) && due {
             lead.schedule_at = now + 100_000;
             lead.cluster.schedule(now);
         }
         let mut calls = Vec::new();
-        if now >= lead.fleet_at {
+        if now >= lead.fleet_at.max(lead.cluster.next_plan) {
             lead.fleet_at = now + 500_000;
             for call in lead.cluster.plan_fleet(now) {
                 let request = call.request(&lead.cluster);
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,27 +1,19 @@
 //! The fleet: renting, returning, and noticing machines that have gone bad.
 
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use crate::boots::{Boots, LATE_AFTER};
 use crate::cloud::{CloudRequest, Listed};
-use crate::cluster::{Attempt, Cluster, Job, Machine, MachineId, Phase};
-use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, TaskId, UNLIMITED, micros, seconds};
+use crate::cluster::{Attempt, Cluster, Job, Machine, MachineId, Phase, Spent};
+use crate::model::{Micros, Resources, SECOND, Shape, TaskId, micros, seconds};
 use crate::policy::{Setting, Value};
-use crate::scheduler::{Zones, zone_ok};
+use crate::scheduler::Zones;
 
 /// What the cloud charges at least for a machine that is deleted.
 const MIN_CHARGE: Micros = 60 * SECOND;
 const MAX_RENT: u32 = 50;
 const MAX_DELETE: usize = 100;
-/// Steps of a plan, in queue order; it is made anew all the time. A step places all tasks of a job
-/// that start on one machine at one time.
-const PLANNED_STEPS: usize = 3000;
-
-/// The part of the time left that is counted on for work that will be released soon.
-const FORESEEN_SLACK: f64 = 0.2;
-
 /// A zone from which nothing was heard for this long is tried with one machine.
 const DARK: Micros = 30 * SECOND;
 
@@ -34,6 +26,9 @@
 /// What a move takes beside saving and fetching: reports on both sides.
 const MOVE_COST: Micros = 5 * SECOND;
 
+/// Machines that are looked at to find one for a task that is to be moved.
+const MOST_HOSTS: usize = 50;
+
 /// Nothing of a deleted machine comes later than this.
 const GHOSTS: Micros = 900 * SECOND;
 
@@ -142,101 +137,30 @@
     }
 }
 
-/// Work of a job that found no room: how many tasks, and where its other tasks are.
-struct Waiting {
-    spec: Arc<JobSpec>,
-    tasks: i64,
-    zones: Zones,
-    run: Micros,
-    /// When its tasks can start at the earliest: those of a job that waits for others, at its release.
-    from: Micros,
-    /// When its tasks have to start, on our clock.
-    limit: Micros,
+/// Room beside what runs, by machine and by free CPU.
+#[derive(Default)]
+struct Room {
+    free: HashMap<MachineId, Resources>,
+    by_cpu: BTreeSet<(i64, MachineId)>,
 }
 
-/// A machine's future as the plan sees it: its room, and when more of it comes free.
-struct Lane {
-    flavor: usize,
-    zone: Arc<str>,
-    spot: bool,
-    /// Per hour and thousandth of a CPU.
-    price: f64,
-    free: Resources,
-    ready: Micros,
-    /// The earliest last: when, how many tasks end, and the room of all of them.
-    releases: Vec<(Micros, u32, Resources)>,
-    /// The machine, if it is there.
-    machine: Option<MachineId>,
-}
-
-impl Lane {
-    /// The earliest start of a task that needs `need`. Waiting for several tasks to end takes
-    /// longer than each is expected to run: the last of k is late by about the logarithm of k.
-    fn earliest(&self, need: &Resources, now: Micros) -> Micros {
-        let mut free = self.free;
-        if need.fits(&free) {
-            return self.ready;
-        }
-        let mut k = 0;
-        for (at, tasks, room) in self.releases.iter().rev() {
-            free += *room;
-            k += tasks;
-            if need.fits(&free) {
-                if *at == Micros::MAX {
-                    // Replicas run until they are cancelled; adding to their end would overflow.
-                    return Micros::MAX;
-                }
-                let late = 1.0 + 0.25 * f64::from(k).log2();
-                let wait = at.saturating_sub(now) as f64 * late;
-                return (now + wait as Micros).max(self.ready);
-            }
-        }
-        Micros::MAX
+impl Room {
+    fn insert(&mut self, id: MachineId, free: Resources) {
+        self.by_cpu.insert((free.cpu, id.clone()));
+        self.free.insert(id, free);
     }
 
-    /// Takes all the tasks that can start at `start`.
-    fn take(&mut self, w: &mut Waiting, start: Micros) {
-        while let Some((at, _, room)) = self.releases.last().copied() {
-            if at > start || w.spec.need.fits(&self.free) {
-                break;
-            }
-            self.releases.pop();
-            self.free += room;
-        }
-        self.ready = self.ready.max(start);
-        let mut most = w.spec.need.times_in(&self.free).min(w.tasks);
-        if w.spec.spread {
-            let here = w.zones.get(&self.zone).copied().unwrap_or(0);
-            most = most.min(i64::from(w.spec.zone_cap().saturating_sub(here)));
-        }
-        let most = most.max(1);
-        let all = w.spec.need.times(most);
-        self.free -= all;
-        // Replicas do not end, and the tasks of a gang need all their room at the same time: one
-        // must not be planned to follow another.
-        let ends = match w.spec.shape {
-            Shape::Array => true,
-            Shape::Gang => w.spec.tasks == 1,
-            Shape::Service => false,
-        };
-        if ends {
-            let end = start + w.run.max(SECOND);
-            let place = self.releases.partition_point(|r| r.0 > end);
-            self.releases.insert(place, (end, most as u32, all));
-        }
-        if w.spec.zoned() {
-            *w.zones.entry(self.zone.clone()).or_default() += most as u32;
-        }
-        w.tasks -= most;
+    fn remove(&mut self, id: &MachineId) -> Option<Resources> {
+        let free = self.free.remove(id)?;
+        self.by_cpu.remove(&(free.cpu, id.clone()));
+        Some(free)
     }
 }
 
-/// Lanes that a job may use, the best first: those in time by price, then the others by time.
-type Choices = BinaryHeap<Reverse<(bool, u64, u64, usize)>>;
-
 impl Cluster {
     /// The calls to make to the cloud now.
     pub fn plan_fleet(&mut self, now: Micros) -> Vec<CloudCall> {
+        let before = self.looks.get();
         let earned = now.saturating_sub(self.fleet.refilled) as f64 / SECOND as f64;
         self.fleet.tokens =
             (self.fleet.tokens + earned * self.fleet.rate).min(self.fleet.rate * 2.0);
@@ -261,7 +185,7 @@
         self.find_bad(now);
         if self.settled {
             self.return_idle(now);
-            self.rent(now, &mut calls);
+            self.rent_wanted(now, &mut calls);
             self.consolidate(now);
         }
         let doomed: Vec<String> =
@@ -279,14 +203,55 @@
             self.fleet.next_flavors = now + 30 * SECOND;
             calls.push(CloudCall::Flavors);
         }
+        let steps = self.looks.get() - before;
+        self.next_plan = now + self.cost_of(steps);
+        self.spent.plans += 1;
+        self.spent.plan_steps += steps;
+        self.spent.most = self.spent.most.max(steps);
         calls
     }
 
-    /// Logs what the machines of each offer are used for.
-    fn summarize(&self, now: Micros) {
+    /// Asks for what the plan wants, one request for each offer and then more of them, as far as the
+    /// cloud's rate goes: a large cluster's plans are too far apart to ask for the rest next time.
+    fn rent_wanted(&mut self, now: Micros, calls: &mut Vec<CloudCall>) {
+        let mut wanted = self.wanted(now);
+        while !wanted.is_empty() {
+            let mut rest = BTreeMap::new();
+            for (offer, count) in wanted {
+                if !self.fleet.may_call(0.0) {
+                    return;
+                }
+                // One machine is enough to try a zone that was cut off.
+                let dark = self.dark.contains_key(&*offer.zone);
+                let now = count.min(if dark { 1 } else { MAX_RENT });
+                if count > now && !dark {
+                    rest.insert(offer.clone(), count - now);
+                }
+                calls.push(self.rent(offer, now));
+            }
+            wanted = rest;
+        }
+    }
+
+    /// A request for machines of an offer.
+    fn rent(&mut self, offer: Offer, count: u32) -> CloudCall {
+        self.fleet.requests += 1;
+        // The term in the name keeps it from ever being used by another leader.
+        let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
+        tracing::info!(%name, flavor = %self.flavors[offer.flavor].name, zone = %offer.zone,
+            spot = offer.spot, count, "renting");
+        self.fleet.renting.insert(name.clone(), (offer.clone(), count));
+        CloudCall::Rent { name, offer, count, tries: 0 }
+    }
+
+    /// Logs what the machines of each offer are used for, and what deciding has cost.
+    fn summarize(&mut self, now: Micros) {
+        let Spent { passes, pass_steps, plans, plan_steps, most } = std::mem::take(&mut self.spent);
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
+        let (jobs, machines) = (self.jobs.len(), self.machines.len());
+        tracing::debug!(passes, pass_steps, plans, plan_steps, most, jobs, machines, "deciding");
         #[derive(Default)]
         struct Use {
             booting: u32,
@@ -421,12 +386,13 @@
             return;
         }
         // Room beside what runs, on machines that stay.
-        let mut room: BTreeMap<MachineId, Resources> = BTreeMap::new();
+        let mut room = Room::default();
         let mut sources: Vec<(f64, MachineId, Vec<TaskId>)> = Vec::new();
         for m in self.machines.values() {
             if !m.usable(now, self.settings.report) || m.attempts.is_empty() {
                 continue;
             }
+            self.looks.set(self.looks.get() + 1);
             if m.free().cpu > 0 && m.kept(now).is_none() {
                 room.insert(m.id.clone(), m.free());
             }
@@ -460,11 +426,12 @@
                 continue;
             }
             for (to, need) in taken {
-                if let Some(free) = room.get_mut(&to) {
-                    *free += need;
-                }
+                let free = room.remove(&to).unwrap_or_default();
+                room.insert(to, free - need.times(-1));
+            }
+            if let Some(free) = own {
+                room.insert(id, free);
             }
-            own.map(|free| room.insert(id, free));
         }
         for (id, tasks) in leaving {
             tracing::info!(machine = %id, tasks = tasks.len(), "moving its work elsewhere");
@@ -475,20 +442,21 @@
         }
     }
 
-    /// Takes room for a task that is to be moved.
-    fn host(
-        &self,
-        task: &TaskId,
-        room: &mut BTreeMap<MachineId, Resources>,
-        now: Micros,
-    ) -> Option<(MachineId, Resources)> {
+    /// Takes room for a task that is to be moved, where the least is left over.
+    fn host(&self, task: &TaskId, room: &mut Room, now: Micros) -> Option<(MachineId, Resources)> {
         let spec = &self.jobs.get(&task.job)?.spec;
-        let (to, free) = room.iter_mut().find(|(to, free)| {
-            let may = |m| self.may_host(m, &task.job, spec, &Zones::new(), now);
-            spec.need.fits(free) && self.machines.get(*to).is_some_and(may)
-        })?;
-        *free -= spec.need;
-        Some((to.clone(), spec.need))
+        let may = |to: &MachineId| {
+            self.looks.set(self.looks.get() + 1);
+            let free = room.free.get(to).is_some_and(|free| spec.need.fits(free));
+            let m = self.machines.get(to).filter(|_| free);
+            m.is_some_and(|m| self.may_host(m, &task.job, spec, &Zones::new(), now))
+        };
+        let none: MachineId = Arc::from("");
+        let mut roomy = room.by_cpu.range((spec.need.cpu, none)..).take(MOST_HOSTS);
+        let to = roomy.find(|(_, to)| may(to))?.1.clone();
+        let free = room.remove(&to)?;
+        room.insert(to.clone(), free - spec.need);
+        Some((to, spec.need))
     }
 
     /// Whether stopping a task here and going on with it elsewhere costs little against the time
@@ -506,278 +474,6 @@
             && self.expected_end(task, attempt, now) > now + 4 * cost + self.flavors[f].boot
     }
 
-    /// Work that has no room now and may run under its team's limit, in queue order.
-    fn waiting(&self, now: Micros) -> Vec<Waiting> {
-        let mut spare: Vec<Resources> =
-            (0..self.used.len()).map(|t| self.settings.teams[t].limit - self.used[t]).collect();
-        let mut out = Vec::new();
-        for (id, within) in self.queue() {
-            let Some(job) = self.jobs.get(&id) else { continue };
-            let Some(t) = job.team else { continue };
-            if job.pending.is_empty() {
-                continue;
-            }
-            spare[t].mem = UNLIMITED;
-            let need = Resources { mem: 0, ..job.spec.need };
-            let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
-            let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
-            tasks = tasks.min(job.worth_renting(now).saturating_sub(job.live.len() as i64));
-            if job.spec.shape == Shape::Gang && tasks < i64::from(job.pending.len()) {
-                tasks = 0;
-            }
-            if tasks <= 0 {
-                continue;
-            }
-            spare[t] -= need.times(tasks);
-            let zones = self.zones_of(job);
-            let run = self.expected_run(&job.spec);
-            // Estimates are rough: only a part of the time left is counted on.
-            let latest = self.latest_start(job, within);
-            let facts = self.facts(job, within, latest);
-            let policy = &self.settings.policy;
-            let slack = match latest {
-                Some(t) => {
-                    let part = policy.number(Setting::PlanSlack, &facts);
-                    (t.saturating_sub(self.wall) as f64 * part) as Micros
-                }
-                None => {
-                    let patience = policy.number(Setting::Patience, &facts);
-                    (job.ready + micros(patience)).saturating_sub(self.wall)
-                }
-            };
-            let limit = now + slack;
-            let spec = job.spec.clone();
-            out.push(Waiting { spec, tasks, zones, run, from: now, limit });
-        }
-        self.foresee(&mut out, &mut spare, now);
-        out
-    }
-
-    /// Adds the work of jobs that will be released before a machine rented now is up.
-    fn foresee(&self, out: &mut Vec<Waiting>, spare: &mut [Resources], now: Micros) {
-        // The boot of the cheapest room that a task fits into: most likely it is what will be rented.
-        let boot = |spec: &JobSpec| {
-            let fits = |f: &usize| spec.need.fits(&self.flavors[*f].size);
-            let price = |f: &usize| self.room_price(*f, spec.spot);
-            let f = (0..self.flavors.len())
-                .filter(fits)
-                .min_by(|a, b| price(a).total_cmp(&price(b)))?;
-            let flavor = &self.flavors[f];
-            let zones = flavor.zones.iter();
-            zones.map(|z| self.fleet.boots.expected(f, z, flavor.boot, now)).min()
-        };
-        let longest = self.flavors.iter().map(|f| 2 * f.boot).max().unwrap_or(0);
-        for (from, _, w) in self.foreseen(now, now + longest) {
-            if boot(&w.spec).is_none_or(|boot| from > now + boot) {
-                continue;
-            }
-            let Some(t) = self.settings.team(&w.spec.team) else { continue };
-            spare[t].mem = UNLIMITED;
-            let need = Resources { mem: 0, ..w.spec.need };
-            let all = i64::from(w.spec.tasks);
-            let mut tasks = all.min(need.times_in(&spare[t]));
-            if w.spec.shape == Shape::Gang && tasks < all {
-                tasks = 0;
-            }
-            if tasks <= 0 {
-                continue;
-            }
-            spare[t] -= need.times(tasks);
-            let ready = self.wall + (from - now);
-            let latest = self.latest(&w.spec, w.at, ready, w.pull.as_ref(), false);
-            let slack = latest.map_or(0, |t| t.saturating_sub(ready));
-            out.push(Waiting {
-                spec: w.spec.clone(),
-                tasks,
-                zones: Zones::new(),
-                run: self.expected_run(&w.spec),
-                from,
-                limit: from + (slack as f64 * FORESEEN_SLACK) as Micros,
-            });
-        }
-    }
-
-    fn lane(&self, flavor: usize, zone: &Arc<str>, spot: bool, ready: Micros) -> Lane {
-        Lane {
-            flavor,
-            zone: zone.clone(),
-            spot,
-            price: self.room_price(flavor, spot),
-            free: self.flavors[flavor].size,
-            ready,
-            releases: Vec::new(),
-            machine: None,
-        }
-    }
-
-    fn lane_allows(&self, lane: &Lane, w: &Waiting) -> bool {
-        w.spec.allows(&self.flavors[lane.flavor].name, &lane.zone, lane.spot)
-            && zone_ok(&w.spec, &w.zones, &lane.zone)
-    }
-
-    /// Enters a lane among a job's choices, unless the job never fits there.
-    fn choose(&self, choices: &mut Choices, lanes: &[Lane], i: usize, w: &Waiting, now: Micros) {
-        let lane = &lanes[i];
-        if !w.spec.need.fits(&self.flavors[lane.flavor].size) || !self.lane_allows(lane, w) {
-            return;
-        }
-        let start = lane.earliest(&w.spec.need, now).max(w.from);
-        // Prices are positive, and such numbers are in the order of their bits.
-        let price = lane.price.max(0.0).to_bits();
-        let late = start > w.limit;
-        if start < Micros::MAX {
-            let (a, b) = if late { (start, price) } else { (price, start) };
-            choices.push(Reverse((late, a, b, i)));
-        }
-    }
-
-    /// The machines there are or that are on their way, and when their room comes free.
-    fn lanes(&self, now: Micros) -> Vec<Lane> {
-        let mut lanes = Vec::new();
-        for m in self.machines.values() {
-            let Some(flavor) = m.flavor else { continue };
-            if m.deleting || m.leaving || m.bad || m.notice {
-                continue;
-            }
-            if !m.up {
-                if let Some(ready) = self.up_at(m, now) {
-                    lanes.push(self.lane(flavor, &m.zone, m.spot, ready));
-                }
-                continue;
-            }
-            let mut lane = self.lane(flavor, &m.zone, m.spot, now);
-            lane.free = m.free();
-            lane.machine = Some(m.id.clone());
-            for ((task, _), a) in m.attempts.iter().filter(|(_, a)| a.holds) {
-                lane.releases.push((self.expected_end(task, a, now), 1, a.need));
-            }
-            lane.releases.sort_by_key(|r| Reverse(r.0));
-            lanes.push(lane);
-        }
-        for (offer, count) in self.fleet.renting.values() {
-            let ready = self.boots(offer, now);
-            let zone: Arc<str> = offer.zone.as_str().into();
-            let lane = || self.lane(offer.flavor, &zone, offer.spot, ready);
-            (0..*count).for_each(|_| lanes.push(lane()));
-        }
-        lanes
-    }
-
-    /// Plays the queue forward on the machines there are. What would start too late gets a new one.
-    fn rent(&mut self, now: Micros, calls: &mut Vec<CloudCall>) {
-        let mut waiting = self.waiting(now);
-        let mut lanes = self.lanes(now);
-        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
-        let mut budget = PLANNED_STEPS;
-        let mut awaited: HashSet<MachineId> = HashSet::new();
-        for i in 0..waiting.len() {
-            let (head, rest) = waiting.split_at_mut(i + 1);
-            let w = &mut head[i];
-            let mut choices = Choices::with_capacity(lanes.len());
-            (0..lanes.len()).for_each(|l| self.choose(&mut choices, &lanes, l, w, now));
-            let mut offer = None;
-            while w.tasks > 0 && budget > 0 {
-                budget -= 1;
-                let best = choices.pop().map(|Reverse((late, a, b, l))| {
-                    let start = if late { a } else { b };
-                    (late, start, l)
-                });
-                if let Some((late, start, l)) = best {
-                    if !self.lane_allows(&lanes[l], w) {
-                        continue;
-                    }
-                    if late && offer.is_none() {
-                        offer = Some(self.best_offer(w, rest, now));
-                    }
-                    let ready = offer.iter().flatten().next().map(|o: &Offer| self.boots(o, now));
-                    // A new machine would be there no sooner than the room there is.
-                    if !late || ready.is_none_or(|r| start <= r) {
-                        if w.from > now {
-                            awaited.extend(lanes[l].machine.clone());
-                        }
-                        lanes[l].take(w, start);
-                        self.choose(&mut choices, &lanes, l, w, now);
-                        continue;
-                    }
-                    choices.push(Reverse((late, start, lanes[l].price.max(0.0).to_bits(), l)));
-                }
-                let found = offer.take().unwrap_or_else(|| self.best_offer(w, rest, now));
-                let Some(found) = found else { break };
-                let ready = self.boots(&found, now).max(w.from);
-                let mut lane =
-                    self.lane(found.flavor, &found.zone.as_str().into(), found.spot, ready);
-                lane.take(w, ready);
-                lanes.push(lane);
-                self.choose(&mut choices, &lanes, lanes.len() - 1, w, now);
-                *wanted.entry(found).or_default() += 1;
-            }
-        }
-        for id in awaited {
-            if let Some(m) = self.machines.get_mut(&id) {
-                m.awaited_until = now + 2 * SECOND;
-            }
-        }
-        for (offer, count) in wanted {
-            if !self.fleet.may_call(0.0) {
-                break;
-            }
-            // What is wanted beyond one request is asked for when the answer shows that there is
-            // more; one machine is enough to try a zone that was cut off.
-            let most = if self.dark.contains_key(&*offer.zone) { 1 } else { MAX_RENT };
-            let count = count.min(most);
-            self.fleet.requests += 1;
-            // The term in the name keeps it from ever being used by another leader.
-            let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
-            tracing::info!(%name, flavor = %self.flavors[offer.flavor].name, zone = %offer.zone,
-                spot = offer.spot, count, "renting");
-            self.fleet.renting.insert(name.clone(), (offer.clone(), count));
-            calls.push(CloudCall::Rent { name, offer, count, tries: 0 });
-        }
-    }
-
-    /// When a machine rented now is expected to be up.
-    fn boots(&self, offer: &Offer, now: Micros) -> Micros {
-        let usual = self.flavors[offer.flavor].boot;
-        now + self.fleet.boots.expected(offer.flavor, &offer.zone, usual, now)
-    }
-
-    /// The offer that serves a waiting job at the least price for the room that it and those
-    /// behind it use.
-    fn best_offer(&self, first: &Waiting, rest: &[Waiting], now: Micros) -> Option<Offer> {
-        let mut best: Option<(f64, Offer)> = None;
-        for (i, flavor) in self.flavors.iter().enumerate() {
-            if !first.spec.need.fits(&flavor.size) {
-                continue;
-            }
-            for (zone, spot) in flavor.zones.iter().flat_map(|z| [(z, false), (z, true)]) {
-                let offer = Offer { flavor: i, zone: zone.clone(), spot };
-                let blocked = self.blocked(&offer, now);
-                if blocked
-                    || !first.spec.allows(&flavor.name, zone, spot)
-                    || !zone_ok(&first.spec, &first.zones, zone)
-                {
-                    continue;
-                }
-                let mut free = flavor.size;
-                let mut used = 0;
-                for w in std::iter::once(first).chain(rest) {
-                    if w.spec.allows(&flavor.name, zone, spot) {
-                        let n = w.spec.need.times_in(&free).min(w.tasks);
-                        free -= w.spec.need.times(n);
-                        used += w.spec.need.cpu.max(1) * n;
-                    }
-                }
-                let dearer =
-                    self.fleet.boots.dearer(i, zone, flavor.boot, patience(flavor.boot), now);
-                let score = flavor.price_of(spot) * dearer / used.max(1) as f64;
-                if best.as_ref().is_none_or(|(s, _)| score < *s) {
-                    best = Some((score, offer));
-                }
-            }
-        }
-        best.map(|b| b.1)
-    }
-
     /// Takes in an answer of the cloud. `None`: no answer came.
     pub fn cloud_answer(&mut self, call: CloudCall, answer: Option<(u16, &[u8])>, now: Micros) {
         if matches!(answer, Some((429 | 503, _))) && !no_capacity(answer) {
@@ -844,15 +540,12 @@
 
     /// Machines of an offer that are rented now.
     fn held(&self, offer: &Offer) -> usize {
-        let same = |m: &&Machine| {
-            m.flavor == Some(offer.flavor) && m.spot == offer.spot && *m.zone == *offer.zone
-        };
-        self.machines.values().filter(same).count()
+        self.rooms.held(offer.flavor, &offer.zone, offer.spot)
     }
 
     /// Whether an offer was refused lately. As long as no machine of it has been given back or
     /// taken since, the cloud most likely still has none.
-    fn blocked(&self, offer: &Offer, now: Micros) -> bool {
+    pub fn blocked(&self, offer: &Offer, now: Micros) -> bool {
         if let Some(at) = self.dark.get(&*offer.zone) {
             // Tried with one machine now and then.
             let tried = self.machines.values().any(|m| !m.up && *m.zone == *offer.zone)
@@ -932,7 +625,7 @@
 }
 
 /// How long a machine may take to boot before it is given up.
-fn patience(boot: Micros) -> Micros {
+pub fn patience(boot: Micros) -> Micros {
     3 * boot + 20 * SECOND
 }
 
--- a/src/model.rs
+++ b/src/model.rs
@@ -60,7 +60,7 @@
 }
 
 /// Amounts of CPU, GPU and memory, in thousandths of the wire's units.
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Default, Serialize, Deserialize)]
 pub struct Resources {
     pub cpu: i64,
     pub gpu: i64,
@@ -150,14 +150,14 @@
     }
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Serialize, Deserialize)]
 pub enum Shape {
     Array,
     Gang,
     Service,
 }
 
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug, Serialize, Deserialize)]
 pub enum Priority {
     Low,
     Normal,
--- /dev/null
+++ b/src/plan.rs
@@ -0,0 +1,697 @@
+//! The plan of the fleet: what has to be rented for the queue to be served in time.
+//!
+//! The plan plays the queue forward on the machines there are and those that are on their way.
+//! Machines of one kind stand in a line. For tasks of one shape a book says of each line which machine has
+//! room first, and all jobs of that shape read the same book; what a step takes is entered in all books
+//! of its line. So a plan costs its steps and its machines, not the one times the other.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use std::sync::Arc;
+
+use crate::cluster::{Cluster, MachineId};
+use crate::fleet::{Offer, patience};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape, UNLIMITED, micros};
+use crate::policy::Setting;
+use crate::scheduler::{Zones, zone_ok};
+
+/// Steps of a plan, in queue order, and so many more for each machine there is: else a large cluster's
+/// plan would end among the machines it has, and never come to what has to be rented. A plan is made
+/// anew all the time. A step places all tasks of a job that start on one machine at one time.
+const PLANNED_STEPS: usize = 3000;
+const STEPS_EACH: usize = 12;
+
+/// Jobs behind the first that are looked at for what else a new machine would be used for.
+const BEHIND: usize = 32;
+
+/// The part of the time left that is counted on for work that will be released soon.
+const FORESEEN_SLACK: f64 = 0.2;
+
+/// Work of a job that found no room: how many tasks, and where its other tasks are.
+struct Waiting {
+    spec: Arc<JobSpec>,
+    tasks: i64,
+    zones: Zones,
+    run: Micros,
+    /// When its tasks can start at the earliest: those of a job that waits for others, at its release.
+    from: Micros,
+    /// When its tasks have to start, on our clock.
+    limit: Micros,
+}
+
+/// A machine's future as the plan sees it: its room, and when more of it comes free.
+struct Lane {
+    line: usize,
+    zone: Arc<str>,
+    free: Resources,
+    ready: Micros,
+    /// The earliest last: when, how many tasks end, and the room of all of them.
+    releases: Vec<(Micros, u32, Resources)>,
+    /// The machine, if it is there.
+    machine: Option<MachineId>,
+    /// Counts what was taken: what a book says of an earlier state is out of date.
+    version: u32,
+}
+
+impl Lane {
+    /// The earliest start of a task that needs `need`. Waiting for several tasks to end takes
+    /// longer than each is expected to run: the last of k is late by about the logarithm of k.
+    fn earliest(&self, need: &Resources, now: Micros) -> Micros {
+        let mut free = self.free;
+        if need.fits(&free) {
+            return self.ready;
+        }
+        let mut k = 0;
+        for (at, tasks, room) in self.releases.iter().rev() {
+            free += *room;
+            k += tasks;
+            if need.fits(&free) {
+                if *at == Micros::MAX {
+                    // Replicas run until they are cancelled; adding to their end would overflow.
+                    return Micros::MAX;
+                }
+                let late = 1.0 + 0.25 * f64::from(k).log2();
+                let wait = at.saturating_sub(now) as f64 * late;
+                return (now + wait as Micros).max(self.ready);
+            }
+        }
+        Micros::MAX
+    }
+
+    /// Takes all the tasks that can start at `start`.
+    fn take(&mut self, w: &mut Waiting, start: Micros) {
+        self.version += 1;
+        while let Some((at, _, room)) = self.releases.last().copied() {
+            if at > start || w.spec.need.fits(&self.free) {
+                break;
+            }
+            self.releases.pop();
+            self.free += room;
+        }
+        self.ready = self.ready.max(start);
+        let mut most = w.spec.need.times_in(&self.free).min(w.tasks);
+        if w.spec.spread {
+            let here = w.zones.get(&self.zone).copied().unwrap_or(0);
+            most = most.min(i64::from(w.spec.zone_cap().saturating_sub(here)));
+        }
+        let most = most.max(1);
+        let all = w.spec.need.times(most);
+        self.free -= all;
+        // Replicas do not end, and the tasks of a gang need all their room at the same time: one
+        // must not be planned to follow another.
+        let ends = match w.spec.shape {
+            Shape::Array => true,
+            Shape::Gang => w.spec.tasks == 1,
+            Shape::Service => false,
+        };
+        if ends {
+            let end = start + w.run.max(SECOND);
+            let place = self.releases.partition_point(|r| r.0 > end);
+            self.releases.insert(place, (end, most as u32, all));
+        }
+        if w.spec.zoned() {
+            *w.zones.entry(self.zone.clone()).or_default() += most as u32;
+        }
+        w.tasks -= most;
+    }
+}
+
+/// Machines of one kind.
+struct Line {
+    flavor: usize,
+    zone: Arc<str>,
+    spot: bool,
+    /// Per hour and thousandth of a CPU.
+    price: f64,
+    lanes: Vec<usize>,
+}
+
+/// Of each line, when its lanes have room for a task of a shape, the soonest first, with the lanes'
+/// versions. `None`: no job has asked yet.
+type Book = Vec<Option<BinaryHeap<Reverse<(Micros, usize, u32)>>>>;
+
+/// Tasks whose needs differ by less than an eighth read the same book, made for the least of them.
+fn shape(need: &Resources) -> Resources {
+    let coarse = |x: i64| {
+        let bits = 63 - x.max(1).leading_zeros();
+        let step = 1i64 << bits.saturating_sub(3);
+        x / step * step
+    };
+    Resources { cpu: coarse(need.cpu), gpu: coarse(need.gpu), mem: coarse(need.mem) }
+}
+
+/// The machines there are and that will be, as the plan sees them.
+#[derive(Default)]
+struct Future {
+    lines: Vec<Line>,
+    numbers: HashMap<(usize, Arc<str>, bool), usize>,
+    lanes: Vec<Lane>,
+    books: HashMap<Resources, Book>,
+    now: Micros,
+    steps: u64,
+}
+
+/// Where a job's next tasks would start.
+struct Choice {
+    start: Micros,
+    lane: usize,
+    line: usize,
+}
+
+/// What a job has read from a book and not used: one for each line, at the most.
+type Read = Vec<BinaryHeap<Reverse<(Micros, usize, Micros)>>>;
+
+impl Future {
+    /// The line of a kind.
+    fn line(&mut self, flavor: usize, zone: &Arc<str>, spot: bool, price: f64) -> usize {
+        let next = self.lines.len();
+        let line = *self.numbers.entry((flavor, zone.clone(), spot)).or_insert(next);
+        if line == next {
+            let zone = zone.clone();
+            self.lines.push(Line { flavor, zone, spot, price, lanes: Vec::new() });
+            self.books.values_mut().for_each(|b| b.push(None));
+        }
+        line
+    }
+
+    fn add(&mut self, lane: Lane) -> usize {
+        let i = self.lanes.len();
+        self.lines[lane.line].lanes.push(i);
+        self.lanes.push(lane);
+        self.enter(i);
+        i
+    }
+
+    /// Enters a lane in all books of its line that have been opened.
+    fn enter(&mut self, i: usize) {
+        let lane = &self.lanes[i];
+        for (need, book) in &mut self.books {
+            if let Some(Some(heap)) = book.get_mut(lane.line) {
+                self.steps += 1;
+                let start = lane.earliest(need, self.now);
+                if start < Micros::MAX {
+                    heap.push(Reverse((start, i, lane.version)));
+                }
+            }
+        }
+    }
+
+    /// Reads on in a line's book until nothing in it can be sooner than the soonest read.
+    fn read(&mut self, line: usize, key: &Resources, w: &Waiting, read: &mut Read) {
+        let lines = self.lines.len();
+        let book = self.books.entry(*key).or_insert_with(|| (0..lines).map(|_| None).collect());
+        let heap = book[line].get_or_insert_with(|| {
+            let open = self.lines[line].lanes.iter().map(|i| {
+                Reverse((self.lanes[*i].earliest(key, self.now), *i, self.lanes[*i].version))
+            });
+            self.steps += self.lines[line].lanes.len() as u64;
+            open.filter(|e| e.0.0 < Micros::MAX).collect()
+        });
+        let mine = &mut read[line];
+        while let Some(Reverse((least, i, version))) = heap.peek().copied() {
+            // Those that have room before the job is released are as good as one another.
+            if mine.peek().is_some_and(|Reverse(m)| (m.0, m.1) <= (least.max(w.from), i)) {
+                break;
+            }
+            heap.pop();
+            self.steps += 1;
+            if self.lanes[i].version == version {
+                // One that never has room for this job may have some for the next of its shape: it is
+                // put back with the others.
+                let start = self.lanes[i].earliest(&w.spec.need, self.now).max(w.from);
+                mine.push(Reverse((start, i, least)));
+            }
+        }
+    }
+
+    /// The best place for a job's next tasks: in time at the least price, else the soonest.
+    fn best(
+        &mut self,
+        w: &Waiting,
+        key: &Resources,
+        allowed: &[usize],
+        read: &mut Read,
+    ) -> Option<Choice> {
+        let mut best: Option<((bool, u64, u64, usize), Choice)> = None;
+        for line in allowed.iter().copied() {
+            if !zone_ok(&w.spec, &w.zones, &self.lines[line].zone) {
+                continue;
+            }
+            self.read(line, key, w, read);
+            let soonest = read[line].peek().copied().filter(|Reverse(r)| r.0 < Micros::MAX);
+            let Some(Reverse((start, lane, _))) = soonest else { continue };
+            // Prices are positive, and such numbers are in the order of their bits.
+            let price = self.lines[line].price.max(0.0).to_bits();
+            let late = start > w.limit;
+            let rank = if late { (late, start, price, lane) } else { (late, price, start, lane) };
+            if best.as_ref().is_none_or(|(r, _)| rank < *r) {
+                best = Some((rank, Choice { start, lane, line }));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    /// Puts back what a job has read and not used.
+    fn put_back(&mut self, key: &Resources, read: Read) {
+        let Some(book) = self.books.get_mut(key) else { return };
+        for (heap, mine) in book.iter_mut().zip(read) {
+            for Reverse((_, i, least)) in mine {
+                let entry = Reverse((least, i, self.lanes[i].version));
+                heap.iter_mut().for_each(|h| h.push(entry));
+            }
+        }
+    }
+}
+
+/// An offer as a plan sees it.
+struct Priced {
+    offer: Offer,
+    /// Its price, dearer by what is lost while it boots.
+    price: f64,
+}
+
+impl Cluster {
+    /// Work that has no room now and may run under its team's limit, in queue order.
+    fn waiting(&self, now: Micros) -> Vec<Waiting> {
+        let mut spare: Vec<Resources> =
+            (0..self.used.len()).map(|t| self.settings.teams[t].limit - self.used[t]).collect();
+        let mut out = Vec::new();
+        for (id, within) in self.queue.jobs() {
+            self.looks.set(self.looks.get() + 1);
+            let Some(job) = self.jobs.get(id) else { continue };
+            let Some(t) = job.team else { continue };
+            if job.pending.is_empty() {
+                continue;
+            }
+            spare[t].mem = UNLIMITED;
+            let need = Resources { mem: 0, ..job.spec.need };
+            let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
+            let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
+            tasks = tasks.min(job.worth_renting(now).saturating_sub(job.live.len() as i64));
+            if job.spec.shape == Shape::Gang && tasks < i64::from(job.pending.len()) {
+                tasks = 0;
+            }
+            if tasks <= 0 {
+                continue;
+            }
+            spare[t] -= need.times(tasks);
+            let zones = self.zones_of(job);
+            let run = self.expected_run(&job.spec);
+            // Estimates are rough: only a part of the time left is counted on.
+            let latest = self.latest_start(job, within);
+            let facts = self.facts(job, within, latest);
+            let policy = &self.settings.policy;
+            let slack = match latest {
+                Some(t) => {
+                    let part = policy.number(Setting::PlanSlack, &facts);
+                    (t.saturating_sub(self.wall) as f64 * part) as Micros
+                }
+                None => {
+                    let patience = policy.number(Setting::Patience, &facts);
+                    (job.ready + micros(patience)).saturating_sub(self.wall)
+                }
+            };
+            let limit = now + slack;
+            let spec = job.spec.clone();
+            out.push(Waiting { spec, tasks, zones, run, from: now, limit });
+        }
+        self.foresee(&mut out, &mut spare, now);
+        out
+    }
+
+    /// Adds the work of jobs that will be released before a machine rented now is up.
+    fn foresee(&self, out: &mut Vec<Waiting>, spare: &mut [Resources], now: Micros) {
+        // The boot of the cheapest room that a task fits into: most likely it is what will be rented.
+        let boot = |spec: &JobSpec| {
+            let fits = |f: &usize| spec.need.fits(&self.flavors[*f].size);
+            let price = |f: &usize| self.room_price(*f, spec.spot);
+            let f = (0..self.flavors.len())
+                .filter(fits)
+                .min_by(|a, b| price(a).total_cmp(&price(b)))?;
+            let flavor = &self.flavors[f];
+            let zones = flavor.zones.iter();
+            zones.map(|z| self.fleet.boots.expected(f, z, flavor.boot, now)).min()
+        };
+        let longest = self.flavors.iter().map(|f| 2 * f.boot).max().unwrap_or(0);
+        for (from, _, w) in self.foreseen(now, now + longest) {
+            if boot(&w.spec).is_none_or(|boot| from > now + boot) {
+                continue;
+            }
+            let Some(t) = self.settings.team(&w.spec.team) else { continue };
+            spare[t].mem = UNLIMITED;
+            let need = Resources { mem: 0, ..w.spec.need };
+            let all = i64::from(w.spec.tasks);
+            let mut tasks = all.min(need.times_in(&spare[t]));
+            if w.spec.shape == Shape::Gang && tasks < all {
+                tasks = 0;
+            }
+            if tasks <= 0 {
+                continue;
+            }
+            spare[t] -= need.times(tasks);
+            let ready = self.wall + (from - now);
+            let latest = self.latest(&w.spec, w.at, ready, w.pull.as_ref(), false);
+            let slack = latest.map_or(0, |t| t.saturating_sub(ready));
+            out.push(Waiting {
+                spec: w.spec.clone(),
+                tasks,
+                zones: Zones::new(),
+                run: self.expected_run(&w.spec),
+                from,
+                limit: from + (slack as f64 * FORESEEN_SLACK) as Micros,
+            });
+        }
+    }
+
+    /// Plays the queue forward on the machines there are. What would start too late gets a new one.
+    /// Returns how many machines of each offer that takes.
+    pub fn wanted(&mut self, now: Micros) -> BTreeMap<Offer, u32> {
+        self.order_queue(now);
+        let mut waiting = self.waiting(now);
+        let mut wanted: BTreeMap<Offer, u32> = BTreeMap::new();
+        if waiting.is_empty() {
+            return wanted;
+        }
+        let mut future = self.future(now);
+        let offers = self.offers(now);
+        let mut least = waiting[0].spec.need;
+        for w in &waiting {
+            let need = &w.spec.need;
+            least = Resources {
+                cpu: least.cpu.min(need.cpu),
+                gpu: least.gpu.min(need.gpu),
+                mem: least.mem.min(need.mem),
+            };
+        }
+        let mut budget = PLANNED_STEPS + STEPS_EACH * future.lanes.len();
+        let mut awaited: HashSet<MachineId> = HashSet::new();
+        for i in 0..waiting.len() {
+            if budget == 0 {
+                break;
+            }
+            let (head, rest) = waiting.split_at_mut(i + 1);
+            let w = &mut head[i];
+            let key = shape(&w.spec.need);
+            let allows = |line: &Line| {
+                let flavor = &self.flavors[line.flavor];
+                w.spec.need.fits(&flavor.size) && w.spec.allows(&flavor.name, &line.zone, line.spot)
+            };
+            let mut allowed: Vec<usize> =
+                (0..future.lines.len()).filter(|l| allows(&future.lines[*l])).collect();
+            let mut read: Read = (0..future.lines.len()).map(|_| BinaryHeap::new()).collect();
+            // The offer that is best for it, once that is known and as long as it stays the best.
+            let mut offer: Option<Option<&Priced>> = None;
+            while w.tasks > 0 && budget > 0 {
+                budget -= 1;
+                if let Some(c) = future.best(w, &key, &allowed, &mut read) {
+                    let late = c.start > w.limit;
+                    let new = match late {
+                        true => {
+                            *offer.get_or_insert_with(|| self.best_offer(w, rest, &least, &offers))
+                        }
+                        false => None,
+                    };
+                    // A new machine would be there no sooner than the room there is.
+                    if new.is_none_or(|n| c.start <= self.boots(&n.offer, now)) {
+                        if w.from > now {
+                            awaited.extend(future.lanes[c.lane].machine.clone());
+                        }
+                        read[c.line].pop();
+                        future.lanes[c.lane].take(w, c.start);
+                        future.enter(c.lane);
+                        continue;
+                    }
+                }
+                let found =
+                    offer.take().unwrap_or_else(|| self.best_offer(w, rest, &least, &offers));
+                let Some(found) = found else { break };
+                let Offer { flavor, zone, spot } = &found.offer;
+                let ready = self.boots(&found.offer, now).max(w.from);
+                let price = self.room_price(*flavor, *spot);
+                let zone: Arc<str> = zone.as_str().into();
+                let line = future.line(*flavor, &zone, *spot, price);
+                if line == read.len() {
+                    read.push(BinaryHeap::new());
+                    allowed.push(line);
+                }
+                let mut lane = self.lane(line, *flavor, zone, ready);
+                lane.take(w, ready);
+                future.add(lane);
+                *wanted.entry(found.offer.clone()).or_default() += 1;
+                // As long as its own tasks fill a whole machine, another one is as good.
+                if !w.spec.zoned() && w.tasks >= w.spec.need.times_in(&self.flavors[*flavor].size) {
+                    offer = Some(Some(found));
+                }
+            }
+            future.put_back(&key, read);
+        }
+        self.looks.set(self.looks.get() + future.steps);
+        for id in awaited {
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.awaited_until = now + 2 * SECOND;
+            }
+        }
+        wanted
+    }
+
+    /// What can be rented now.
+    fn offers(&self, now: Micros) -> Vec<Priced> {
+        let mut offers = Vec::new();
+        for (i, flavor) in self.flavors.iter().enumerate() {
+            for (zone, spot) in flavor.zones.iter().flat_map(|z| [(z, false), (z, true)]) {
+                let offer = Offer { flavor: i, zone: zone.clone(), spot };
+                if !self.blocked(&offer, now) {
+                    let boots = &self.fleet.boots;
+                    let dearer = boots.dearer(i, zone, flavor.boot, patience(flavor.boot), now);
+                    offers.push(Priced { offer, price: flavor.price_of(spot) * dearer });
+                }
+            }
+        }
+        offers
+    }
+
+    /// The offer that serves a waiting job at the least price for the room that it and those
+    /// behind it use. `least`: no waiting task needs less of anything.
+    fn best_offer<'a>(
+        &self,
+        first: &Waiting,
+        rest: &[Waiting],
+        least: &Resources,
+        offers: &'a [Priced],
+    ) -> Option<&'a Priced> {
+        let mut best: Option<(f64, &Priced)> = None;
+        for priced in offers {
+            let Offer { flavor, zone, spot } = &priced.offer;
+            let flavor = &self.flavors[*flavor];
+            if !first.spec.need.fits(&flavor.size)
+                || !first.spec.allows(&flavor.name, zone, *spot)
+                || !zone_ok(&first.spec, &first.zones, zone)
+            {
+                continue;
+            }
+            let mut free = flavor.size;
+            let mut used = 0;
+            for w in std::iter::once(first).chain(rest.iter().take(BEHIND)) {
+                if !least.fits(&free) {
+                    break;
+                }
+                self.looks.set(self.looks.get() + 1);
+                if w.spec.allows(&flavor.name, zone, *spot) {
+                    let n = w.spec.need.times_in(&free).min(w.tasks);
+                    free -= w.spec.need.times(n);
+                    used += w.spec.need.cpu.max(1) * n;
+                }
+            }
+            let score = priced.price / used.max(1) as f64;
+            if best.as_ref().is_none_or(|(s, _)| score < *s) {
+                best = Some((score, priced));
+            }
+        }
+        best.map(|b| b.1)
+    }
+
+    fn lane(&self, line: usize, flavor: usize, zone: Arc<str>, ready: Micros) -> Lane {
+        Lane {
+            line,
+            zone,
+            free: self.flavors[flavor].size,
+            ready,
+            releases: Vec::new(),
+            machine: None,
+            version: 0,
+        }
+    }
+
+    /// The machines there are or that are on their way, and when their room comes free.
+    fn future(&self, now: Micros) -> Future {
+        let mut future = Future { now, ..Future::default() };
+        for m in self.machines.values() {
+            let Some(flavor) = m.flavor else { continue };
+            if m.deleting || m.leaving || m.bad || m.notice {
+                continue;
+            }
+            future.steps += 1 + m.attempts.len() as u64 / 2;
+            let price = self.room_price(flavor, m.spot);
+            let line = future.line(flavor, &m.zone, m.spot, price);
+            if !m.up {
+                if let Some(ready) = self.up_at(m, now) {
+                    future.add(self.lane(line, flavor, m.zone.clone(), ready));
+                }
+                continue;
+            }
+            let mut lane = self.lane(line, flavor, m.zone.clone(), now);
+            lane.free = m.free();
+            lane.machine = Some(m.id.clone());
+            let held = m.attempts.iter().filter(|(_, a)| a.holds);
+            lane.releases
+                .extend(held.map(|((task, _), a)| (self.expected_end(task, a, now), 1, a.need)));
+            lane.releases.sort_by_key(|r| Reverse(r.0));
+            future.add(lane);
+        }
+        for (offer, count) in self.fleet.renting.values() {
+            let ready = self.boots(offer, now);
+            let zone: Arc<str> = offer.zone.as_str().into();
+            let price = self.room_price(offer.flavor, offer.spot);
+            let line = future.line(offer.flavor, &zone, offer.spot, price);
+            for _ in 0..*count {
+                future.add(self.lane(line, offer.flavor, zone.clone(), ready));
+            }
+        }
+        future
+    }
+
+    /// When a machine rented now is expected to be up.
+    fn boots(&self, offer: &Offer, now: Micros) -> Micros {
+        let usual = self.flavors[offer.flavor].boot;
+        now + self.fleet.boots.expected(offer.flavor, &offer.zone, usual, now)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::model::Priority;
+    use proptest::prelude::*;
+
+    fn job(shape: Shape, tasks: u32, need: Resources) -> Arc<JobSpec> {
+        Arc::new(JobSpec {
+            class: "c".into(),
+            team: "red".into(),
+            shape,
+            priority: Priority::Normal,
+            tasks,
+            need,
+            image: "img".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: true,
+            estimate: SECOND,
+            checkpoint_every: 0,
+            save: 0,
+            deadline: None,
+        })
+    }
+
+    /// Three lines, a cheap one, a dear one and one of large machines.
+    const SIZES: [i64; 3] = [4000, 4000, 32_000];
+
+    /// Line, seconds until it is ready, and when tasks end that hold so much.
+    type Given = (usize, u64, Vec<(u64, i64)>);
+
+    fn future(lanes: &[Given]) -> Future {
+        let mut future = Future { now: 10 * SECOND, ..Future::default() };
+        for (i, price) in [0.1, 0.3, 0.2].into_iter().enumerate() {
+            future.line(i, &Arc::from("a"), false, price);
+        }
+        for (line, ready, busy) in lanes {
+            let mut free = Resources { cpu: SIZES[*line], gpu: 0, mem: SIZES[*line] };
+            let mut releases = Vec::new();
+            for (end, cpu) in busy {
+                let need = Resources { cpu: *cpu, gpu: 0, mem: *cpu };
+                if need.fits(&free) {
+                    free -= need;
+                    releases.push((future.now + end * SECOND, 1, need));
+                }
+            }
+            releases.sort_by_key(|r| Reverse(r.0));
+            let ready = future.now + ready * SECOND;
+            let zone = Arc::from("a");
+            let lane = Lane { line: *line, zone, free, ready, releases, machine: None, version: 0 };
+            future.add(lane);
+        }
+        future
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig::with_cases(200))]
+
+        /// Shared books give every task the start and the price that looking at all machines would.
+        #[test]
+        fn a_book_shared_by_many_jobs_misses_no_better_place(
+            lanes in proptest::collection::vec(
+                (0..3usize, 0..40u64, proptest::collection::vec((1..90u64, 300..9000i64), 0..12)),
+                1..14,
+            ),
+            jobs in proptest::collection::vec(
+                (300..9000i64, 1..30i64, 0..60u64, 0..30u64, any::<bool>()),
+                1..12,
+            ),
+        ) {
+            let mut future = future(&lanes);
+            let now = future.now;
+            for (cpu, tasks, limit, from, gang) in jobs {
+                let need = Resources { cpu, gpu: 0, mem: cpu };
+                let shape_of = if gang { Shape::Gang } else { Shape::Array };
+                let from = if from < 15 { now } else { now + from * SECOND };
+                let mut w = Waiting {
+                    spec: job(shape_of, tasks as u32, need),
+                    tasks,
+                    zones: Zones::new(),
+                    run: 20 * SECOND,
+                    from,
+                    limit: from + limit * SECOND,
+                };
+                let key = shape(&need);
+                prop_assert!(key.fits(&need));
+                let allowed: Vec<usize> = (0..3).filter(|l| cpu <= SIZES[*l]).collect();
+                let mut read: Read = (0..3).map(|_| BinaryHeap::new()).collect();
+                for _ in 0..40 {
+                    if w.tasks == 0 {
+                        break;
+                    }
+                    let rank = |start: Micros, line: usize| {
+                        let price = future.lines[line].price.to_bits();
+                        let late = start > w.limit;
+                        if late { (late, start, price) } else { (late, price, start) }
+                    };
+                    let all = future.lanes.iter().filter(|l| allowed.contains(&l.line));
+                    let starts = all.map(|l| (l.earliest(&need, now), l.line));
+                    let naive = starts
+                        .filter(|(start, _)| *start < Micros::MAX)
+                        .map(|(start, line)| rank(start.max(from), line))
+                        .min();
+                    let mut future_best = None;
+                    if naive.is_some() {
+                        let rank_of = |c: &Choice, prices: &[f64]| {
+                            let price = prices[c.line].to_bits();
+                            let late = c.start > w.limit;
+                            if late { (late, c.start, price) } else { (late, price, c.start) }
+                        };
+                        let prices: Vec<f64> = future.lines.iter().map(|l| l.price).collect();
+                        future_best = future.best(&w, &key, &allowed, &mut read);
+                        let found = future_best.as_ref().map(|c| rank_of(c, &prices));
+                        prop_assert_eq!(found, naive);
+                    }
+                    let Some(c) = future_best else { break };
+                    read[c.line].pop();
+                    future.lanes[c.lane].take(&mut w, c.start);
+                    future.enter(c.lane);
+                }
+                future.put_back(&key, read);
+            }
+        }
+    }
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -113,6 +113,7 @@
     Idle,
     Grant,
     BlockChunk,
+    DecideSteps,
 }
 
 struct Rule {
@@ -136,7 +137,7 @@
 }
 
 /// Every setting, in the order of [`Setting`].
-const RULES: [Rule; 7] = [
+const RULES: [Rule; 8] = [
     rule(Setting::QueueWeight, "queue_weight", Scope::Job, Type::Number, -1e9, 1e9),
     rule(Setting::PlanSlack, "plan_slack", Scope::Job, Type::Number, 0.0, 1.0),
     rule(Setting::Patience, "patience_s", Scope::Job, Type::Number, 0.0, 3600.0),
@@ -144,6 +145,7 @@
     rule(Setting::Idle, "idle_s", Scope::Machine, Type::Number, 0.0, 3600.0),
     rule(Setting::Grant, "grant_s", Scope::Cluster, Type::Number, 2.0, 10.0),
     rule(Setting::BlockChunk, "block_chunk", Scope::Cluster, Type::Number, 4.0, 200.0),
+    rule(Setting::DecideSteps, "decide_steps", Scope::Cluster, Type::Number, 1e3, 1e7),
 ];
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- /dev/null
+++ b/src/queue.rs
@@ -0,0 +1,103 @@
+//! The order in which jobs are served, kept between passes.
+//!
+//! A job's place depends on the time left to it, so the order changes while nothing happens. It is
+//! worked out anew only as often as its length allows, and in between a job that arrives is put
+//! where it belongs. So a long queue costs a fixed part of the processor, however many passes and
+//! plans read it.
+
+use std::cmp::Reverse;
+
+use crate::cluster::{Cluster, Job};
+use crate::model::{JobId, Micros, Priority, Resources, Team};
+use crate::policy::Setting;
+
+/// The order is worked out anew this often, for each job in it.
+const ORDER_EVERY: Micros = 200;
+
+/// What jobs are ordered by, the first to be served first: priority; within its team's guarantee; still able
+/// to be in time; the time left until a task has to start, lengthened by the work the job brings, in
+/// thousandths; and the order in which they became ready.
+type Key = (Reverse<Priority>, bool, bool, i64, u64, JobId);
+
+/// All live jobs in the order in which they are served.
+#[derive(Debug, Default)]
+pub struct Queue {
+    entries: Vec<Key>,
+    /// What earlier jobs leave of each team's guarantee.
+    left: Vec<Resources>,
+    /// Jobs that came since the order was last looked at.
+    arrivals: Vec<JobId>,
+    ordered_at: Option<Micros>,
+}
+
+impl Queue {
+    pub fn arrived(&mut self, id: JobId) {
+        self.arrivals.push(id);
+    }
+
+    /// The jobs with whether each lies within its team's guarantee. Some may be over by now.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, bool)> {
+        self.entries.iter().map(|k| (&k.5, !k.1))
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
+
+/// Counts a job against what is left of its team's guarantee; whether it fits there.
+fn charge(left: &mut [Resources], job: &Job) -> bool {
+    let Some(t) = job.team.filter(|_| !job.suspect()) else { return false };
+    let all = job.spec.need.times(i64::from(job.spec.tasks - job.done.len()));
+    let within = Team::within(&left[t], &Resources::default(), &all);
+    left[t] -= all;
+    within
+}
+
+impl Cluster {
+    /// Whether a job alone would fit into its team's guarantee.
+    pub fn fits_guarantee(&self, job: &Job) -> bool {
+        let mut left: Vec<Resources> = self.settings.teams.iter().map(|t| t.guarantee).collect();
+        charge(&mut left, job)
+    }
+
+    /// Brings the order up to date.
+    pub fn order_queue(&mut self, now: Micros) {
+        let mut queue = std::mem::take(&mut self.queue);
+        let every = ORDER_EVERY * queue.entries.len() as Micros;
+        if queue.ordered_at.is_none_or(|t| now >= t + every) {
+            queue.ordered_at = Some(now);
+            queue.arrivals.clear();
+            queue.left = self.settings.teams.iter().map(|t| t.guarantee).collect();
+            let mut ready: Vec<&Job> = self.jobs.values().filter(|j| !j.cancelled).collect();
+            ready.sort_by(|a, b| (a.ready, &a.id).cmp(&(b.ready, &b.id)));
+            let left = &mut queue.left;
+            let keys = ready.into_iter().map(|j| self.key(j, charge(left, j)));
+            queue.entries = keys.collect();
+            queue.entries.sort_unstable();
+            self.looks.set(self.looks.get() + queue.entries.len() as u64);
+        }
+        for id in std::mem::take(&mut queue.arrivals) {
+            let Some(job) = self.jobs.get(&id).filter(|j| !j.cancelled) else { continue };
+            let within = charge(&mut queue.left, job);
+            let key = self.key(job, within);
+            if let Err(place) = queue.entries.binary_search(&key) {
+                queue.entries.insert(place, key);
+            }
+        }
+        self.queue = queue;
+    }
+
+    fn key(&self, job: &Job, within: bool) -> Key {
+        let latest = self.latest_start(job, within);
+        let facts = self.facts(job, within, latest);
+        let weight = self.settings.policy.number(Setting::QueueWeight, &facts);
+        // As whole thousandths, so that the order is total.
+        let weight = (weight * 1000.0) as i64;
+        (Reverse(job.priority()), !within, latest.is_none(), weight, job.ready, job.id.clone())
+    }
+}
--- /dev/null
+++ b/src/room.rs
@@ -0,0 +1,143 @@
+//! Where there is room: machines by kind, and within a kind by the CPU that is free on them.
+//!
+//! A pass, a report or a plan asks for room of some size, and must not look at every machine to find
+//! it: what it costs to decide would then grow with the square of the cluster. The index only says
+//! where to look. What is found there is still checked against the machine itself, so a machine
+//! that has fallen silent since costs a look and breaks nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use crate::cluster::{Cluster, MachineId};
+use crate::model::{Micros, Resources};
+
+/// What machines that cost the same and lie in one zone have in common.
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct Kind {
+    /// Number in the list of machine types.
+    pub flavor: usize,
+    pub zone: Arc<str>,
+    pub spot: bool,
+}
+
+/// The machines of a kind.
+#[derive(Debug)]
+pub struct Shelf {
+    pub kind: Kind,
+    /// Every machine known, whatever its state.
+    pub all: BTreeSet<MachineId>,
+    /// Those that tasks may be placed on, by free CPU in thousandths.
+    open: BTreeSet<(i64, MachineId)>,
+}
+
+impl Shelf {
+    /// Machines that may be placed on and have at least so much CPU free, the fullest first.
+    pub fn with_cpu(&self, cpu: i64) -> impl DoubleEndedIterator<Item = &MachineId> {
+        let none: MachineId = Arc::from("");
+        self.open.range((cpu, none)..).map(|(_, id)| id)
+    }
+
+    pub fn any_open(&self) -> bool {
+        !self.open.is_empty()
+    }
+}
+
+/// All kinds there are or have been. A machine keeps the number of its shelf.
+#[derive(Debug, Default)]
+pub struct Rooms {
+    pub shelves: Vec<Shelf>,
+    numbers: BTreeMap<Kind, usize>,
+}
+
+impl Rooms {
+    /// A machine is known from now on. Returns the number of its shelf.
+    pub fn enter(&mut self, kind: Kind, id: MachineId) -> usize {
+        let number = *self.numbers.entry(kind.clone()).or_insert(self.shelves.len());
+        if number == self.shelves.len() {
+            self.shelves.push(Shelf { kind, all: BTreeSet::new(), open: BTreeSet::new() });
+        }
+        self.shelves[number].all.insert(id);
+        number
+    }
+
+    /// A machine is gone, which stood open with so much free CPU.
+    pub fn leave(&mut self, number: usize, id: &MachineId, open: Option<i64>) {
+        self.shift(number, id, open, None);
+        self.shelves[number].all.remove(id);
+    }
+
+    /// What is free on a machine has changed, or whether it may be placed on.
+    pub fn shift(&mut self, number: usize, id: &MachineId, old: Option<i64>, new: Option<i64>) {
+        let open = &mut self.shelves[number].open;
+        if let Some(cpu) = old {
+            open.remove(&(cpu, id.clone()));
+        }
+        if let Some(cpu) = new {
+            open.insert((cpu, id.clone()));
+        }
+    }
+
+    /// How many machines of a kind are known.
+    pub fn held(&self, flavor: usize, zone: &str, spot: bool) -> usize {
+        let kind = Kind { flavor, zone: zone.into(), spot };
+        self.numbers.get(&kind).map_or(0, |n| self.shelves[*n].all.len())
+    }
+}
+
+impl Cluster {
+    /// Brings a machine's place in the index up to date.
+    pub fn reshelve(&mut self, id: &MachineId, now: Micros) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(number) = m.shelf else { return };
+        let free = m.free();
+        let open = (m.usable(now, self.settings.report) && free.cpu >= 0).then_some(free.cpu);
+        if open != m.open {
+            let old = std::mem::replace(&mut m.open, open);
+            self.rooms.shift(number, id, old, open);
+        }
+    }
+
+    /// An attempt takes its place on a machine and in its team's quota, or gives it back.
+    pub fn occupy(&mut self, id: &MachineId, team: Option<usize>, need: Resources, now: Micros) {
+        if let Some(m) = self.machines.get_mut(id) {
+            m.used += need;
+        }
+        if let Some(t) = team {
+            self.used[t] += need;
+        }
+        self.reshelve(id, now);
+    }
+
+    /// Machines whose state has changed with time alone, as when they fall silent, find their place.
+    pub fn reshelve_all(&mut self, now: Micros) {
+        let report = self.settings.report;
+        let moved = |m: &&crate::cluster::Machine| {
+            m.shelf.is_some() && m.open.is_some() != (m.usable(now, report) && m.free().cpu >= 0)
+        };
+        let moved: Vec<MachineId> =
+            self.machines.values().filter(moved).map(|m| m.id.clone()).collect();
+        moved.iter().for_each(|id| self.reshelve(id, now));
+    }
+
+    /// What differs between the index and the machines themselves: nothing, ever. For tests.
+    pub fn misplaced(&self) -> Vec<String> {
+        let mut wrong = Vec::new();
+        for m in self.machines.values() {
+            let Some(shelf) = m.shelf.map(|n| &self.rooms.shelves[n]) else { continue };
+            let here = shelf.open.iter().filter(|(_, id)| *id == m.id);
+            let cpus: Vec<i64> = here.map(|(cpu, _)| *cpu).collect();
+            if !shelf.all.contains(&m.id) || cpus != Vec::from_iter(m.open) {
+                wrong.push(format!("{}: {cpus:?} for {:?}", m.id, m.open));
+            }
+            if m.open.is_some_and(|cpu| cpu != m.free().cpu) {
+                wrong.push(format!("{}: {:?} with {:?} free", m.id, m.open, m.free()));
+            }
+        }
+        let known: usize = self.rooms.shelves.iter().map(|s| s.all.len()).sum();
+        let shelved = self.machines.values().filter(|m| m.shelf.is_some()).count();
+        if known != shelved {
+            wrong.push(format!("{known} in the index, {shelved} machines"));
+        }
+        wrong
+    }
+}
--- /dev/null
+++ b/tests/stories/floor.rs
@@ -0,0 +1,246 @@
+//! A leader's view alone, with machines and time in the story's hands. Benchmarks use it as well.
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use gannethub::cluster::{Cluster, Outcome};
+use gannethub::fleet::CloudCall;
+use gannethub::model::{Flavor, JobSpec, Priority, Resources, SECOND, Shape};
+use gannethub::settings::Settings;
+use gannethub::store::JobRecord;
+use gannethub::worker::{ExitReason, Order, Report, ReportedTask, TaskState};
+use serde_json::json;
+
+pub const WALL: u64 = 1_700_000_000 * SECOND;
+const TERM: u64 = 1;
+
+/// A leader's view alone, with machines and time in the story's hands.
+pub struct Floor {
+    pub c: Cluster,
+    pub now: u64,
+    pub stamp: u64,
+    seqs: BTreeMap<String, u64>,
+}
+
+/// A cluster's settings with these teams, their guarantees and limits; `wait_s`: tasks are to start within
+/// that time.
+fn settings(teams: &[(&str, f64, f64)], wait_s: Option<f64>) -> Arc<Settings> {
+    let mut text = String::from(
+        "host_name = \"n0\"\narea = \"a\"\nbind = \"10.0.0.1:80\"\n\
+         cluster_listen = \"10.0.0.1:81\"\n[outside]\ncloud = \"10.1.0.1:1\"\n\
+         state = \"10.1.0.2:1\"\n[cluster.workers]\nreport_s = 1.0\nlease_s = 10.0\n\
+         [cluster.state]\nvalue_kb = 4.0\ntxn_ops = 8\n[cluster.cloud]\nrps = 3.0\n",
+    );
+    for &(name, cpus, most) in teams {
+        text += &format!(
+            "[[cluster.teams]]\nname = \"{name}\"\ncpus = {cpus:.1}\ncpus_max = {most:.1}\n"
+        );
+    }
+    if let Some(within) = wait_s {
+        text += &format!(
+            "[[cluster.objectives]]\nkind = \"wait\"\nclass = \"c\"\nwithin_s = {within:.1}\nshare = 0.9\n"
+        );
+    }
+    Arc::new(Settings::parse(&text, "story").expect("the story's settings are fine").0)
+}
+
+fn flavors() -> Arc<Vec<Flavor>> {
+    let flavor = |name: &str, cpus: f64, price: f64| Flavor {
+        name: name.into(),
+        size: Resources::new(cpus, 0.0, cpus * 4.0),
+        price,
+        spot_price: price / 3.0,
+        boot: 30 * SECOND,
+        fetch_gb_per_s: 1.0,
+        zones: vec!["a".into(), "b".into()],
+    };
+    Arc::new(vec![flavor("small", 4.0, 0.2), flavor("large", 32.0, 1.6)])
+}
+
+pub fn spec(shape: Shape, team: &str, tasks: u32, cpus: f64) -> JobSpec {
+    JobSpec {
+        class: "c".into(),
+        team: team.into(),
+        shape,
+        priority: Priority::Normal,
+        tasks,
+        need: Resources::new(cpus, 0.0, cpus),
+        image: "img".into(),
+        image_gb: 1.0,
+        types: None,
+        zone: None,
+        one_zone: shape == Shape::Gang,
+        spread: false,
+        spot: false,
+        estimate: 30 * SECOND,
+        checkpoint_every: 0,
+        save: 0,
+        deadline: None,
+    }
+}
+
+impl Floor {
+    pub fn new() -> Floor {
+        let teams = [("red", 64.0, 4000.0), ("blue", 64.0, 4000.0), ("guest", 0.0, 0.0)];
+        Floor::with(&teams, None)
+    }
+
+    pub fn with(teams: &[(&str, f64, f64)], wait_s: Option<f64>) -> Floor {
+        let mut f = Floor::unread(teams, wait_s);
+        f.c.loaded(f.now);
+        f.c.tick(f.now, WALL);
+        assert!(f.c.settled);
+        f
+    }
+
+    /// A leader that has not read the state service yet.
+    pub fn unread(teams: &[(&str, f64, f64)], wait_s: Option<f64>) -> Floor {
+        let now = 100 * SECOND;
+        let c = Cluster::new(TERM, settings(teams, wait_s), flavors(), now, WALL);
+        Floor { c, now, stamp: 10, seqs: BTreeMap::new() }
+    }
+
+    pub fn pass(&mut self, seconds: u64) {
+        self.now += seconds * SECOND;
+        self.c.tick(self.now, WALL + self.now);
+    }
+
+    pub fn submit(&mut self, id: &str, spec: JobSpec) {
+        self.stamp += 1;
+        self.c.job_record(id, JobRecord::new(spec, WALL + self.now), self.stamp);
+    }
+
+    /// A report with these tasks; the orders it is answered with.
+    pub fn report(
+        &mut self,
+        name: &str,
+        flavor: &str,
+        zone: &str,
+        tasks: &[(&str, u64, bool)],
+    ) -> Vec<Order> {
+        match self.try_report(name, flavor, zone, tasks) {
+            Outcome::Orders(orders) => orders,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    pub fn try_report(
+        &mut self,
+        name: &str,
+        flavor: &str,
+        zone: &str,
+        tasks: &[(&str, u64, bool)],
+    ) -> Outcome {
+        let tasks = tasks.iter().map(|(task, attempt, done)| ReportedTask {
+            task: Cow::Borrowed(*task),
+            attempt: *attempt,
+            state: if *done { TaskState::Exited } else { TaskState::Running },
+            why: done.then_some(ExitReason::Done),
+            saved: false,
+        });
+        let tasks = tasks.collect();
+        self.send(name, flavor, zone, false, tasks)
+    }
+
+    /// The next report of a machine's worker.
+    pub fn send(
+        &mut self,
+        name: &str,
+        flavor: &str,
+        zone: &str,
+        spot: bool,
+        tasks: Vec<ReportedTask<'_>>,
+    ) -> Outcome {
+        let seq = self.seqs.entry(name.into()).or_default();
+        *seq += 1;
+        let report = Report {
+            machine: name.into(),
+            addr: "10.9.0.1:9000".into(),
+            flavor: flavor.into(),
+            zone: zone.into(),
+            spot,
+            session: 1,
+            seq: *seq,
+            token: TERM,
+            notice_s: None,
+            tasks,
+        };
+        self.c.report(self.now, &report)
+    }
+
+    /// Carries out every transaction there is to write; how many there were, with their changes.
+    pub fn write(&mut self) -> (usize, usize) {
+        let (mut calls, mut changes) = (0, 0);
+        while let Some((commit, batch)) = self.c.next_commit(self.now, 1) {
+            assert!(commit.changes() <= self.c.settings.txn_ops);
+            calls += 1;
+            changes += commit.changes();
+            self.stamp += 1;
+            self.c.committed(batch, self.stamp);
+        }
+        (calls, changes)
+    }
+
+    /// Machines that are up, empty and may be used.
+    pub fn machines(
+        &mut self,
+        prefix: &str,
+        count: usize,
+        flavor: &str,
+        zone: &str,
+    ) -> Vec<String> {
+        let names: Vec<String> = (0..count).map(|i| format!("{prefix}-{i:04}")).collect();
+        names.iter().for_each(|n| drop(self.report(n, flavor, zone, &[])));
+        self.write();
+        names.iter().for_each(|n| drop(self.report(n, flavor, zone, &[])));
+        names
+    }
+
+    /// Every machine shows that it runs what was placed on it.
+    pub fn run_all(&mut self) {
+        let all: Vec<_> = self
+            .c
+            .machines
+            .values()
+            .map(|m| {
+                let flavor = m.flavor.map_or("", |f| if f == 0 { "small" } else { "large" });
+                let tasks: Vec<(String, u64)> =
+                    m.attempts.keys().map(|(t, attempt)| (t.to_string(), *attempt)).collect();
+                (m.id.to_string(), flavor, m.zone.to_string(), tasks)
+            })
+            .collect();
+        for (name, flavor, zone, tasks) in all {
+            let tasks: Vec<_> = tasks.iter().map(|(t, a)| (t.as_str(), *a, false)).collect();
+            self.report(&name, flavor, &zone, &tasks);
+        }
+    }
+
+    pub fn kept_for(&self, job: &str) -> i64 {
+        let kept = self.c.machines.values().filter_map(|m| m.kept(self.now));
+        kept.filter(|k| &*k.job == job).map(|k| k.tasks).sum()
+    }
+
+    /// Answers all rental requests in full until none comes for a while.
+    pub fn rent_all(&mut self) -> BTreeMap<(String, String), u32> {
+        let mut rented = BTreeMap::new();
+        for round in 0..40 {
+            self.now += SECOND / 2;
+            for call in self.c.plan_fleet(self.now) {
+                let body = match &call {
+                    CloudCall::Rent { name, offer, count, .. } => {
+                        assert!(*count <= 50);
+                        let flavor = self.c.flavors[offer.flavor].name.to_string();
+                        *rented.entry((flavor, offer.zone.clone())).or_default() += count;
+                        let hosts: Vec<_> =
+                            (0..*count).map(|i| format!("host-{round}-{name}-{i}")).collect();
+                        json!({ "hosts": hosts })
+                    }
+                    _ => json!({"hosts": []}),
+                };
+                self.c.cloud_answer(call, Some((200, body.to_string().as_bytes())), self.now);
+            }
+        }
+        rented
+    }
+}
--- /dev/null
+++ b/tests/stories/growth.rs
@@ -0,0 +1,127 @@
+//! What it costs to decide must not outgrow the cluster. These stories count looks at machines, jobs and
+//! lanes, at two sizes; none measures time.
+
+use proptest::prelude::*;
+
+use crate::floor::{Floor, spec};
+use crate::sim::SECOND;
+use gannethub::model::{JobSpec, Priority, Shape};
+use gannethub::worker::Order;
+
+/// A full cluster of `n` small machines and a tenth as many large ones, with a queue to match: arrays and
+/// gangs of several shapes that find no room.
+fn crowded(n: usize) -> (Floor, Vec<String>) {
+    let cpus = n as f64 * 7.2;
+    let teams = [("red", cpus * 0.4, cpus * 4.0), ("blue", cpus * 0.1, cpus * 4.0)];
+    let mut f = Floor::with(&teams, Some(20.0));
+    let names = f.machines("host", n / 2, "small", "a");
+    f.machines("more", n / 2, "small", "b");
+    f.machines("big", n / 20, "large", "a");
+    f.machines("huge", n / 20, "large", "b");
+    f.submit(
+        "j-1",
+        JobSpec { checkpoint_every: SECOND, ..spec(Shape::Array, "blue", 7 * n as u32, 1.0) },
+    );
+    f.c.schedule(f.now);
+    f.run_all();
+    f.pass(1);
+    for i in 0..n / 10 {
+        let cpus = 0.6 + (i % 9) as f64 * 0.1;
+        f.submit(&format!("j-{}", 2 * i + 2), spec(Shape::Array, "red", 40, cpus));
+        let team = if i % 2 == 0 { "red" } else { "blue" };
+        f.submit(&format!("j-{}", 2 * i + 3), spec(Shape::Gang, team, 1 + (i % 3) as u32, 30.0));
+    }
+    assert_eq!(f.c.misplaced(), Vec::<String>::new());
+    (f, names)
+}
+
+/// Looks that a piece of work takes.
+fn looks(f: &mut Floor, work: impl FnOnce(&mut Floor)) -> f64 {
+    let before = f.c.looks.get();
+    work(f);
+    (f.c.looks.get() - before) as f64
+}
+
+#[test]
+fn passes_plans_and_reports_cost_no_more_than_the_cluster_grows() {
+    // In the order: the first pass, which makes room, a pass when nothing can be done, a plan, and reports
+    // that free room.
+    let costs = |n: usize| {
+        let (mut f, names) = crowded(n);
+        let first = looks(&mut f, |f| f.c.schedule(f.now));
+        f.pass(1);
+        let idle = looks(&mut f, |f| f.c.schedule(f.now));
+        let plan = looks(&mut f, |f| drop(f.c.wanted(f.now)));
+        let mut starts = 0;
+        let reports = looks(&mut f, |f| {
+            for name in names.iter().take(n / 20) {
+                let on_it: Vec<(String, u64)> = f.c.machines[name.as_str()]
+                    .attempts
+                    .keys()
+                    .map(|(t, attempt)| (t.to_string(), *attempt))
+                    .collect();
+                let done = on_it.iter().enumerate().map(|(i, (t, a))| (t.as_str(), *a, i < 2));
+                let orders = f.report(name, "small", "a", &done.collect::<Vec<_>>());
+                starts += orders.iter().filter(|o| matches!(o, Order::Start { .. })).count();
+            }
+        });
+        assert!(starts >= n / 20, "what came free is used: {starts} starts");
+        [first, idle, plan, reports]
+    };
+    let (small, large) = (costs(400), costs(1200));
+    for (what, (small, large)) in
+        ["first pass", "pass", "plan", "reports"].iter().zip(small.iter().zip(&large))
+    {
+        assert!(*small > 0.0);
+        assert!(large / small < 3.6, "{what}: {small} looks, {large} at three times the size");
+    }
+}
+
+#[test]
+fn a_silent_machine_is_not_offered_room_and_is_again_once_it_is_heard() {
+    let mut f = Floor::new();
+    f.machines("quiet", 3, "small", "a");
+    f.machines("up", 1, "small", "b");
+    f.pass(4);
+    f.report("up-0000", "small", "b", &[]);
+    f.pass(1);
+    f.submit("j-1", spec(Shape::Array, "red", 12, 1.0));
+    f.c.schedule(f.now);
+    let on = |f: &Floor, name: &str| f.c.machines[name].attempts.len();
+    assert_eq!([on(&f, "up-0000"), on(&f, "quiet-0000")], [4, 0]);
+    f.report("quiet-0001", "small", "a", &[]);
+    f.c.schedule(f.now);
+    assert_eq!([on(&f, "quiet-0001"), on(&f, "quiet-0000")], [4, 0], "heard again, it gets work");
+    assert_eq!(f.c.misplaced(), Vec::<String>::new());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(48))]
+
+    /// A job that arrives is put where working out the whole order would put it.
+    #[test]
+    fn the_order_kept_between_passes_is_the_order_worked_out_anew(
+        jobs in proptest::collection::vec((0..3usize, 1..60u32, 1..40u32, 0..3u8), 1..40),
+        cut in 0..40usize,
+    ) {
+        let submit = |f: &mut Floor, from: usize, to: usize| {
+            for (i, (team, tasks, cpus, priority)) in jobs.iter().enumerate().take(to).skip(from) {
+                let team = ["red", "blue", "guest"][*team];
+                let priority = [Priority::Low, Priority::Normal, Priority::High][*priority as usize];
+                let job = spec(Shape::Array, team, *tasks, f64::from(*cpus) / 10.0);
+                f.submit(&format!("j-{i:03}"), JobSpec { priority, ..job });
+            }
+        };
+        let order = |f: &Floor| f.c.queue.jobs().map(|(id, w)| (id.clone(), w)).collect::<Vec<_>>();
+        let cut = cut.min(jobs.len());
+        let mut kept = Floor::new();
+        submit(&mut kept, 0, cut);
+        kept.c.order_queue(kept.now);
+        submit(&mut kept, cut, jobs.len());
+        kept.c.order_queue(kept.now);
+        let mut anew = Floor::new();
+        submit(&mut anew, 0, jobs.len());
+        anew.c.order_queue(anew.now);
+        prop_assert_eq!(order(&kept), order(&anew));
+    }
+}
--- a/tests/stories/main.rs
+++ b/tests/stories/main.rs
@@ -1,5 +1,7 @@
 //! Short stories: a whole cluster in memory, on a simulated clock, with the rules checked.
 
+mod floor;
+mod growth;
 mod ops;
 mod pipelines;
 mod scale;
--- a/tests/stories/ops.rs
+++ b/tests/stories/ops.rs
@@ -6,7 +6,7 @@
 use gannethub::fleet::CloudCall;
 use gannethub::model::{JobSpec, Shape};
 
-use crate::scale::{Floor, spec};
+use crate::floor::{Floor, spec};
 use crate::sim::{SECOND, World, job};
 
 /// The rates of a small state service.
--- a/tests/stories/pipelines.rs
+++ b/tests/stories/pipelines.rs
@@ -5,7 +5,7 @@
 use gannethub::store::WaitingRecord;
 use serde_json::json;
 
-use crate::scale::{Floor, WALL, spec};
+use crate::floor::{Floor, WALL, spec};
 use crate::sim::{CANCEL, SECOND, World, job};
 
 /// A job that waits for these.
--- a/tests/stories/sim/mod.rs
+++ b/tests/stories/sim/mod.rs
@@ -263,6 +263,9 @@
     }
 
     fn step(&mut self) {
+        if self.now.is_multiple_of(SECOND) {
+            self.check_index();
+        }
         self.now += STEP;
         self.state.tick(self.now);
         self.wake_watches();
@@ -793,6 +796,12 @@
     }
 
     /// Cancelled jobs must be gone from all machines in time.
+    /// A leader's index of room agrees with what it knows of its machines.
+    fn check_index(&mut self) {
+        let leading = self.nodes.iter().filter_map(|n| n.controller.as_ref()?.cluster());
+        self.broken.extend(leading.flat_map(|c| c.misplaced()));
+    }
+
     pub fn check_cancelled(&mut self) {
         let mut broken = Vec::new();
         for w in self.workers.values().filter(|w| !w.dead) {
