--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -367,6 +367,8 @@
     pub passes: u64,
     pub next_pass: Micros,
     pub next_plan: Micros,
+    /// The last pass did not come to all that ask for room to be made.
+    pub behind: bool,
     /// When room was last gathered for all gangs that wait.
     pub gathered_at: Micros,
     /// When all machines were last looked over for what time alone changes.
@@ -422,6 +424,7 @@
             passes: 0,
             next_pass: 0,
             next_plan: 0,
+            behind: false,
             gathered_at: 0,
             scanned_at: 0,
             now,
--- a/src/gather.rs
+++ b/src/gather.rs
@@ -19,11 +19,10 @@
 const GATHERED: Micros = 2 * SECOND;
 /// The same of room that was made by stopping work.
 const MADE: Micros = 15 * SECOND;
-/// Room that was made for a gang is left to come free for this long before more is made for it.
-const MADE_ANEW: Micros = 3 * SECOND;
-/// A pass makes room for as long as this would take at the rate of steps that policy allows; gangs that
-/// it has not come to are first in the next one, since the others have had room made for them.
+/// A pass makes room for as long as this would take at the rate of steps that policy allows.
 const MAKING: Micros = 500_000;
+/// After a pass that did not come to all gangs, those that had room made for them make way for so long.
+const MADE_ANEW: Micros = 3 * SECOND;
 /// Tasks of a gang that are looked for on one machine.
 const MOST_TASKS: i64 = 4096;
 
@@ -99,6 +98,8 @@
     borrowed: Option<Borrowed>,
     /// Steps beyond which no more room is made.
     until: u64,
+    /// The last round did not come to all gangs.
+    behind: bool,
     hopeless: Vec<Asks>,
     made: HashMap<Who, Made>,
 }
@@ -113,7 +114,8 @@
         }
         let steps = MAKING as f64 / self.cost_of(1).max(1) as f64;
         let until = self.looks.get() + steps as u64;
-        Gathering { round, until, ..Gathering::default() }
+        let behind = round && std::mem::take(&mut self.behind);
+        Gathering { round, until, behind, ..Gathering::default() }
     }
 
     /// The last pass has found work to place of this job, before any that it has yet to look at.
@@ -307,10 +309,14 @@
         let gang = spec.shape == Shape::Gang;
         // An array's tasks find room as others end; stopping as many others only moves the work.
         // Only guests, whose teams have no guarantee at all, make way for them, where they save.
-        if !(urgent || job.within) || self.looks.get() > gathering.until {
+        if !(urgent || job.within) {
+            return;
+        }
+        if gathering.behind && job.made_at.is_some_and(|t| now < t + MADE_ANEW) {
             return;
         }
-        if gang && job.made_at.is_some_and(|t| now < t + MADE_ANEW) {
+        if self.looks.get() > gathering.until {
+            self.behind = true;
             return;
         }
         let guests_only = !urgent && !gang;
