A workspace: the core without input or output is a package of its own

Need: programs are to embed the scheduler, and every later subsystem is to be a package beside it; what decides must not be able to open a socket. Change: crates/gannethub-core holds everything but the daemon, its HTTP over TCP and the command line; settings are parsed there and read by the program. Stories, properties and benchmarks went with it. No behaviour changed. Result: the README's test command passes for the whole workspace; the program builds at the same place, so deploy/service.toml stays as it is.

--- a/benches/day.rs
+++ b/crates/gannethub-core/benches/day.rs
@@ -2,7 +2,7 @@
 //! machines that run tasks by the clock, a cloud that grants what it has and a state service that
 //! carries out every transaction.
 //!
-//!     cargo bench --bench day -- [--machines 1000,3000,10000] [--seconds 120] [--load 1.0]
+//!     cargo bench -p gannethub-core --bench day -- [--machines 1000,3000,10000] [--seconds 120] [--load 1.0]
 //!
 //! Prints, for each size, processor time a simulated second by kind of work, and state changes and
 //! cloud calls a started task; then the cost against the first size's, which is the figure: as long as
@@ -20,10 +20,10 @@
 
 use clap::Parser;
 use floor::{Floor, WALL, spec};
-use gannethub::cluster::Outcome;
-use gannethub::fleet::CloudCall;
-use gannethub::model::{JobSpec, SECOND, Shape};
-use gannethub::worker::{ExitReason, Order, ReportedTask, TaskState};
+use gannethub_core::cluster::Outcome;
+use gannethub_core::fleet::CloudCall;
+use gannethub_core::model::{JobSpec, SECOND, Shape};
+use gannethub_core::worker::{ExitReason, Order, ReportedTask, TaskState};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
--- a/benches/decide.rs
+++ b/crates/gannethub-core/benches/decide.rs
@@ -1,7 +1,7 @@
 //! The pieces of a leader's work at three sizes: a report that frees room, a pass over a queue that
 //! finds none, a plan of the fleet, and a takeover. The ratio between sizes is the figure.
 //!
-//!     cargo bench --bench decide
+//!     cargo bench -p gannethub-core --bench decide
 
 #[allow(dead_code)]
 #[path = "../tests/stories/floor.rs"]
@@ -12,9 +12,9 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use floor::{Floor, WALL, spec};
-use gannethub::block::{ChunkRecord, Member};
-use gannethub::model::{JobSpec, SECOND, Shape};
-use gannethub::store::JobRecord;
+use gannethub_core::block::{ChunkRecord, Member};
+use gannethub_core::model::{JobSpec, SECOND, Shape};
+use gannethub_core::store::JobRecord;
 
 const SIZES: [usize; 3] = [1000, 3000, 10_000];
 
--- a/src/settings.rs
+++ b/crates/gannethub-core/src/settings.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashSet;
 use std::net::SocketAddrV4;
-use std::path::Path;
 
 use serde::Deserialize;
 
@@ -12,8 +11,6 @@
 /// Why a settings file cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum SettingsError {
-    #[error("{file}: cannot be read: {source}")]
-    Read { file: String, source: std::io::Error },
     #[error("{file}: {reason}")]
     Parse { file: String, reason: String },
     #[error("{file}: {field}: {reason}")]
@@ -195,15 +192,8 @@
 }
 
 impl Settings {
-    /// Reads and checks a file. The second part of the result lists what is odd but usable.
-    pub fn load(path: &Path) -> Result<(Settings, Vec<String>), SettingsError> {
-        let file = path.display().to_string();
-        let text = std::fs::read_to_string(path)
-            .map_err(|source| SettingsError::Read { file: file.clone(), source })?;
-        Settings::parse(&text, &file)
-    }
-
-    /// Like [`Settings::load`], from text.
+    /// Checks a settings file's text. The second part of the result lists what is odd but usable.
+    /// `file` is its name in what is said of it.
     pub fn parse(text: &str, file: &str) -> Result<(Settings, Vec<String>), SettingsError> {
         let raw: raw::File = toml::from_str(text).map_err(|e| SettingsError::Parse {
             file: file.to_string(),
--- a/tests/stories/floor.rs
+++ b/crates/gannethub-core/tests/stories/floor.rs
@@ -4,12 +4,12 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use gannethub::cluster::{Cluster, Outcome};
-use gannethub::fleet::CloudCall;
-use gannethub::model::{Flavor, JobSpec, Priority, Resources, SECOND, Shape};
-use gannethub::settings::Settings;
-use gannethub::store::JobRecord;
-use gannethub::worker::{ExitReason, Order, Report, ReportedTask, TaskState};
+use gannethub_core::cluster::{Cluster, Outcome};
+use gannethub_core::fleet::CloudCall;
+use gannethub_core::model::{Flavor, JobSpec, Priority, Resources, SECOND, Shape};
+use gannethub_core::settings::Settings;
+use gannethub_core::store::JobRecord;
+use gannethub_core::worker::{ExitReason, Order, Report, ReportedTask, TaskState};
 use serde_json::json;
 
 pub const WALL: u64 = 1_700_000_000 * SECOND;
--- a/tests/stories/growth.rs
+++ b/crates/gannethub-core/tests/stories/growth.rs
@@ -5,8 +5,8 @@
 
 use crate::floor::{Floor, spec};
 use crate::sim::SECOND;
-use gannethub::model::{JobSpec, Priority, Shape};
-use gannethub::worker::Order;
+use gannethub_core::model::{JobSpec, Priority, Shape};
+use gannethub_core::worker::Order;
 
 /// A full cluster of `n` small machines and a tenth as many large ones, with a queue to match: arrays and
 /// gangs of several shapes that find no room.
--- a/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -8,7 +8,7 @@
 mod sim;
 mod upgrade;
 
-use gannethub::leadership::PROMISE;
+use gannethub_core::leadership::PROMISE;
 use rand::Rng;
 use serde_json::json;
 use sim::{LEASE, SECOND, World, job};
--- a/tests/stories/ops.rs
+++ b/crates/gannethub-core/tests/stories/ops.rs
@@ -2,9 +2,9 @@
 
 use serde_json::json;
 
-use gannethub::cluster::Outcome;
-use gannethub::fleet::CloudCall;
-use gannethub::model::{JobSpec, Shape};
+use gannethub_core::cluster::Outcome;
+use gannethub_core::fleet::CloudCall;
+use gannethub_core::model::{JobSpec, Shape};
 
 use crate::floor::{Floor, spec};
 use crate::sim::{SECOND, World, job};
--- a/tests/stories/sim/state.rs
+++ b/crates/gannethub-core/tests/stories/sim/state.rs
@@ -2,8 +2,8 @@
 
 use std::collections::BTreeMap;
 
-use gannethub::http::Method;
-use gannethub::store::StoreRequest;
+use gannethub_core::http::Method;
+use gannethub_core::store::StoreRequest;
 use serde_json::{Value, json};
 
 #[derive(Clone)]
--- a/tests/stories/sim/worker.rs
+++ b/crates/gannethub-core/tests/stories/sim/worker.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use bytes::Bytes;
-use gannethub::http::{Method, Response};
+use gannethub_core::http::{Method, Response};
 use rand::Rng;
 use serde_json::{Value, json};
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -14,10 +14,10 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::controller::{Clock, Command, Controller, Effect};
 use crate::http::{Client, Connection, ReadError, Response};
-use crate::peer::{self, Envelope};
-use crate::settings::Settings;
+use gannethub_core::controller::{Clock, Command, Controller, Effect};
+use gannethub_core::peer::{self, Envelope};
+use gannethub_core::settings::Settings;
 
 const TICK: Duration = Duration::from_millis(50);
 const BATCH: usize = 64;
--- a/src/http.rs
+++ b/src/http.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
+pub use gannethub_core::http::{Method, Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -18,72 +19,6 @@
 const IDLE: Duration = Duration::from_secs(75);
 const SLOW: Duration = Duration::from_secs(8);
 
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Method {
-    Get,
-    Post,
-    Delete,
-    Other,
-}
-
-impl Method {
-    fn parse(s: &str) -> Method {
-        match s {
-            "GET" => Method::Get,
-            "POST" => Method::Post,
-            "DELETE" => Method::Delete,
-            _ => Method::Other,
-        }
-    }
-
-    fn name(self) -> &'static str {
-        match self {
-            Method::Get => "GET",
-            Method::Post => "POST",
-            Method::Delete => "DELETE",
-            Method::Other => "OPTIONS",
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-pub struct Request {
-    pub method: Method,
-    pub path: String,
-    pub body: Bytes,
-    /// The client wants the connection closed after the answer.
-    pub close: bool,
-}
-
-#[derive(Clone, Debug, PartialEq)]
-pub struct Response {
-    pub status: u16,
-    pub body: Bytes,
-    /// Whole seconds for `Retry-After`.
-    pub retry_after: Option<u32>,
-}
-
-impl Response {
-    pub fn json(status: u16, body: &impl serde::Serialize) -> Response {
-        let body = serde_json::to_vec(body).unwrap_or_default();
-        Response { status, body: body.into(), retry_after: None }
-    }
-
-    /// An error answer with its reason.
-    pub fn error(status: u16, reason: impl std::fmt::Display) -> Response {
-        #[derive(serde::Serialize)]
-        struct Reason {
-            error: String,
-        }
-        Response::json(status, &Reason { error: reason.to_string() })
-    }
-
-    pub fn retry(mut self, seconds: u32) -> Response {
-        self.retry_after = Some(seconds);
-        self
-    }
-}
-
 /// Why no request could be read. `Bad` is answered before the connection is closed.
 #[derive(Debug)]
 pub enum ReadError {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,30 +1,8 @@
-//! gannethub, a cluster scheduler: jobs run as nested sagas on machines rented from a cloud.
+//! gannethub, a cluster scheduler: the process around the core.
 //!
-//! The [`controller`] owns all state of a process; commands and the time go in, effects come out.
-//! Everything below it is free of input and output; [`daemon`] connects it to sockets and clocks.
+//! [`gannethub_core`] decides and remembers; [`daemon`] connects it to sockets and clocks.
 
-pub mod api;
-pub mod blame;
-pub mod block;
-pub mod boots;
-pub mod cloud;
-pub mod cluster;
-pub mod controller;
 pub mod daemon;
-pub mod fleet;
-pub mod gather;
 pub mod http;
-pub mod leadership;
-pub mod mirror;
-pub mod model;
-pub mod peer;
-pub mod pipeline;
-pub mod plan;
-pub mod policy;
-pub mod queue;
-pub mod room;
-pub mod saga;
-pub mod scheduler;
-pub mod settings;
-pub mod store;
-pub mod worker;
+
+pub use gannethub_core as core;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,9 @@
 use clap::{Parser, Subcommand};
 use tracing::Level;
 
+use gannethub::core::policy::Policy;
+use gannethub::core::settings::Settings;
 use gannethub::daemon;
-use gannethub::policy::Policy;
-use gannethub::settings::Settings;
 
 /// A controller of the gannethub cluster scheduler.
 #[derive(Parser)]
@@ -62,10 +62,12 @@
     }
 }
 
+fn read(file: &Path) -> Result<String, String> {
+    std::fs::read_to_string(file).map_err(|e| format!("{}: cannot be read: {e}", file.display()))
+}
+
 fn read_policy(file: &Path) -> Result<Policy, String> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|e| format!("{}: cannot be read: {e}", file.display()))?;
-    Policy::parse(&text).map_err(|e| format!("{}: {e}", file.display()))
+    Policy::parse(&read(file)?).map_err(|e| format!("{}: {e}", file.display()))
 }
 
 /// Does what the command line asks; an error is about the files it names.
@@ -77,7 +79,9 @@
         return Ok(ExitCode::SUCCESS);
     }
     let config = options.config.ok_or("--config is missing")?;
-    let (mut settings, warnings) = Settings::load(&config).map_err(|e| e.to_string())?;
+    let text = read(&config)?;
+    let (mut settings, warnings) =
+        Settings::parse(&text, &config.display().to_string()).map_err(|e| e.to_string())?;
     warnings.iter().for_each(|w| tracing::warn!("{w}"));
     if let Some(file) = &options.policy {
         settings.policy = read_policy(file)?;
