--- a/crates/gannethub-core/benches/day.rs
+++ b/crates/gannethub-core/benches/day.rs
@@ -20,10 +20,10 @@
 
 use clap::Parser;
 use floor::{Floor, WALL, spec};
-use gannethub_core::cluster::Outcome;
-use gannethub_core::fleet::CloudCall;
+use gannethub_core::apply::reports::Outcome;
+use gannethub_core::memory::fleet::CloudCall;
 use gannethub_core::model::{JobSpec, SECOND, Shape};
-use gannethub_core::worker::{ExitReason, Order, ReportedTask, TaskState};
+use gannethub_core::wire::worker::{ExitReason, Order, ReportedTask, TaskState};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::json;
--- a/crates/gannethub-core/benches/decide.rs
+++ b/crates/gannethub-core/benches/decide.rs
@@ -12,9 +12,9 @@
 
 use criterion::{BatchSize, BenchmarkId, Criterion, criterion_group, criterion_main};
 use floor::{Floor, WALL, spec};
-use gannethub_core::block::{ChunkRecord, Member};
+use gannethub_core::memory::block::{ChunkRecord, Member};
 use gannethub_core::model::{JobSpec, SECOND, Shape};
-use gannethub_core::store::JobRecord;
+use gannethub_core::wire::store::JobRecord;
 
 const SIZES: [usize; 3] = [1000, 3000, 10_000];
 
--- /dev/null
+++ b/crates/gannethub-core/src/apply/cloud.rs
@@ -0,0 +1,158 @@
+//! Taking in what the cloud answers.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use crate::memory::cluster::Cluster;
+use crate::memory::fleet::{CloudCall, Offer, Refusal};
+use crate::memory::records::MachineId;
+use crate::model::{Micros, SECOND, micros};
+
+/// Nothing of a deleted machine comes later than this.
+const GHOSTS: Micros = 900 * SECOND;
+
+impl Cluster {
+    /// Takes in an answer of the cloud. `None`: no answer came.
+    pub fn cloud_answer(&mut self, call: CloudCall, answer: Option<(u16, &[u8])>, now: Micros) {
+        if matches!(answer, Some((429 | 503, _))) && !no_capacity(answer) {
+            self.fleet.paused_until = now + SECOND;
+        }
+        match call {
+            CloudCall::Flavors => {
+                let flavors = answer
+                    .filter(|a| a.0 == 200)
+                    .and_then(|a| crate::wire::cloud::parse_flavors(a.1));
+                match flavors {
+                    // Indices into the list are kept, so its order and names must not change.
+                    Some(f) if same_names(&f, &self.flavors) => self.flavors = Arc::new(f),
+                    Some(_) => tracing::info!("machine types changed: used after a takeover"),
+                    None => self.fleet.next_flavors = now + 5 * SECOND,
+                }
+            }
+            CloudCall::List { .. } => self.listed(answer, now),
+            CloudCall::Delete { machines } => {
+                self.fleet.deleting = false;
+                if answer.is_some_and(|a| a.0 == 200) {
+                    for name in machines {
+                        self.fleet.removed.insert(name.clone(), now);
+                        self.remove_machine(&name.as_str().into(), now, "it was returned");
+                    }
+                }
+            }
+            CloudCall::Rent { name, offer, count, tries } => {
+                let rented = answer
+                    .filter(|a| a.0 == 200)
+                    .and_then(|a| serde_json::from_slice::<crate::wire::cloud::Rented>(a.1).ok());
+                if let Some(rented) = rented {
+                    self.fleet.renting.remove(&name);
+                    if rented.machines.len() < count as usize {
+                        self.refused(&offer, now);
+                    } else {
+                        self.fleet.refusals.remove(&offer);
+                    }
+                    let flavor = self.flavors[offer.flavor].name.clone();
+                    for m in rented.machines {
+                        self.machine(&m, &flavor, &offer.zone, offer.spot, now);
+                    }
+                } else if no_capacity(answer) || tries >= 4 {
+                    self.fleet.renting.remove(&name);
+                    self.refused(&offer, now);
+                } else if matches!(answer, Some((400, _))) {
+                    tracing::error!(%name, "the cloud calls a rental request malformed");
+                    self.fleet.renting.remove(&name);
+                    self.refused(&offer, now);
+                } else {
+                    // The same name again: it rents once, however often it is carried out.
+                    let again = CloudCall::Rent { name, offer, count, tries: tries + 1 };
+                    self.fleet.retry.push(again);
+                }
+            }
+        }
+    }
+
+    fn refused(&mut self, offer: &Offer, now: Micros) {
+        let times = self.fleet.refusals.get(offer).map_or(0, |r| r.times);
+        let until = now + ((8 * SECOND) << times.min(2));
+        let refusal = Refusal { at: now, until, times: times + 1, held: self.held(offer) };
+        self.fleet.refusals.insert(offer.clone(), refusal);
+    }
+
+    fn listed(&mut self, answer: Option<(u16, &[u8])>, now: Micros) {
+        self.fleet.listing = false;
+        let list = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<crate::wire::cloud::MachineList>(a.1).ok());
+        let Some(list) = list else {
+            self.fleet.list_after.clear();
+            self.fleet.list_seen.clear();
+            self.fleet.next_list = now + 2 * SECOND;
+            return;
+        };
+        let last = list.machines.last().map(|m| m.id.clone());
+        self.fleet.list_seen.extend(list.machines);
+        if let (true, Some(last)) = (list.truncated, last) {
+            self.fleet.list_after = last;
+            return;
+        }
+        self.fleet.list_after.clear();
+        self.fleet.next_list = now + 4 * SECOND;
+        let seen = std::mem::take(&mut self.fleet.list_seen);
+        let lag = 2 * self.settings.list_lag;
+        let limit = self.lease_limit();
+        let mut gone: Vec<MachineId> = Vec::new();
+        let names: HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
+        for m in self.machines.values_mut().filter(|m| !names.contains(&*m.id)) {
+            m.missed_lists += 1;
+            // Lists lag and may be older than the one before; a machine counts as gone only when
+            // it has long been silent as well, so that nothing can be left on it.
+            let old = now > m.known_since + lag + 2 * SECOND;
+            if old && m.missed_lists >= 3 && now > m.answered_at + limit {
+                gone.push(m.id.clone());
+            }
+        }
+        for id in gone {
+            tracing::info!(machine = %id, "machine is gone from the list");
+            self.remove_machine(&id, now, "it is gone");
+        }
+        self.fleet.removed.retain(|_, at| now < *at + GHOSTS + lag);
+        let mut adopted = 0;
+        for l in &seen {
+            if !self.machines.contains_key(l.id.as_str()) {
+                // A list may still show what was deleted a moment ago.
+                if self.fleet.removed.contains_key(&l.id) {
+                    continue;
+                }
+                adopted += 1;
+            }
+            let age = micros(l.age_s);
+            let m = self.machine(&l.id, &l.flavor, &l.zone, l.spot, now);
+            m.missed_lists = 0;
+            if !m.listed {
+                m.listed = true;
+                m.rented_at = m.rented_at.min(now.saturating_sub(age));
+            }
+            if l.status == "failed" && !m.deleting {
+                tracing::info!(machine = %m.id, why = "it failed", "returning");
+                m.deleting = true;
+            }
+        }
+        if adopted > 0 {
+            tracing::info!(machines = adopted, "adopted from the list");
+        }
+    }
+}
+
+fn same_names(a: &[crate::model::Flavor], b: &[crate::model::Flavor]) -> bool {
+    a.len() == b.len() && a.iter().zip(b).all(|(x, y)| x.name == y.name)
+}
+
+fn no_capacity(answer: Option<(u16, &[u8])>) -> bool {
+    #[derive(serde::Deserialize)]
+    struct Reason {
+        #[serde(default)]
+        error: String,
+    }
+    answer.filter(|a| a.0 == 503).is_some_and(|a| {
+        serde_json::from_slice::<Reason>(a.1).is_ok_and(|r| r.error == "no capacity")
+    })
+}
--- /dev/null
+++ b/crates/gannethub-core/src/apply/mod.rs
@@ -0,0 +1,6 @@
+//! What happens: reports, answers and stored values are taken in, and what follows from them.
+
+pub mod cloud;
+pub mod pipelines;
+pub mod reports;
+pub mod storing;
--- /dev/null
+++ b/crates/gannethub-core/src/apply/pipelines.rs
@@ -0,0 +1,187 @@
+//! Waiting jobs: taking in their records, and writing down what follows from the ends of others.
+
+use std::sync::Arc;
+
+use crate::memory::cluster::Cluster;
+use crate::memory::pipeline::{Consequences, Fate, Waiting};
+use crate::memory::writes::{Batch, Item};
+use crate::model::{JobId, seconds};
+use crate::wire::store::{self, Commit, JobRecord, OverRecord, WaitingRecord};
+
+impl Cluster {
+    /// Takes in the record of a waiting job.
+    pub fn waiting_record(&mut self, id: &str, record: WaitingRecord, stamp: u64) {
+        let id: JobId = id.into();
+        if self.jobs.contains_key(&id) || self.buried(&id, stamp) {
+            return;
+        }
+        let upstream = store::decode_ids(&record.waiting.on);
+        let lines = &mut self.pipelines;
+        let known = lines.waiting.contains_key(&id);
+        let w = lines.waiting.entry(id.clone()).or_insert_with(|| Waiting {
+            spec: Arc::new(record.waiting.job),
+            at: record.at,
+            stamp,
+            on: record.waiting.on,
+            pull: None,
+            marked: false,
+            writing: false,
+            unsure: false,
+        });
+        w.stamp = w.stamp.max(stamp);
+        w.marked |= record.cancelled;
+        w.unsure = false;
+        let (jobs, waiting) = (&self.jobs, &lines.waiting);
+        let fate = |u: &JobId| match jobs.get(u) {
+            Some(j) if j.cancelled => Fate::Cancelled,
+            Some(_) => Fate::Alive,
+            None if waiting.contains_key(u) => Fate::Alive,
+            None => Fate::Unknown,
+        };
+        let consequences = lines.links.add(&id, &upstream, record.cancelled, fate);
+        lines.todo.insert(id.clone());
+        lines.changed = true;
+        if !known {
+            let class = &lines.waiting[&id].spec.class;
+            let on = lines.links.open(&id).join(" ");
+            tracing::info!(job = %id, %class, %on, "waits for others");
+        }
+        self.follow_up(&id, consequences);
+    }
+
+    /// What a change upstream leads to is written down with the next transactions.
+    fn follow_up(&mut self, cause: &str, consequences: Consequences) {
+        let Consequences { released, cancelled } = consequences;
+        if !cancelled.is_empty() {
+            tracing::info!(job = cause, jobs = cancelled.len(), "cancelled with it");
+        }
+        let lines = &mut self.pipelines;
+        if !(released.is_empty() && cancelled.is_empty()) {
+            lines.changed = true;
+        }
+        lines.todo.extend(released);
+        lines.todo.extend(cancelled);
+    }
+
+    /// A job that others may wait for has been cancelled by its user.
+    pub fn upstream_cancelled(&mut self, id: &str) {
+        let consequences = self.pipelines.links.cancel(&id.into());
+        self.follow_up(id, consequences);
+    }
+
+    /// A job that others may wait for is over; `cancelled` is what its stored end says, if it is known.
+    pub fn upstream_over(&mut self, id: &str, cancelled: Option<bool>) {
+        let id: JobId = id.into();
+        match cancelled {
+            Some(cancelled) => {
+                let consequences = self.pipelines.links.ended(&id, cancelled);
+                self.follow_up(&id, consequences);
+            }
+            None => self.pipelines.links.lost_sight(&id),
+        }
+    }
+
+    /// A job's record shows that it waits no more.
+    pub fn upstream_released(&mut self, id: &JobId) {
+        let lines = &mut self.pipelines;
+        lines.links.alive(id);
+        if lines.waiting.remove(id).is_some() {
+            lines.todo.remove(id);
+            lines.links.released(id);
+            lines.changed = true;
+        }
+    }
+
+    /// Adds releases and cancellations to a transaction, as far as its limits go: first what lets
+    /// work begin, then what users were told, then what only tidies up.
+    pub fn write_pipelines(&mut self, commit: &mut Commit, batch: &mut Batch, bytes: &mut usize) {
+        let most = self.most_changes();
+        let lines = &mut self.pipelines;
+        let mut due: Vec<(u8, JobId)> = Vec::new();
+        for id in std::mem::take(&mut lines.todo) {
+            let Some(w) = lines.waiting.get(&id) else { continue };
+            let step = match (lines.links.is_cancelled(&id), w.marked) {
+                (false, _) if lines.links.is_ready(&id) => 0,
+                // It goes on waiting. What happens upstream brings it here again.
+                (false, _) => continue,
+                (true, false) => 1,
+                (true, true) => 2,
+            };
+            due.push((step, id));
+        }
+        due.sort();
+        for (step, id) in due {
+            lines.todo.insert(id.clone());
+            let Some(w) = lines.waiting.get_mut(&id).filter(|w| !w.writing && !w.unsure) else {
+                continue;
+            };
+            let changes = if step == 2 { 2 } else { 1 };
+            if commit.changes() + changes > most || *bytes > 40_000 {
+                continue;
+            }
+            let live = format!("{}{id}", store::LIVE);
+            commit.guard(&live, w.stamp);
+            match step {
+                0 => {
+                    let mut record = JobRecord::new((*w.spec).clone(), w.at);
+                    record.ready = Some(self.wall.max(w.at));
+                    commit.put(&live, store::raw(&record), None);
+                    batch.push(Item::Release { id: id.clone(), record: Box::new(record) }, live);
+                }
+                1 => {
+                    // It is marked before it ends: whoever follows only its own record then sees it
+                    // end as cancelled, the version before pipelines too.
+                    let upstream = store::decode_ids(&w.on);
+                    let spec = (*w.spec).clone();
+                    let record = WaitingRecord::new(spec, w.at, true, &upstream);
+                    commit.put(&live, store::raw(&record), None);
+                    batch.push(Item::Mark { id: id.clone() }, live);
+                }
+                _ => {
+                    let over = OverRecord { cancelled: true, tasks: w.spec.tasks };
+                    commit.end(&id, &over);
+                    batch.push(Item::Over { id: id.clone(), cancelled: true, late_s: None }, live);
+                }
+            }
+            *bytes += 1500;
+            w.writing = true;
+        }
+    }
+
+    /// What was written about a waiting job is in the state service.
+    pub fn pipeline_written(&mut self, item: &Item, stamp: u64) {
+        match item {
+            Item::Release { id, record } => {
+                let waited_s = seconds(self.wall.saturating_sub(record.at)) as u32;
+                tracing::info!(job = %id, class = %record.spec.class, waited_s, "released");
+                self.job_record(id, (**record).clone(), stamp);
+            }
+            Item::Mark { id } => {
+                if let Some(w) = self.pipelines.waiting.get_mut(id) {
+                    w.stamp = w.stamp.max(stamp);
+                    w.marked = true;
+                    w.writing = false;
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Whether it was written is not known, or it was not.
+    pub fn pipeline_unwritten(&mut self, id: &JobId, unsure: bool) {
+        if let Some(w) = self.pipelines.waiting.get_mut(id) {
+            w.writing = false;
+            w.unsure = unsure;
+        }
+    }
+
+    /// A waiting job's live record is gone: only a cancelled one ends without a release.
+    pub fn waiting_gone(&mut self, id: &str) -> bool {
+        let gone = self.pipelines.waiting.remove(id).is_some();
+        if gone {
+            self.pipelines.todo.remove(id);
+            self.upstream_over(id, Some(true));
+        }
+        gone
+    }
+}
--- /dev/null
+++ b/crates/gannethub-core/src/apply/reports.rs
@@ -0,0 +1,480 @@
+//! Workers' reports: what they say of machines and attempts, what follows from that, and the answer.
+
+use std::collections::HashSet;
+
+use crate::memory::block::Member;
+use crate::memory::cluster::Cluster;
+use crate::memory::records::{Attempt, Gang, Job, Machine, MachineId, Phase};
+use crate::model::{Micros, Resources, SECOND, Shape, TaskId, seconds};
+use crate::saga::{Action, Saga, State};
+use crate::wire::store::PART_TASKS;
+use crate::wire::worker::{ExitReason, Order, Report, TaskState};
+
+/// Orders in one answer: keeps its line below 64 KiB.
+const MAX_ORDERS: usize = 300;
+/// A takeover does not wait for the silent when fewer than one in so many are.
+const FEW_SILENT: usize = 40;
+/// All machines are looked over this often, for each machine there is, and at least so often.
+const SCAN_EVERY: Micros = 50;
+const SCAN_AT_LEAST: Micros = SECOND / 2;
+
+/// What tells a report's tasks and their states from another's.
+fn digest(report: &Report<'_>) -> u64 {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    report.tasks.len().hash(&mut hasher);
+    for t in &report.tasks {
+        (&t.task, t.attempt, t.state as u8, t.why.map(|w| w as u8)).hash(&mut hasher);
+    }
+    hasher.finish()
+}
+
+/// What a report is answered with.
+#[derive(Debug, PartialEq)]
+pub enum Outcome {
+    Orders(Vec<Order>),
+    /// An old message, or one that must not renew anything.
+    Stale,
+    /// The worker has seen a higher token: this controller has been replaced.
+    Deposed,
+}
+
+impl Cluster {
+    /// Answers a worker's report. The caller has checked that this controller may act.
+    pub fn report(&mut self, now: Micros, report: &Report<'_>) -> Outcome {
+        self.now = now;
+        if report.token > self.term {
+            return Outcome::Deposed;
+        }
+        let known = self.machines.contains_key(&*report.machine);
+        if !known && self.fleet.removed.contains_key(&*report.machine) {
+            // The machine is known to be gone: its tasks, shown by a report that was held back,
+            // must not hold up their successors for another lease.
+            return Outcome::Stale;
+        }
+        let machine = self.machine(&report.machine, &report.flavor, &report.zone, report.spot, now);
+        let id = machine.id.clone();
+        let zone = machine.zone.clone();
+        if (report.session, report.seq) <= (machine.session, machine.seq)
+            || report.session <= machine.lost_session
+        {
+            return Outcome::Stale;
+        }
+        let mut booted = None;
+        if !machine.up {
+            let took = now.saturating_sub(machine.rented_at);
+            tracing::info!(machine = %id, known, boot_s = seconds(took) as u32, "machine is up");
+            machine.up = true;
+            machine.idle_since = now;
+            // Of a machine that nobody knew of, nobody knows when it was rented.
+            booted = machine.flavor.filter(|_| known).map(|f| (f, took));
+        }
+        let new_session = report.session > machine.session;
+        let news = new_session || !machine.confirmed;
+        machine.session = report.session;
+        machine.seq = report.seq;
+        machine.heard_at = Some(now);
+        machine.answered_at = now;
+        let notice = report.notice_s.is_some() && !machine.notice;
+        machine.notice |= notice;
+        let member = Member {
+            flavor: report.flavor.to_string(),
+            zone: report.zone.to_string(),
+            spot: report.spot,
+        };
+        if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
+            self.block.add(&id, member, None);
+        }
+        if let Some((f, took)) = booted {
+            self.fleet.boots.up(f, &zone, self.flavors[f].boot, took, now);
+        }
+        self.stirred |= news;
+        if new_session {
+            // The worker killed and forgot all it had when its lease ended.
+            self.lose(&id, now, "its session ended");
+        }
+        if report.token < self.term {
+            // A report held back in the network may be older than another leader's launches.
+            // Only a worker that has seen this term's token tells us all that it holds.
+            return Outcome::Orders(Vec::new());
+        }
+        if let Some(m) = self.machines.get_mut(&id) {
+            m.confirmed = true;
+        }
+        if notice {
+            tracing::info!(machine = %id, "spot notice");
+            self.stirred = true;
+        }
+        if self.dark.remove(&zone).is_some() {
+            tracing::info!(%zone, "a zone is heard again");
+        }
+        let digest = digest(report);
+        if self.machines.get(&id).is_some_and(|m| m.digest != Some(digest)) {
+            self.reconcile(&id, now, report);
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.digest = Some(digest);
+            }
+        }
+        if self.machines.get(&id).is_some_and(|m| m.notice) {
+            self.drain(&id);
+        }
+        self.reshelve(&id, now);
+        if std::mem::take(&mut self.freed) {
+            // What came free is used at once: the launches go out with this very answer.
+            self.fill(&id, now);
+        }
+        Outcome::Orders(self.orders(&id))
+    }
+
+    fn reconcile(&mut self, id: &MachineId, now: Micros, report: &Report<'_>) {
+        let mut reported: HashSet<(TaskId, u64)> = HashSet::with_capacity(report.tasks.len());
+        for t in &report.tasks {
+            let Some(task) = TaskId::parse(&t.task) else { continue };
+            let key = (task, t.attempt);
+            reported.insert(key.clone());
+            let phase = match t.state {
+                TaskState::Fetching => Phase::Fetching,
+                TaskState::Waiting => Phase::Waiting,
+                TaskState::Running => Phase::Running,
+                TaskState::Saving => Phase::Saving,
+                TaskState::Exited => Phase::Ended(t.why.unwrap_or(ExitReason::Other)),
+            };
+            let Some(machine) = self.machines.get(id) else { return };
+            match machine.attempts.get(&key).map(|a| a.phase) {
+                None => self.found(id, key, phase, now),
+                Some(old) if old != phase => self.moved(id, &key, phase, now),
+                Some(_) => {}
+            }
+        }
+        let Some(machine) = self.machines.get(id) else { return };
+        let missing: Vec<_> =
+            machine.attempts.keys().filter(|k| !reported.contains(*k)).cloned().collect();
+        for key in missing {
+            let Some(machine) = self.machines.get_mut(id) else { return };
+            let Some(a) = machine.attempts.get(&key) else { continue };
+            match a.phase {
+                Phase::Ended(_) => {
+                    machine.attempts.remove(&key);
+                }
+                // The answer with the launch was lost, and workers drop late answers: ask again.
+                Phase::Starting if a.stop.is_none() => {}
+                _ => {
+                    self.release(id, &key, now);
+                    self.gone(&key, id, None, now);
+                    if let Some(m) = self.machines.get_mut(id) {
+                        m.attempts.remove(&key);
+                    }
+                }
+            }
+        }
+    }
+
+    /// A worker shows an attempt that this leader did not start.
+    fn found(&mut self, id: &MachineId, key: (TaskId, u64), phase: Phase, now: Micros) {
+        let (task, attempt) = key.clone();
+        let ended = matches!(phase, Phase::Ended(_));
+        let mut entry = Attempt {
+            phase,
+            since: now,
+            seen: true,
+            stop: None,
+            need: Resources::default(),
+            team: None,
+            holds: !ended,
+        };
+        if let Some(job) = self.jobs.get_mut(&task.job) {
+            entry.need = job.spec.need;
+            entry.team = job.team;
+            let free = !job.live.contains_key(&task.index) && !job.done.contains(task.index);
+            if phase == Phase::Ended(ExitReason::Done) {
+                self.complete(&task, now);
+            } else if !ended && free && task.index < job.spec.tasks {
+                job.live.insert(task.index, (id.clone(), attempt));
+                job.pending.remove(task.index);
+                if job.cancelled {
+                    entry.stop = Some(0);
+                } else if job.spec.shape == Shape::Gang {
+                    let tasks = job.spec.tasks;
+                    let gang = job.gang.get_or_insert_with(|| Gang {
+                        attempt,
+                        saga: Saga::flat(tasks),
+                        running: false,
+                        stopping: false,
+                    });
+                    gang.running |= matches!(phase, Phase::Running | Phase::Saving);
+                    if gang.attempt != attempt {
+                        entry.stop = Some(0);
+                    }
+                }
+            } else if !ended {
+                entry.stop = Some(0);
+            }
+        } else if !ended {
+            // No such pipeline any more: it is over, so this must end.
+            entry.stop = Some(0);
+        }
+        let holds = entry.holds;
+        let (need, team) = (entry.need, entry.team);
+        if let Some(m) = self.machines.get_mut(id) {
+            m.attempts.insert(key, entry);
+        }
+        if holds {
+            self.occupy(id, team, need, now);
+        }
+    }
+
+    /// An attempt changed its phase.
+    fn moved(&mut self, id: &MachineId, key: &(TaskId, u64), phase: Phase, now: Micros) {
+        let Some(machine) = self.machines.get_mut(id) else { return };
+        let Some(a) = machine.attempts.get_mut(key) else { return };
+        let old = std::mem::replace(&mut a.phase, phase);
+        let ran = if old == Phase::Running { now.saturating_sub(a.since) } else { 0 };
+        a.since = now;
+        a.seen = true;
+        let Some(job) = self.jobs.get_mut(&key.0.job) else {
+            if matches!(phase, Phase::Ended(_)) {
+                self.release(id, key, now);
+            }
+            return;
+        };
+        match phase {
+            Phase::Running | Phase::Waiting => {
+                machine.images.insert(job.spec.image.clone());
+                if let Some(g) = job.gang.as_mut().filter(|g| g.attempt == key.1) {
+                    g.running |= phase == Phase::Running;
+                }
+            }
+            Phase::Ended(why) => {
+                if why == ExitReason::Done {
+                    machine.images.insert(job.spec.image.clone());
+                    machine.failures.clear();
+                    if ran > 0 && job.spec.estimate > 0 {
+                        let ran = ran + job.progress.remove(&key.0.index).unwrap_or(0);
+                        let ratio = (ran as f64 / job.spec.estimate as f64).clamp(0.1, 10.0);
+                        let pace = self.pace.entry(job.spec.class.clone()).or_insert(1.0);
+                        *pace += 0.05 * (ratio - *pace);
+                    }
+                }
+                self.release(id, key, now);
+                self.gone(key, id, Some(why), now);
+            }
+            Phase::Saving => *job.progress.entry(key.0.index).or_default() += ran,
+            _ => {}
+        }
+    }
+
+    /// Gives back what an attempt held.
+    fn release(&mut self, id: &MachineId, key: &(TaskId, u64), now: Micros) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        let Some(a) = m.attempts.get_mut(key).filter(|a| a.holds) else { return };
+        a.holds = false;
+        self.freed = true;
+        self.stirred = true;
+        let (need, team) = (a.need, a.team);
+        if !m.holds_any() {
+            m.idle_since = now;
+        }
+        self.occupy(id, team, need.times(-1), now);
+    }
+
+    /// A task is done: its saga commits, and with the last one its job's does.
+    fn complete(&mut self, task: &TaskId, now: Micros) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.cancelled || job.spec.shape == Shape::Service || task.index >= job.spec.tasks {
+            return;
+        }
+        let first = job.done.is_empty();
+        // The tasks of a gang complete together: one done means every one is.
+        let range = match job.spec.shape {
+            Shape::Gang => 0..job.spec.tasks,
+            _ => task.index..task.index + 1,
+        };
+        for x in range {
+            job.done.insert(x);
+            job.pending.remove(x);
+            job.backoff.remove(&x);
+            job.dirty_parts.insert(x / PART_TASKS);
+            if let Some(g) = &mut job.gang {
+                g.saga.commit(&x);
+            }
+        }
+        job.dirty_since.get_or_insert(now);
+        if job.finished() {
+            job.saga.commit(&0);
+            debug_assert_eq!(job.saga.state(), State::Committed);
+        }
+        if first {
+            self.cleared(&task.job, now);
+        }
+    }
+
+    /// An attempt is known to be gone. `why` is `None` when it vanished with its machine.
+    fn gone(&mut self, key: &(TaskId, u64), id: &MachineId, why: Option<ExitReason>, now: Micros) {
+        let (task, attempt) = key;
+        if why == Some(ExitReason::Done) {
+            self.complete(task, now);
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        if job.live.get(&task.index).is_none_or(|p| p.1 != *attempt || p.0 != *id) {
+            return;
+        }
+        job.live.remove(&task.index);
+        if job.cancelled || job.done.contains(task.index) {
+            return;
+        }
+        job.pending.insert(task.index);
+        match why {
+            Some(ExitReason::Error) => self.failed(task, id, now),
+            Some(ExitReason::NoRoom | ExitReason::Busy | ExitReason::Unknown) => {
+                tracing::info!(task = %task, machine = %id, ?why, "launch refused");
+                let wait = if why == Some(ExitReason::Unknown) { 5 * SECOND } else { SECOND };
+                let n = job.backoff.get(&task.index).map_or(0, |b| b.1);
+                job.backoff.insert(task.index, (now + wait, n));
+                if let Some(m) = self.machines.get_mut(id) {
+                    m.refused_until = now + 3 * SECOND;
+                }
+            }
+            _ => {}
+        }
+        self.gang_lost(task, *attempt, why);
+    }
+
+    /// A task of a gang is gone without being done.
+    fn gang_lost(&mut self, task: &TaskId, attempt: u64, why: Option<ExitReason>) {
+        let Some(job) = self.jobs.get_mut(&task.job) else { return };
+        let Some(gang) = job.gang.as_mut().filter(|g| g.attempt == attempt) else { return };
+        // Before the start a replacement with the same attempt number completes the gang.
+        let replace = !gang.running
+            && !gang.stopping
+            && matches!(why, None | Some(ExitReason::NoRoom | ExitReason::Error));
+        let mut cancels = Vec::new();
+        if !replace && !gang.stopping {
+            cancels = gang.saga.abort_element(&task.index);
+            gang.stopping = true;
+        }
+        if job.live.is_empty() {
+            job.gang = None;
+        }
+        let id = task.job.clone();
+        for action in cancels {
+            let Action::Cancel(i) = action else { continue };
+            let live = self.jobs.get(&id).and_then(|j| j.live.get(&i).cloned());
+            if let Some((machine, attempt)) = live {
+                self.stop(&id, i, &machine, attempt, 0);
+            }
+        }
+    }
+
+    /// Everything that was on the machine is gone.
+    pub fn lose(&mut self, id: &MachineId, now: Micros, why: &str) {
+        let Some(m) = self.machines.get_mut(id) else { return };
+        m.digest = None;
+        let keys: Vec<_> = m.attempts.keys().cloned().collect();
+        let held = m.attempts.values().filter(|a| a.holds).count();
+        if held > 0 {
+            tracing::info!(machine = %id, tasks = held, why, "tasks lost");
+        }
+        for key in keys {
+            self.release(id, &key, now);
+            let ended = self.machines.get_mut(id).and_then(|m| m.attempts.remove(&key));
+            if ended.is_some_and(|a| !matches!(a.phase, Phase::Ended(_))) {
+                self.gone(&key, id, None, now);
+            }
+        }
+    }
+
+    /// The cloud has confirmed that the machine is gone, or it can no longer exist.
+    pub fn remove_machine(&mut self, id: &MachineId, now: Micros, why: &str) {
+        self.lose(id, now, why);
+        self.block.remove(id);
+        if let Some(m) = self.machines.remove(id)
+            && let Some(number) = m.shelf
+        {
+            self.rooms.leave(number, id, m.open);
+        }
+    }
+
+    fn orders(&mut self, id: &MachineId) -> Vec<Order> {
+        let Some(machine) = self.machines.get(id) else { return Vec::new() };
+        let mut starts = Vec::new();
+        let mut orders = Vec::new();
+        for ((task, attempt), a) in &machine.attempts {
+            let (name, attempt) = (|| task.to_string(), *attempt);
+            // What belongs to no live pipeline has to end.
+            let stop = if self.jobs.contains_key(&task.job) { a.stop } else { Some(0) };
+            match (a.phase, stop) {
+                (Phase::Ended(why), _) => {
+                    // A completion must be in the state service before the worker forgets it.
+                    let durable = why != ExitReason::Done
+                        || self.jobs.get(&task.job).is_none_or(|j| {
+                            j.cancelled
+                                || j.flushed.contains(task.index)
+                                || j.spec.shape == Shape::Service
+                        });
+                    if durable {
+                        orders.push(Order::Forget { task: name(), attempt });
+                    }
+                }
+                (Phase::Saving, Some(grace)) if grace > 0 => {}
+                (_, Some(grace)) if a.seen => {
+                    let grace_s = grace as f64 / SECOND as f64;
+                    orders.push(Order::Stop { task: name(), attempt, grace_s });
+                }
+                (Phase::Starting, None) => starts.push(Order::Start { task: name(), attempt }),
+                _ => {}
+            }
+        }
+        orders.append(&mut starts);
+        orders.truncate(MAX_ORDERS);
+        orders
+    }
+
+    /// Runs out leases of silent machines, and finds out whether placing may begin.
+    pub fn tick(&mut self, now: Micros, wall: u64) {
+        self.wall = wall;
+        self.now = now;
+        // What time alone changes is looked for less often in a large cluster, but at once while
+        // placing waits for it.
+        let every = (SCAN_EVERY * self.machines.len() as Micros).min(SCAN_AT_LEAST);
+        if self.settled && now < self.scanned_at + every {
+            return;
+        }
+        self.scanned_at = now;
+        let limit = self.lease_limit();
+        self.size = Resources::default();
+        self.machines.values().filter(|m| m.up).for_each(|m| self.size += m.size);
+        let silent: Vec<MachineId> = self
+            .machines
+            .values()
+            .filter(|m| now > m.answered_at + limit && (!m.confirmed || !m.attempts.is_empty()))
+            .map(|m| m.id.clone())
+            .collect();
+        for id in silent {
+            self.lose(&id, now, "its lease ran out");
+            if let Some(m) = self.machines.get_mut(&id) {
+                m.lost_session = m.lost_session.max(m.session);
+            }
+        }
+        if !self.settled {
+            let waits = |m: &Machine| m.recorded && !m.confirmed && now <= m.answered_at + limit;
+            let waiting = self.machines.values().filter(|m| waits(m)).count();
+            // Every worker has had the time to find this leader. When only a few are silent they
+            // have most likely died, and deleting them is sooner known than their leases' ends. Of
+            // a zone that is cut off more are silent, and their work goes on: they are waited for.
+            let few = (self.machines.len() / FEW_SILENT).max(1);
+            if now > self.taken_at + 2 * self.settings.report + 2 * SECOND && waiting <= few {
+                for m in self.machines.values_mut().filter(|m| waits(m) && !m.deleting) {
+                    tracing::info!(machine = %m.id, why = "it holds up a takeover", "returning");
+                    m.deleting = true;
+                }
+            }
+            if waiting == 0 {
+                tracing::info!(machines = self.machines.len(), jobs = self.jobs.len(), "settled");
+                self.settled = true;
+            }
+        }
+        self.reshelve_all(now);
+        let empty = |j: &&mut Job| j.live.is_empty() && j.gang.is_some();
+        self.jobs.values_mut().filter(empty).for_each(|j| j.gang = None);
+    }
+}
--- /dev/null
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -0,0 +1,372 @@
+//! What the state service holds: taking it in, and writing down what has changed.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use crate::memory::block::ChunkRecord;
+use crate::memory::cluster::Cluster;
+use crate::memory::records::{Failing, Job};
+use crate::memory::writes::{Batch, Item};
+use crate::model::{JobId, JobSpec, Micros, Ranges, SECOND, seconds};
+use crate::policy::Setting;
+use crate::saga::{Action, Saga};
+use crate::wire::store::{self, Commit, JobRecord, LiveRecord, OverRecord, PART_TASKS, PartRecord};
+
+impl Cluster {
+    /// Takes in a live job's record.
+    pub fn live_record(&mut self, id: &str, record: LiveRecord, stamp: u64) {
+        match record {
+            LiveRecord::Job(record) => self.job_record(id, record, stamp),
+            LiveRecord::Waiting(record) => self.waiting_record(id, record, stamp),
+        }
+    }
+
+    /// Takes in a job's record: a new job, a cancellation, or what was read back.
+    pub fn job_record(&mut self, id: &str, record: JobRecord, stamp: u64) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            if stamp > job.stamp {
+                job.stamp = stamp;
+            }
+            job.unsure = false;
+            store::decode_done(&record.done, 0, &mut job.flushed);
+            if record.cancelled && !job.cancelled {
+                self.cancel(id);
+            }
+            return;
+        }
+        if self.buried(id, stamp) {
+            return;
+        }
+        self.upstream_released(&id.into());
+        let spec = Arc::new(record.spec);
+        let mut done = Ranges::default();
+        store::decode_done(&record.done, 0, &mut done);
+        let mut pending = Ranges::up_to(spec.tasks);
+        done.iter().for_each(|x| {
+            pending.remove(x);
+        });
+        let submitted = spec.clone();
+        let mut job = Job {
+            id: id.into(),
+            submitted,
+            team: self.settings.team(&spec.team),
+            at: record.at,
+            ready: record.ready.unwrap_or(record.at),
+            pull: None,
+            stamp,
+            flushed: done.clone(),
+            done,
+            cancelled: false,
+            saga: Saga::flat(1),
+            pending,
+            live: HashMap::new(),
+            gang: None,
+            progress: HashMap::new(),
+            backoff: HashMap::new(),
+            blame: Failing::new(record.failing),
+            dirty_parts: BTreeSet::new(),
+            dirty_since: None,
+            outgrown: false,
+            writing: false,
+            unsure: false,
+            placed: false,
+            within: false,
+            gathered_at: None,
+            made_at: None,
+            kept_until: 0,
+            queued: 0,
+            spec,
+        };
+        if job.spec.spot {
+            let within = self.fits_guarantee(&job);
+            let facts = self.facts(&job, within, self.latest_start(&job, within));
+            let spot = self.settings.policy.truth(Setting::UseSpot, &facts);
+            if !spot {
+                job.spec = Arc::new(JobSpec { spot, ..(*job.submitted).clone() });
+            }
+        }
+        self.queue.arrived(job.id.clone());
+        self.jobs.insert(job.id.clone(), job);
+        self.stirred = true;
+        if record.cancelled {
+            self.cancel(id);
+        }
+    }
+
+    /// Takes in finished tasks of a large array.
+    pub fn part_record(&mut self, key: &str, record: &PartRecord) {
+        let parsed = key.strip_prefix(store::PART).and_then(|k| k.rsplit_once('/'));
+        let Some((id, part)) = parsed.and_then(|(j, n)| Some((j, n.parse::<u32>().ok()?))) else {
+            return;
+        };
+        match self.jobs.get_mut(id) {
+            Some(job) if part < 100 => {
+                job.outgrown |= part == 0;
+                let mut done = Ranges::default();
+                store::decode_done(&record.done, part, &mut done);
+                for x in done.iter().filter(|x| *x < job.spec.tasks) {
+                    job.done.insert(x);
+                    job.flushed.insert(x);
+                    job.pending.remove(x);
+                }
+            }
+            _ => self.drops.push(key.to_string()),
+        }
+    }
+
+    /// Takes in a part of the block's record. Its machines may hold tasks of an earlier term.
+    pub fn chunk_record(&mut self, key: &str, record: ChunkRecord, stamp: u64) {
+        let Some(index) = self.block.chunk_of_key(key) else { return };
+        for (name, member) in &record.machines {
+            let taken = self.taken_at;
+            let machine = self.machine(name, &member.flavor, &member.zone, member.spot, taken);
+            machine.recorded = true;
+            machine.answered_at = taken;
+            machine.up = true;
+        }
+        self.block.load(index, record, stamp);
+    }
+
+    /// The user cancelled: the pipeline's saga aborts. Nothing of it starts from here on.
+    fn cancel(&mut self, id: &str) {
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.cancelled = true;
+        job.pending = Ranges::default();
+        job.dirty_since = Some(0);
+        let actions = job.saga.abort();
+        let live: Vec<_> = job.live.iter().map(|(i, p)| (*i, p.clone())).collect();
+        tracing::info!(job = id, tasks = live.len(), "cancelled");
+        self.upstream_cancelled(id);
+        if actions.contains(&Action::Cancel(0)) {
+            for (index, (machine, attempt)) in live {
+                self.stop(id, index, &machine, attempt, 0);
+            }
+        }
+    }
+
+    /// A live key is gone: the job is over, whoever wrote that. `cancelled`: what its end says,
+    /// where that was read or written here. Else it is read if another job waits for it.
+    pub fn job_gone(&mut self, id: &str, stamp: u64, cancelled: Option<bool>) {
+        if self.stamp_of(id).is_some_and(|known| known >= stamp) {
+            return;
+        }
+        self.buried.insert(id.into(), stamp);
+        if self.waiting_gone(id) {
+            return;
+        }
+        self.upstream_over(id, cancelled);
+        if let Some(job) = self.jobs.remove(id) {
+            let first = u32::from(!job.outgrown);
+            for part in first..job.spec.tasks.div_ceil(PART_TASKS) {
+                self.drops.push(format!("{}{id}/{part}", store::PART));
+            }
+        }
+    }
+
+    /// Everything has been read; leases of recorded machines are counted from here.
+    pub fn loaded(&mut self, now: Micros) {
+        self.taken_at = now;
+        self.block.loaded();
+        self.machines.values_mut().for_each(|m| m.answered_at = now);
+    }
+
+    /// The next transaction, if anything needs to be written. `holder` is the leader key's version.
+    pub fn next_commit(&mut self, now: Micros, holder: u64) -> Option<(Commit, Batch)> {
+        let (ops, limit) = (self.most_changes(), self.settings.value_bytes);
+        let mut commit = Commit::default();
+        let mut batch = Batch::default();
+        let mut bytes = 512;
+        commit.guard(store::HOLDER, holder);
+        // A transaction must be able to carry the end of a job beside machines.
+        let most = (ops / 2).max(1);
+        self.write_block(&mut commit, &mut batch, &mut bytes, most, false);
+        self.write_pipelines(&mut commit, &mut batch, &mut bytes);
+        let mut due: Vec<(bool, Micros, JobId)> = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.writing && !j.unsure) {
+            let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
+            match job.dirty_since {
+                _ if over => due.push((false, 0, job.id.clone())),
+                // Progress can wait: until it is written, the worker keeps the result.
+                Some(t) if now >= t + 2 * SECOND && !job.dirty_parts.is_empty() => {
+                    due.push((true, t, job.id.clone()));
+                }
+                _ => {}
+            }
+        }
+        due.sort();
+        for (progress, _, id) in due {
+            let Some(job) = self.jobs.get_mut(&id) else { continue };
+            let live = format!("{}{id}", store::LIVE);
+            let room = ops - commit.changes();
+            if !progress {
+                if room < 2 || bytes > 40_000 {
+                    break;
+                }
+                let cancelled = job.cancelled;
+                commit.guard(&live, job.stamp);
+                commit.end(&id, &OverRecord { cancelled, tasks: job.spec.tasks });
+                bytes += 400;
+                job.writing = true;
+                let due = job.submitted.deadline.filter(|_| !cancelled).map(|d| job.at + d);
+                let late = due.and_then(|due| self.wall.checked_sub(due));
+                let late_s = late.map(|t| seconds(t) as u32);
+                batch.push(Item::Over { id, cancelled, late_s }, live);
+                continue;
+            }
+            if room == 0 || bytes > 40_000 {
+                break;
+            }
+            let mut parts = BTreeMap::new();
+            let mut whole = false;
+            let mut room = room;
+            for part in job.dirty_parts.iter().copied().collect::<Vec<_>>() {
+                let done = store::encode_done(&job.done, part);
+                let mut record = None;
+                if part == 0 {
+                    let spec = (*job.submitted).clone();
+                    let mut r = JobRecord::new(spec, job.at);
+                    r.ready = (job.ready != job.at).then_some(job.ready);
+                    (r.cancelled, r.failing) = (job.cancelled, job.suspect());
+                    r.done.clone_from(&done);
+                    let value = store::raw(&r);
+                    job.outgrown |= value.get().len() + store::SLACK > limit;
+                    // Both change in one transaction. Whoever reads the parts, the version before
+                    // as well, takes part 0 for what it is.
+                    record = Some(if job.outgrown {
+                        r.done.clear();
+                        store::raw(&r)
+                    } else {
+                        value
+                    });
+                }
+                let in_part = part > 0 || job.outgrown;
+                let changes = usize::from(in_part) + usize::from(record.is_some());
+                if changes > room {
+                    break;
+                }
+                room -= changes;
+                job.dirty_parts.remove(&part);
+                bytes += done.len() + 200;
+                let lo = part * PART_TASKS;
+                parts.insert(part, job.done.slice(lo, lo + PART_TASKS));
+                if in_part {
+                    // Each part is a growing set on its own, so parts need not change together;
+                    // the leader's key, guarded above, keeps other writers out.
+                    let key = format!("{}{id}/{part}", store::PART);
+                    commit.put(&key, store::raw(&PartRecord { done }), None);
+                }
+                if let Some(record) = record {
+                    whole = true;
+                    commit.guard(&live, job.stamp);
+                    commit.put(&live, record, None);
+                    bytes += 1500;
+                }
+            }
+            if parts.is_empty() {
+                break;
+            }
+            if job.dirty_parts.is_empty() {
+                job.dirty_since = None;
+            }
+            job.writing = true;
+            batch.push(Item::Job { id, parts, whole }, live);
+        }
+        while commit.changes() < ops && bytes < 40_000 {
+            let Some(key) = self.drops.pop() else { break };
+            commit.delete(&key);
+            bytes += key.len() + 20;
+            batch.items.push(Item::Drop);
+        }
+        if commit.changes() == 0 {
+            self.write_block(&mut commit, &mut batch, &mut bytes, ops, true);
+        }
+        (commit.changes() > 0).then_some((commit, batch))
+    }
+
+    /// Adds parts of the block's record to a transaction, until it has `most` changes.
+    fn write_block(
+        &mut self,
+        commit: &mut Commit,
+        batch: &mut Batch,
+        bytes: &mut usize,
+        most: usize,
+        idle: bool,
+    ) {
+        while commit.changes() < most && *bytes < 40_000 {
+            let Some((index, stamp, record)) = self.block.dirty(idle) else { break };
+            let key = self.block.key(index);
+            let value = store::raw(&record);
+            *bytes += value.get().len() + 200;
+            commit.guard(&key, stamp);
+            commit.put(&key, value, None);
+            self.block.writing(index);
+            let members = record.machines.into_keys().collect();
+            batch.push(Item::Chunk { index, members }, key);
+        }
+    }
+
+    /// A transaction was carried out.
+    pub fn committed(&mut self, batch: Batch, stamp: u64) {
+        self.refusals = 0;
+        for item in batch.items {
+            match item {
+                Item::Job { id, parts, whole } => {
+                    let Some(job) = self.jobs.get_mut(&id) else { continue };
+                    job.writing = false;
+                    if whole {
+                        job.stamp = job.stamp.max(stamp);
+                    }
+                    for x in parts.values().flat_map(Ranges::iter) {
+                        job.flushed.insert(x);
+                    }
+                }
+                Item::Over { id, cancelled, late_s } => {
+                    match late_s {
+                        Some(late_s) => tracing::info!(job = %id, late_s, "over"),
+                        None => tracing::info!(job = %id, cancelled, "over"),
+                    }
+                    self.job_gone(&id, stamp, Some(cancelled));
+                }
+                Item::Release { .. } | Item::Mark { .. } => self.pipeline_written(&item, stamp),
+                Item::Chunk { index, members } => {
+                    self.block.written(index, stamp);
+                    for name in members {
+                        if let Some(m) = self.machines.get_mut(name.as_str()) {
+                            m.recorded = true;
+                            let id = m.id.clone();
+                            self.reshelve(&id, self.now);
+                        }
+                    }
+                }
+                Item::Drop => {}
+            }
+        }
+    }
+
+    /// A transaction was not carried out. `unsure`: perhaps it was, or its versions were wrong; its
+    /// keys are then to be read back, never assumed.
+    pub fn uncommitted(&mut self, batch: &Batch, unsure: bool, now: Micros) {
+        for item in &batch.items {
+            match item {
+                Item::Job { id, parts, .. } => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.writing = false;
+                        job.unsure = unsure;
+                        job.dirty_parts.extend(parts.keys());
+                        job.dirty_since.get_or_insert(now);
+                    }
+                }
+                Item::Over { id, .. } | Item::Release { id, .. } | Item::Mark { id } => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        job.writing = false;
+                        job.unsure = unsure;
+                    }
+                    self.pipeline_unwritten(id, unsure);
+                }
+                Item::Chunk { index, .. } if !unsure => self.block.unwritten(*index),
+                // A dropped key that stays is found and dropped again at the next takeover.
+                Item::Chunk { .. } | Item::Drop => {}
+            }
+        }
+    }
+}
--- a/crates/gannethub-core/src/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -5,27 +5,29 @@
 
 use bytes::Bytes;
 
-use crate::api::{self, JobView, Refusal, Route, Status, Submission};
-use crate::block::ChunkRecord;
-use crate::cloud::CloudRequest;
-use crate::cluster::{Batch, Cluster, Outcome};
-use crate::fleet::CloudCall;
+use crate::apply::reports::Outcome;
+use crate::control::leadership::{Authority, Candidacy, PROMISE};
 use crate::http::{Request, Response};
-use crate::leadership::{Authority, Candidacy, PROMISE};
-use crate::mirror::{Found, Mirror};
+use crate::memory::block::ChunkRecord;
+use crate::memory::cluster::Cluster;
+use crate::memory::fleet::CloudCall;
+use crate::memory::mirror::{Found, Mirror};
+use crate::memory::pipeline::Fate;
+use crate::memory::writes::Batch;
 use crate::model::{Flavor, JobId, Micros, Ranges, SECOND, micros, valid_job_id};
-use crate::peer::{
-    Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
-};
-use crate::pipeline::Fate;
 use crate::policy::Setting;
 use crate::settings::{Rates, Settings};
-use crate::store::{
+use crate::wire::api::{self, JobView, Refusal, Route, Status, Submission};
+use crate::wire::cloud::CloudRequest;
+use crate::wire::peer::{
+    Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running,
+};
+use crate::wire::store::{
     self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
     LeadRecord, Listing, LiveRecord, OverRecord, PartRecord, StoreRequest, TERM, Urgency,
     WaitingRecord,
 };
-use crate::worker::{Report, ReportAnswer, ReportElsewhere};
+use crate::wire::worker::{Report, ReportAnswer, ReportElsewhere};
 
 const PROBE_EVERY: Micros = 500_000;
 const BEAT_EVERY: Micros = 500_000;
@@ -557,7 +559,7 @@
         if now >= lead.fleet_at.max(lead.cluster.next_plan) {
             lead.fleet_at = now + 500_000;
             for call in lead.cluster.plan_fleet(now) {
-                let request = call.request(&lead.cluster);
+                let request = call.request(&lead.cluster.flavors);
                 calls.push((lead.term, call, request));
             }
         }
@@ -1639,7 +1641,7 @@
         let Some((term, call)) = self.calls.remove(&id) else { return };
         if term == 0 {
             let flavors =
-                answer.filter(|a| a.0 == 200).and_then(|a| crate::cloud::parse_flavors(&a.1));
+                answer.filter(|a| a.0 == 200).and_then(|a| crate::wire::cloud::parse_flavors(&a.1));
             if let Some(flavors) = flavors {
                 self.flavors = Arc::new(flavors);
             }
--- a/crates/gannethub-core/src/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -9,7 +9,7 @@
 use std::collections::HashSet;
 
 use crate::model::{Micros, SECOND};
-use crate::store::LeadRecord;
+use crate::wire::store::LeadRecord;
 
 /// How long a promise lasts.
 pub const PROMISE: Micros = 8 * SECOND;
--- /dev/null
+++ b/crates/gannethub-core/src/control/mod.rs
@@ -0,0 +1,4 @@
+//! The single owner of a process's state, and who leads.
+
+pub mod controller;
+pub mod leadership;
--- a/crates/gannethub-core/src/blame.rs
+++ b/crates/gannethub-core/src/decide/blame.rs
@@ -8,62 +8,15 @@
 //! looked at again. A machine is faulty when a job that does well elsewhere fails on it twice, or
 //! when several jobs do that are not suspect.
 
-use std::collections::HashSet;
-
-use crate::cluster::{Cluster, Job, MachineId, Phase};
+use crate::memory::cluster::Cluster;
+use crate::memory::records::{Failing, Job, MachineId, Phase};
 use crate::model::{JobId, Micros, SECOND, Shape, TaskId};
 
-/// A job that failed on so many machines, and did well on none, is suspect.
-const SUSPECT_AFTER: usize = 3;
 /// Replicas never end; one that has run for this long has done well.
 const PROVED: Micros = 10 * SECOND;
 const FIRST_RETRY: Micros = 4 * SECOND;
 /// A suspect job's trials come at most this many doublings apart: about every two minutes.
 const MOST_DOUBLINGS: u32 = 5;
-/// A trial that found no room for so long may have a machine rented.
-const OVERDUE: Micros = 30 * SECOND;
-
-/// What a job's failures say of it.
-#[derive(Debug, Default)]
-pub struct Record {
-    /// Machines it has failed on.
-    pub machines: HashSet<MachineId>,
-    /// An earlier leader found it suspect.
-    pub known: bool,
-    /// Trials that failed since it became suspect, and when the next may begin.
-    trials: u32,
-    retry_at: Micros,
-}
-
-impl Record {
-    /// Of a job that an earlier leader found suspect, or not.
-    pub fn new(known: bool) -> Record {
-        Record { known, ..Record::default() }
-    }
-}
-
-impl Job {
-    /// It fails wherever it runs: most likely its user's mistake.
-    pub fn suspect(&self) -> bool {
-        self.done.is_empty() && (self.blame.known || self.blame.machines.len() >= SUSPECT_AFTER)
-    }
-
-    /// How many of its tasks may be on machines at this time, as far as its failures go.
-    pub fn trials(&self, now: Micros) -> i64 {
-        match (self.suspect(), now >= self.blame.retry_at) {
-            (false, _) => i64::MAX,
-            (true, true) if self.spec.shape == Shape::Gang => i64::from(self.spec.tasks),
-            (true, true) => 1,
-            (true, false) => 0,
-        }
-    }
-
-    /// How many of its tasks a machine may be rented for. A suspect job's next trial uses room that
-    /// is there; only when none came free for long would it never be cleared without one.
-    pub fn worth_renting(&self, now: Micros) -> i64 {
-        if self.suspect() && now < self.blame.retry_at + OVERDUE { 0 } else { self.trials(now) }
-    }
-}
 
 impl Cluster {
     /// Something of the job has gone well on some machine.
@@ -88,7 +41,7 @@
         if self.jobs.get(&task.job).is_some_and(|j| self.proved(j, now)) {
             // A service that runs elsewhere: what it failed on says nothing against it.
             if let Some(j) = self.jobs.get_mut(&task.job).filter(|j| j.done.is_empty()) {
-                j.blame = Record::default();
+                j.blame = Failing::default();
             }
         }
         let Some(job) = self.jobs.get_mut(&task.job) else { return };
--- /dev/null
+++ b/crates/gannethub-core/src/decide/mod.rs
@@ -0,0 +1,9 @@
+//! What is decided: reads what is remembered, and chooses.
+
+pub mod blame;
+pub mod gather;
+pub mod order;
+pub mod plan;
+pub mod pulls;
+pub mod renting;
+pub mod scheduler;
--- a/crates/gannethub-core/src/queue.rs
+++ b/crates/gannethub-core/src/decide/order.rs
@@ -7,48 +7,15 @@
 
 use std::cmp::Reverse;
 
-use crate::cluster::{Cluster, Job};
-use crate::model::{JobId, Micros, Priority, Resources, Team};
+use crate::memory::cluster::Cluster;
+use crate::memory::queue::Key;
+use crate::memory::records::Job;
+use crate::model::{Micros, Resources, Team};
 use crate::policy::Setting;
 
 /// The order is worked out anew this often, for each job in it.
 const ORDER_EVERY: Micros = 200;
 
-/// What jobs are ordered by, the first to be served first: priority; within its team's guarantee; still able
-/// to be in time; the time left until a task has to start, lengthened by the work the job brings, in
-/// thousandths; and the order in which they became ready.
-type Key = (Reverse<Priority>, bool, bool, i64, u64, JobId);
-
-/// All live jobs in the order in which they are served.
-#[derive(Debug, Default)]
-pub struct Queue {
-    entries: Vec<Key>,
-    /// What earlier jobs leave of each team's guarantee.
-    left: Vec<Resources>,
-    /// Jobs that came since the order was last looked at.
-    arrivals: Vec<JobId>,
-    ordered_at: Option<Micros>,
-}
-
-impl Queue {
-    pub fn arrived(&mut self, id: JobId) {
-        self.arrivals.push(id);
-    }
-
-    /// The jobs with whether each lies within its team's guarantee. Some may be over by now.
-    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, bool)> {
-        self.entries.iter().map(|k| (&k.5, !k.1))
-    }
-
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
-}
-
 /// Counts a job against what is left of its team's guarantee; whether it fits there.
 fn charge(left: &mut [Resources], job: &Job) -> bool {
     let Some(t) = job.team.filter(|_| !job.suspect()) else { return false };
--- a/crates/gannethub-core/src/fleet.rs
+++ b/crates/gannethub-core/src/decide/renting.rs
@@ -3,12 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::boots::{Boots, LATE_AFTER};
-use crate::cloud::{CloudRequest, Listed};
-use crate::cluster::{Attempt, Cluster, Job, Machine, MachineId, Phase, Spent};
+use crate::decide::scheduler::Zones;
+use crate::memory::boots::LATE_AFTER;
+use crate::memory::cluster::{Cluster, Spent};
+use crate::memory::fleet::{CloudCall, Offer};
+use crate::memory::records::{Attempt, Job, Machine, MachineId, Phase};
 use crate::model::{Micros, Resources, SECOND, Shape, TaskId, micros, seconds};
 use crate::policy::{Setting, Value};
-use crate::scheduler::Zones;
 
 /// What the cloud charges at least for a machine that is deleted.
 const MIN_CHARGE: Micros = 60 * SECOND;
@@ -16,7 +17,6 @@
 const MAX_DELETE: usize = 100;
 /// A zone from which nothing was heard for this long is tried with one machine.
 const DARK: Micros = 30 * SECOND;
-
 /// How often work is looked over for machines to empty, and what part of those that could be are
 /// emptied at once.
 const MOVE_EVERY: Micros = 3 * SECOND;
@@ -25,118 +25,11 @@
 const MOVE_AFTER: Micros = 35 * SECOND;
 /// What a move takes beside saving and fetching: reports on both sides.
 const MOVE_COST: Micros = 5 * SECOND;
-
 /// Machines that are looked at to find one for a task that is to be moved.
 const MOST_HOSTS: usize = 50;
-
-/// Nothing of a deleted machine comes later than this.
-const GHOSTS: Micros = 900 * SECOND;
-
 /// How long a refusal is remembered while nothing has been given back.
 const MAX_REFUSAL: Micros = 120 * SECOND;
 
-/// When the cloud last had no machine for an offer.
-#[derive(Clone, Copy, Debug)]
-struct Refusal {
-    at: Micros,
-    until: Micros,
-    times: u32,
-    /// How many machines of the offer were rented then.
-    held: usize,
-}
-
-/// A kind of machine that can be asked for.
-#[derive(Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Debug)]
-pub struct Offer {
-    pub flavor: usize,
-    pub zone: String,
-    pub spot: bool,
-}
-
-/// A call to the cloud and what it is for.
-#[derive(Clone, Debug, PartialEq)]
-pub enum CloudCall {
-    Flavors,
-    List { after: String },
-    Rent { name: String, offer: Offer, count: u32, tries: u32 },
-    Delete { machines: Vec<String> },
-}
-
-#[derive(Debug)]
-pub struct Fleet {
-    term: u64,
-    requests: u64,
-    tokens: f64,
-    rate: f64,
-    refilled: Micros,
-    pub renting: BTreeMap<String, (Offer, u32)>,
-    refusals: HashMap<Offer, Refusal>,
-    paused_until: Micros,
-    listing: bool,
-    next_list: Micros,
-    next_flavors: Micros,
-    next_summary: Micros,
-    list_after: String,
-    list_seen: Vec<Listed>,
-    retry: Vec<CloudCall>,
-    deleting: bool,
-    next_move: Micros,
-    pub boots: Boots,
-    /// Machines confirmed as deleted, and when: a lagging list may still show them, and reports
-    /// that were held back in the network may come minutes later.
-    pub removed: HashMap<String, Micros>,
-}
-
-impl Fleet {
-    pub fn new(term: u64, rps: f64) -> Fleet {
-        Fleet {
-            term,
-            requests: 0,
-            tokens: rps,
-            // Siblings may ask for the machine types now and then.
-            rate: rps * 0.85,
-            refilled: 0,
-            renting: BTreeMap::new(),
-            refusals: HashMap::new(),
-            paused_until: 0,
-            listing: false,
-            next_list: 0,
-            next_flavors: 0,
-            next_summary: 0,
-            list_after: String::new(),
-            list_seen: Vec::new(),
-            retry: Vec::new(),
-            deleting: false,
-            next_move: 0,
-            boots: Boots::default(),
-            removed: HashMap::new(),
-        }
-    }
-
-    /// Takes a request's worth of the rate, leaving `keep` for more urgent calls.
-    fn may_call(&mut self, keep: f64) -> bool {
-        if self.tokens >= 1.0 + keep {
-            self.tokens -= 1.0;
-            return true;
-        }
-        false
-    }
-}
-
-impl CloudCall {
-    pub fn request(&self, cluster: &Cluster) -> CloudRequest {
-        match self {
-            CloudCall::Flavors => CloudRequest::flavors(),
-            CloudCall::List { after } => CloudRequest::list(after),
-            CloudCall::Delete { machines } => CloudRequest::delete(machines),
-            CloudCall::Rent { name, offer, count, .. } => {
-                let flavor = &cluster.flavors[offer.flavor].name;
-                CloudRequest::rent(name, flavor, &offer.zone, offer.spot, *count)
-            }
-        }
-    }
-}
-
 /// Room beside what runs, by machine and by free CPU.
 #[derive(Default)]
 struct Room {
@@ -474,72 +367,8 @@
             && self.expected_end(task, attempt, now) > now + 4 * cost + self.flavors[f].boot
     }
 
-    /// Takes in an answer of the cloud. `None`: no answer came.
-    pub fn cloud_answer(&mut self, call: CloudCall, answer: Option<(u16, &[u8])>, now: Micros) {
-        if matches!(answer, Some((429 | 503, _))) && !no_capacity(answer) {
-            self.fleet.paused_until = now + SECOND;
-        }
-        match call {
-            CloudCall::Flavors => {
-                let flavors =
-                    answer.filter(|a| a.0 == 200).and_then(|a| crate::cloud::parse_flavors(a.1));
-                match flavors {
-                    // Indices into the list are kept, so its order and names must not change.
-                    Some(f) if same_names(&f, &self.flavors) => self.flavors = Arc::new(f),
-                    Some(_) => tracing::info!("machine types changed: used after a takeover"),
-                    None => self.fleet.next_flavors = now + 5 * SECOND,
-                }
-            }
-            CloudCall::List { .. } => self.listed(answer, now),
-            CloudCall::Delete { machines } => {
-                self.fleet.deleting = false;
-                if answer.is_some_and(|a| a.0 == 200) {
-                    for name in machines {
-                        self.fleet.removed.insert(name.clone(), now);
-                        self.remove_machine(&name.as_str().into(), now, "it was returned");
-                    }
-                }
-            }
-            CloudCall::Rent { name, offer, count, tries } => {
-                let rented = answer
-                    .filter(|a| a.0 == 200)
-                    .and_then(|a| serde_json::from_slice::<crate::cloud::Rented>(a.1).ok());
-                if let Some(rented) = rented {
-                    self.fleet.renting.remove(&name);
-                    if rented.machines.len() < count as usize {
-                        self.refused(&offer, now);
-                    } else {
-                        self.fleet.refusals.remove(&offer);
-                    }
-                    let flavor = self.flavors[offer.flavor].name.clone();
-                    for m in rented.machines {
-                        self.machine(&m, &flavor, &offer.zone, offer.spot, now);
-                    }
-                } else if no_capacity(answer) || tries >= 4 {
-                    self.fleet.renting.remove(&name);
-                    self.refused(&offer, now);
-                } else if matches!(answer, Some((400, _))) {
-                    tracing::error!(%name, "the cloud calls a rental request malformed");
-                    self.fleet.renting.remove(&name);
-                    self.refused(&offer, now);
-                } else {
-                    // The same name again: it rents once, however often it is carried out.
-                    let again = CloudCall::Rent { name, offer, count, tries: tries + 1 };
-                    self.fleet.retry.push(again);
-                }
-            }
-        }
-    }
-
-    fn refused(&mut self, offer: &Offer, now: Micros) {
-        let times = self.fleet.refusals.get(offer).map_or(0, |r| r.times);
-        let until = now + ((8 * SECOND) << times.min(2));
-        let refusal = Refusal { at: now, until, times: times + 1, held: self.held(offer) };
-        self.fleet.refusals.insert(offer.clone(), refusal);
-    }
-
     /// Machines of an offer that are rented now.
-    fn held(&self, offer: &Offer) -> usize {
+    pub(crate) fn held(&self, offer: &Offer) -> usize {
         self.rooms.held(offer.flavor, &offer.zone, offer.spot)
     }
 
@@ -558,88 +387,9 @@
             now < r.until || (now < r.at + MAX_REFUSAL && self.held(offer) >= r.held.max(1))
         })
     }
-
-    fn listed(&mut self, answer: Option<(u16, &[u8])>, now: Micros) {
-        self.fleet.listing = false;
-        let list = answer
-            .filter(|a| a.0 == 200)
-            .and_then(|a| serde_json::from_slice::<crate::cloud::MachineList>(a.1).ok());
-        let Some(list) = list else {
-            self.fleet.list_after.clear();
-            self.fleet.list_seen.clear();
-            self.fleet.next_list = now + 2 * SECOND;
-            return;
-        };
-        let last = list.machines.last().map(|m| m.id.clone());
-        self.fleet.list_seen.extend(list.machines);
-        if let (true, Some(last)) = (list.truncated, last) {
-            self.fleet.list_after = last;
-            return;
-        }
-        self.fleet.list_after.clear();
-        self.fleet.next_list = now + 4 * SECOND;
-        let seen = std::mem::take(&mut self.fleet.list_seen);
-        let lag = 2 * self.settings.list_lag;
-        let limit = self.lease_limit();
-        let mut gone: Vec<MachineId> = Vec::new();
-        let names: HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
-        for m in self.machines.values_mut().filter(|m| !names.contains(&*m.id)) {
-            m.missed_lists += 1;
-            // Lists lag and may be older than the one before; a machine counts as gone only when
-            // it has long been silent as well, so that nothing can be left on it.
-            let old = now > m.known_since + lag + 2 * SECOND;
-            if old && m.missed_lists >= 3 && now > m.answered_at + limit {
-                gone.push(m.id.clone());
-            }
-        }
-        for id in gone {
-            tracing::info!(machine = %id, "machine is gone from the list");
-            self.remove_machine(&id, now, "it is gone");
-        }
-        self.fleet.removed.retain(|_, at| now < *at + GHOSTS + lag);
-        let mut adopted = 0;
-        for l in &seen {
-            if !self.machines.contains_key(l.id.as_str()) {
-                // A list may still show what was deleted a moment ago.
-                if self.fleet.removed.contains_key(&l.id) {
-                    continue;
-                }
-                adopted += 1;
-            }
-            let age = micros(l.age_s);
-            let m = self.machine(&l.id, &l.flavor, &l.zone, l.spot, now);
-            m.missed_lists = 0;
-            if !m.listed {
-                m.listed = true;
-                m.rented_at = m.rented_at.min(now.saturating_sub(age));
-            }
-            if l.status == "failed" && !m.deleting {
-                tracing::info!(machine = %m.id, why = "it failed", "returning");
-                m.deleting = true;
-            }
-        }
-        if adopted > 0 {
-            tracing::info!(machines = adopted, "adopted from the list");
-        }
-    }
 }
 
 /// How long a machine may take to boot before it is given up.
 pub fn patience(boot: Micros) -> Micros {
     3 * boot + 20 * SECOND
 }
-
-fn same_names(a: &[crate::model::Flavor], b: &[crate::model::Flavor]) -> bool {
-    a.len() == b.len() && a.iter().zip(b).all(|(x, y)| x.name == y.name)
-}
-
-fn no_capacity(answer: Option<(u16, &[u8])>) -> bool {
-    #[derive(serde::Deserialize)]
-    struct Reason {
-        #[serde(default)]
-        error: String,
-    }
-    answer.filter(|a| a.0 == 503).is_some_and(|a| {
-        serde_json::from_slice::<Reason>(a.1).is_ok_and(|r| r.error == "no capacity")
-    })
-}
--- a/crates/gannethub-core/src/lib.rs
+++ b/crates/gannethub-core/src/lib.rs
@@ -4,28 +4,17 @@
 //! The [`controller`] owns all state of a process; commands and the time go in, effects come out, so a program
 //! can embed it and a test can drive it by its own clock. Nothing here opens a socket, reads a file or asks
 //! for the time.
+//!
+//! Modules import downwards only: [`control`] above [`apply`], that above [`decide`], that above
+//! [`memory`], which knows the types of the [`wire`] and the plain modules below.
 
-pub mod api;
-pub mod blame;
-pub mod block;
-pub mod boots;
-pub mod cloud;
-pub mod cluster;
-pub mod controller;
-pub mod fleet;
-pub mod gather;
+pub mod apply;
+pub mod control;
+pub mod decide;
 pub mod http;
-pub mod leadership;
-pub mod mirror;
+pub mod memory;
 pub mod model;
-pub mod peer;
-pub mod pipeline;
-pub mod plan;
 pub mod policy;
-pub mod queue;
-pub mod room;
 pub mod saga;
-pub mod scheduler;
 pub mod settings;
-pub mod store;
-pub mod worker;
+pub mod wire;
--- a/crates/gannethub-core/src/block.rs
+++ b/crates/gannethub-core/src/memory/block.rs
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::store::BLOCK;
+use crate::wire::store::BLOCK;
 
 /// A machine as its block records it.
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
--- a/crates/gannethub-core/src/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -11,10 +11,10 @@
 
 use serde::Deserialize;
 
-use crate::api::{JobView, Status};
+use crate::memory::pipeline::{Fate, Links};
 use crate::model::{JobId, Ranges};
-use crate::pipeline::{Fate, Links};
-use crate::store::{Change, Followed, Item, LIVE, Listing, decode_done, decode_ids};
+use crate::wire::api::{JobView, Status};
+use crate::wire::store::{Change, Followed, Item, LIVE, Listing, decode_done, decode_ids};
 
 /// How many ends, and how many ids that nobody submitted, are remembered.
 const REMEMBERED: usize = 50_000;
--- /dev/null
+++ b/crates/gannethub-core/src/memory/mod.rs
@@ -0,0 +1,12 @@
+//! What is remembered, and nothing that decides.
+
+pub mod block;
+pub mod boots;
+pub mod cluster;
+pub mod fleet;
+pub mod mirror;
+pub mod pipeline;
+pub mod queue;
+pub mod records;
+pub mod room;
+pub mod writes;
--- /dev/null
+++ b/crates/gannethub-core/src/memory/pipeline.rs
@@ -0,0 +1,217 @@
+//! Pipelines of several jobs: which job waits for which others, and what follows from their ends.
+//!
+//! All live jobs that wait, and those they wait for, are non-vital children of one standing
+//! [`Saga`]: a job is released when every job upstream has committed, and cancelled with any of them.
+//! Both follow from what the state service holds and from nothing else, so every controller comes to
+//! the same answer, whoever leads and whether or not the leader has written it down yet:
+//!
+//! - a job is done when its `over` record says so, and that never changes;
+//! - a job is cancelled when its own record says so, live or over, or when one it waits for is
+//!   cancelled. A cancelled job is never done, so this never changes either;
+//! - a waiting job has another kind of record than one that was released. Only the leader rewrites
+//!   the one into the other, after it has read or written the ends of all jobs upstream, and only what
+//!   it keeps among its jobs, which no waiting job is, can be placed on a machine.
+//!
+//! Of a job that is named by another and is not alive, the end is read.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::sync::Arc;
+
+use super::records::Pull;
+use crate::model::{JobId, JobSpec, Micros};
+use crate::saga::{Action, Saga, State};
+
+/// What is known of a job that another one names.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Fate {
+    Alive,
+    Done,
+    Cancelled,
+    /// Not alive as far as is known; its end has not been read.
+    Unknown,
+}
+
+/// What a cancellation or an end leads to.
+#[derive(Debug, Default, PartialEq)]
+pub struct Consequences {
+    pub released: Vec<JobId>,
+    pub cancelled: Vec<JobId>,
+}
+
+/// Who waits for whom.
+#[derive(Debug)]
+pub struct Links {
+    pub(crate) saga: Saga<JobId>,
+    /// Jobs that others wait for, whose ends have to be read.
+    pub(crate) unknown: BTreeSet<JobId>,
+}
+
+impl Default for Links {
+    fn default() -> Links {
+        Links { saga: Saga::standing(), unknown: BTreeSet::new() }
+    }
+}
+
+impl Links {
+    /// A job that waits. Its list never changes, so only the first time counts.
+    pub fn add(
+        &mut self,
+        id: &JobId,
+        upstream: &[JobId],
+        cancelled: bool,
+        fate: impl Fn(&JobId) -> Fate,
+    ) -> Consequences {
+        self.unknown.remove(id);
+        let mut lost = cancelled;
+        if !matches!(self.saga.element(id), Some(State::Waiting | State::Aborted)) {
+            let mut open = Vec::new();
+            for u in upstream {
+                match fate(u) {
+                    Fate::Done => continue,
+                    Fate::Cancelled => lost = true,
+                    Fate::Unknown => {
+                        self.unknown.insert(u.clone());
+                    }
+                    Fate::Alive => {}
+                }
+                open.push(u.clone());
+            }
+            self.saga.add(id.clone(), false, &open);
+        }
+        if lost { self.cancel(id) } else { Consequences::default() }
+    }
+
+    /// A job that others wait for is alive after all.
+    pub fn alive(&mut self, id: &JobId) {
+        self.unknown.remove(id);
+    }
+
+    /// A live job that others wait for is gone, and nothing tells how it ended.
+    pub fn lost_sight(&mut self, id: &JobId) {
+        if self.saga.element(id).is_some() {
+            self.unknown.insert(id.clone());
+        }
+    }
+
+    /// A job has been cancelled, and with it all that wait for it.
+    pub fn cancel(&mut self, id: &JobId) -> Consequences {
+        let cancelled = self.saga.abort_element(id).into_iter().map(|a| match a {
+            Action::Cancel(id) | Action::Compensate(id) => id,
+        });
+        Consequences { cancelled: cancelled.collect(), released: Vec::new() }
+    }
+
+    /// A job that waited has been released: its record says that all it waited for is done.
+    pub fn released(&mut self, id: &JobId) {
+        self.saga.release(id);
+        if self.saga.downstream(id).next().is_none() {
+            self.saga.forget(id);
+        }
+    }
+
+    /// A job is over, as the state service has it.
+    pub fn ended(&mut self, id: &JobId, cancelled: bool) -> Consequences {
+        self.unknown.remove(id);
+        if self.saga.element(id).is_none() {
+            return Consequences::default();
+        }
+        let consequences = if cancelled {
+            self.cancel(id)
+        } else {
+            self.released(id);
+            Consequences { released: self.saga.commit(id), cancelled: Vec::new() }
+        };
+        self.saga.forget(id);
+        consequences
+    }
+
+    /// A waiting job is cancelled, itself or with one that it needs.
+    pub fn is_cancelled(&self, id: &JobId) -> bool {
+        self.saga.element(id) == Some(State::Aborted)
+    }
+
+    /// All jobs that it waited for are done.
+    pub(crate) fn is_ready(&self, id: &JobId) -> bool {
+        self.saga.element(id) == Some(State::Active)
+    }
+
+    /// What a job waits for still.
+    pub fn open(&self, id: &JobId) -> Vec<JobId> {
+        self.saga.open(id).cloned().collect()
+    }
+
+    /// Jobs whose ends have to be read.
+    pub fn unknown(&self) -> impl Iterator<Item = &JobId> {
+        self.unknown.iter()
+    }
+
+    /// Every job that is named is alive, or it is known how it ended.
+    pub fn complete(&self) -> bool {
+        self.unknown.is_empty()
+    }
+
+    /// The same of all jobs that this one needs, directly or through others.
+    pub fn complete_for(&self, id: &JobId) -> bool {
+        if self.complete() {
+            return true;
+        }
+        let mut seen = BTreeSet::from([id]);
+        let mut left = vec![id];
+        while let Some(id) = left.pop() {
+            if self.unknown.contains(id) {
+                return false;
+            }
+            left.extend(self.saga.open(id).filter(|u| seen.insert(u)));
+        }
+        true
+    }
+
+    /// Jobs that wait for others or are waited for, those downstream before those upstream.
+    pub(crate) fn ends_first(&self) -> Vec<&JobId> {
+        let mut left: HashMap<&JobId, usize> =
+            self.saga.keys().map(|k| (k, self.saga.downstream(k).count())).collect();
+        let mut order: Vec<&JobId> = left.iter().filter(|l| *l.1 == 0).map(|l| *l.0).collect();
+        order.sort();
+        let mut next = 0;
+        while let Some(id) = order.get(next).copied() {
+            next += 1;
+            for u in self.saga.open(id) {
+                if let Some(n) = left.get_mut(u) {
+                    *n -= 1;
+                    if *n == 0 {
+                        order.push(u);
+                    }
+                }
+            }
+        }
+        order
+    }
+}
+
+/// A job that waits for others, as the leader keeps it.
+#[derive(Debug)]
+pub struct Waiting {
+    pub spec: Arc<JobSpec>,
+    pub at: u64,
+    pub(crate) stamp: u64,
+    pub(crate) on: String,
+    /// What jobs that wait for it ask of it.
+    pub pull: Option<Pull>,
+    /// Its own record says that it is cancelled.
+    pub(crate) marked: bool,
+    pub(crate) writing: bool,
+    pub(crate) unsure: bool,
+}
+
+/// All jobs that wait, as the leader sees them.
+#[derive(Debug, Default)]
+pub struct Pipelines {
+    pub waiting: BTreeMap<JobId, Waiting>,
+    pub links: Links,
+    /// Waiting jobs about which something is to be written.
+    pub(crate) todo: BTreeSet<JobId>,
+    /// Who waits for whom has changed since the pulls were worked out.
+    pub(crate) changed: bool,
+    pub(crate) pulled_at: Micros,
+    pub(crate) pulled: Vec<JobId>,
+}
--- /dev/null
+++ b/crates/gannethub-core/src/memory/queue.rs
@@ -0,0 +1,40 @@
+//! The order in which jobs are served, as it was last worked out.
+
+use std::cmp::Reverse;
+
+use crate::model::{JobId, Micros, Priority, Resources};
+
+/// What jobs are ordered by, the first to be served first: priority; within its team's guarantee; still able
+/// to be in time; the time left until a task has to start, lengthened by the work the job brings, in
+/// thousandths; and the order in which they became ready.
+pub type Key = (Reverse<Priority>, bool, bool, i64, u64, JobId);
+
+/// All live jobs in the order in which they are served.
+#[derive(Debug, Default)]
+pub struct Queue {
+    pub(crate) entries: Vec<Key>,
+    /// What earlier jobs leave of each team's guarantee.
+    pub(crate) left: Vec<Resources>,
+    /// Jobs that came since the order was last looked at.
+    pub(crate) arrivals: Vec<JobId>,
+    pub(crate) ordered_at: Option<Micros>,
+}
+
+impl Queue {
+    pub fn arrived(&mut self, id: JobId) {
+        self.arrivals.push(id);
+    }
+
+    /// The jobs with whether each lies within its team's guarantee. Some may be over by now.
+    pub fn jobs(&self) -> impl Iterator<Item = (&JobId, bool)> {
+        self.entries.iter().map(|k| (&k.5, !k.1))
+    }
+
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- a/crates/gannethub-core/src/room.rs
+++ b/crates/gannethub-core/src/memory/room.rs
@@ -8,8 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use crate::cluster::{Cluster, MachineId};
-use crate::model::{Micros, Resources};
+use super::records::MachineId;
 
 /// What machines that cost the same and lie in one zone have in common.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Debug)]
@@ -27,7 +26,7 @@
     /// Every machine known, whatever its state.
     pub all: BTreeSet<MachineId>,
     /// Those that tasks may be placed on, by free CPU in thousandths.
-    open: BTreeSet<(i64, MachineId)>,
+    pub(crate) open: BTreeSet<(i64, MachineId)>,
 }
 
 impl Shelf {
@@ -83,61 +82,3 @@
         self.numbers.get(&kind).map_or(0, |n| self.shelves[*n].all.len())
     }
 }
-
-impl Cluster {
-    /// Brings a machine's place in the index up to date.
-    pub fn reshelve(&mut self, id: &MachineId, now: Micros) {
-        let Some(m) = self.machines.get_mut(id) else { return };
-        let Some(number) = m.shelf else { return };
-        let free = m.free();
-        let open = (m.usable(now, self.settings.report) && free.cpu >= 0).then_some(free.cpu);
-        if open != m.open {
-            let old = std::mem::replace(&mut m.open, open);
-            self.rooms.shift(number, id, old, open);
-        }
-    }
-
-    /// An attempt takes its place on a machine and in its team's quota, or gives it back.
-    pub fn occupy(&mut self, id: &MachineId, team: Option<usize>, need: Resources, now: Micros) {
-        if let Some(m) = self.machines.get_mut(id) {
-            m.used += need;
-        }
-        if let Some(t) = team {
-            self.used[t] += need;
-        }
-        self.reshelve(id, now);
-    }
-
-    /// Machines whose state has changed with time alone, as when they fall silent, find their place.
-    pub fn reshelve_all(&mut self, now: Micros) {
-        let report = self.settings.report;
-        let moved = |m: &&crate::cluster::Machine| {
-            m.shelf.is_some() && m.open.is_some() != (m.usable(now, report) && m.free().cpu >= 0)
-        };
-        let moved: Vec<MachineId> =
-            self.machines.values().filter(moved).map(|m| m.id.clone()).collect();
-        moved.iter().for_each(|id| self.reshelve(id, now));
-    }
-
-    /// What differs between the index and the machines themselves: nothing, ever. For tests.
-    pub fn misplaced(&self) -> Vec<String> {
-        let mut wrong = Vec::new();
-        for m in self.machines.values() {
-            let Some(shelf) = m.shelf.map(|n| &self.rooms.shelves[n]) else { continue };
-            let here = shelf.open.iter().filter(|(_, id)| *id == m.id);
-            let cpus: Vec<i64> = here.map(|(cpu, _)| *cpu).collect();
-            if !shelf.all.contains(&m.id) || cpus != Vec::from_iter(m.open) {
-                wrong.push(format!("{}: {cpus:?} for {:?}", m.id, m.open));
-            }
-            if m.open.is_some_and(|cpu| cpu != m.free().cpu) {
-                wrong.push(format!("{}: {:?} with {:?} free", m.id, m.open, m.free()));
-            }
-        }
-        let known: usize = self.rooms.shelves.iter().map(|s| s.all.len()).sum();
-        let shelved = self.machines.values().filter(|m| m.shelf.is_some()).count();
-        if known != shelved {
-            wrong.push(format!("{known} in the index, {shelved} machines"));
-        }
-        wrong
-    }
-}
--- /dev/null
+++ b/crates/gannethub-core/src/wire/mod.rs
@@ -0,0 +1,7 @@
+//! What goes over each wire: the types of requests, answers and stored values.
+
+pub mod api;
+pub mod cloud;
+pub mod peer;
+pub mod store;
+pub mod worker;
--- /dev/null
+++ b/crates/gannethub-core/tests/layers.rs
@@ -0,0 +1,37 @@
+//! Which folder may import which: each one only those below it.
+
+use std::path::Path;
+
+const LAYERS: [&str; 5] = ["wire", "memory", "decide", "apply", "control"];
+
+/// Folders of the core that a file names in a path.
+fn named(text: &str) -> impl Iterator<Item = &str> {
+    text.split("crate::").skip(1).filter_map(|rest| {
+        let end = rest.find(|c: char| !c.is_ascii_lowercase()).unwrap_or(rest.len());
+        LAYERS.into_iter().find(|l| *l == &rest[..end])
+    })
+}
+
+#[test]
+fn modules_import_downwards_only() {
+    let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let rank = |layer: &str| LAYERS.iter().position(|l| *l == layer).expect("a layer");
+    let (mut read, mut upward) = (0, Vec::new());
+    for layer in LAYERS {
+        for entry in std::fs::read_dir(src.join(layer)).expect("the folder is there") {
+            let path = entry.expect("it can be read").path();
+            let text = std::fs::read_to_string(&path).expect("it is text");
+            read += 1;
+            let above = named(&text).filter(|other| rank(other) > rank(layer));
+            upward.extend(above.map(|other| format!("{} names {other}", path.display())));
+        }
+    }
+    // What lies beside the folders is below them all.
+    for module in ["http", "model", "policy", "saga", "settings"] {
+        let text = std::fs::read_to_string(src.join(format!("{module}.rs"))).expect("a module");
+        read += 1;
+        upward.extend(named(&text).map(|other| format!("{module} names {other}")));
+    }
+    assert!(read > 25, "{read} files");
+    assert_eq!(upward, Vec::<String>::new());
+}
--- a/crates/gannethub-core/tests/stories/growth.rs
+++ b/crates/gannethub-core/tests/stories/growth.rs
@@ -6,7 +6,7 @@
 use crate::floor::{Floor, spec};
 use crate::sim::SECOND;
 use gannethub_core::model::{JobSpec, Priority, Shape};
-use gannethub_core::worker::Order;
+use gannethub_core::wire::worker::Order;
 
 /// A full cluster of `n` small machines and a tenth as many large ones, with a queue to match: arrays and
 /// gangs of several shapes that find no room.
--- a/crates/gannethub-core/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -8,7 +8,7 @@
 mod sim;
 mod upgrade;
 
-use gannethub_core::leadership::PROMISE;
+use gannethub_core::control::leadership::PROMISE;
 use rand::Rng;
 use serde_json::json;
 use sim::{LEASE, SECOND, World, job};
--- a/crates/gannethub-core/tests/stories/ops.rs
+++ b/crates/gannethub-core/tests/stories/ops.rs
@@ -2,8 +2,8 @@
 
 use serde_json::json;
 
-use gannethub_core::cluster::Outcome;
-use gannethub_core::fleet::CloudCall;
+use gannethub_core::apply::reports::Outcome;
+use gannethub_core::memory::fleet::CloudCall;
 use gannethub_core::model::{JobSpec, Shape};
 
 use crate::floor::{Floor, spec};
--- a/crates/gannethub-core/tests/stories/pipelines.rs
+++ b/crates/gannethub-core/tests/stories/pipelines.rs
@@ -1,8 +1,8 @@
 //! Stories of jobs that wait for others.
 
-use gannethub_core::fleet::CloudCall;
+use gannethub_core::memory::fleet::CloudCall;
 use gannethub_core::model::{JobSpec, Priority, Shape};
-use gannethub_core::store::WaitingRecord;
+use gannethub_core::wire::store::WaitingRecord;
 use serde_json::json;
 
 use crate::floor::{Floor, WALL, spec};
--- a/crates/gannethub-core/tests/stories/scale.rs
+++ b/crates/gannethub-core/tests/stories/scale.rs
@@ -3,7 +3,7 @@
 use crate::floor::{Floor, spec};
 use crate::sim::{SECOND, World, job};
 use gannethub_core::model::{JobSpec, Priority, Shape};
-use gannethub_core::worker::Order;
+use gannethub_core::wire::worker::Order;
 use serde_json::json;
 
 #[test]
@@ -20,7 +20,7 @@
     // half a gang's room is not kept at all.
     assert_eq!([f.kept_for("j-1"), f.kept_for("j-2"), f.kept_for("j-3")], [2, 2, 0]);
     for m in f.c.machines.values().filter(|m| m.kept(f.now).is_some()) {
-        let same = |o: &&gannethub_core::cluster::Machine| {
+        let same = |o: &&gannethub_core::memory::records::Machine| {
             o.kept(f.now).map(|k| &k.job) == m.kept(f.now).map(|k| &k.job)
         };
         assert!(f.c.machines.values().filter(same).all(|o| o.zone == m.zone));
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -9,11 +9,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use gannethub_core::controller::{Clock, Command, Controller, Effect};
+use gannethub_core::control::controller::{Clock, Command, Controller, Effect};
 use gannethub_core::http::{Method, Request, Response};
-use gannethub_core::peer::Envelope;
 use gannethub_core::settings::Settings;
-use gannethub_core::store::StoreRequest;
+use gannethub_core::wire::peer::Envelope;
+use gannethub_core::wire::store::StoreRequest;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
--- a/crates/gannethub-core/tests/stories/sim/state.rs
+++ b/crates/gannethub-core/tests/stories/sim/state.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use gannethub_core::http::Method;
-use gannethub_core::store::StoreRequest;
+use gannethub_core::wire::store::StoreRequest;
 use serde_json::{Value, json};
 
 #[derive(Clone)]
--- a/crates/gannethub-core/tests/stories/upgrade.rs
+++ b/crates/gannethub-core/tests/stories/upgrade.rs
@@ -3,10 +3,10 @@
 //! side is kept here as small types of the same fields.
 
 use bytes::BytesMut;
-use gannethub_core::block::ChunkRecord;
+use gannethub_core::memory::block::ChunkRecord;
 use gannethub_core::model::{JobId, JobSpec};
-use gannethub_core::peer::{self, Body};
-use gannethub_core::store::{
+use gannethub_core::wire::peer::{self, Body};
+use gannethub_core::wire::store::{
     self, JobRecord, LeadRecord, LiveRecord, OverRecord, PartRecord, WaitingRecord,
 };
 use serde::Deserialize;
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,9 +15,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::http::{Client, Connection, ReadError, Response};
-use gannethub_core::controller::{Clock, Command, Controller, Effect};
-use gannethub_core::peer::{self, Envelope};
+use gannethub_core::control::controller::{Clock, Command, Controller, Effect};
 use gannethub_core::settings::Settings;
+use gannethub_core::wire::peer::{self, Envelope};
 
 const TICK: Duration = Duration::from_millis(50);
 const BATCH: usize = 64;
