Plans with few needs keep exact books; a job chooses among a bounded number of machines

Change: up to 24 different needs have books of their own; of each kind a job chooses among 512 machines with room and four more for each task, the fullest first.

--- a/crates/gannethub-core/src/decide/plan.rs
+++ b/crates/gannethub-core/src/decide/plan.rs
@@ -26,6 +26,9 @@
 /// Jobs behind the first that are looked at for what else a new machine would be used for.
 const BEHIND: usize = 32;
 
+/// So many different needs have books of their own; of more, similar ones share one.
+const EXACT: usize = 24;
+
 /// The part of the time left that is counted on for work that will be released soon.
 const FORESEEN_SLACK: f64 = 0.2;
 
@@ -385,6 +388,10 @@
                 mem: least.mem.min(need.mem),
             };
         }
+        // Of few shapes each has a book of its own: what is too little for one job is then not read
+        // again by all others of its shape.
+        let needs: HashSet<Resources> = waiting.iter().map(|w| w.spec.need).collect();
+        let exact = needs.len() <= EXACT;
         let mut budget = PLANNED_STEPS + STEPS_EACH * future.lanes.len();
         let mut awaited: HashSet<MachineId> = HashSet::new();
         for i in 0..waiting.len() {
@@ -393,7 +400,7 @@
             }
             let (head, rest) = waiting.split_at_mut(i + 1);
             let w = &mut head[i];
-            let key = shape(&w.spec.need);
+            let key = if exact { w.spec.need } else { shape(&w.spec.need) };
             let allows = |line: &Line| {
                 let flavor = &self.flavors[line.flavor];
                 w.spec.need.fits(&flavor.size) && w.spec.allows(&flavor.name, &line.zone, line.spot)
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -28,6 +28,11 @@
 /// Jobs that a report's room is offered to; what none of them can use is left to the next pass.
 const OFFERED: usize = 100;
 
+/// Of each kind a job chooses among so many machines with room, and so many more for each of its tasks, the
+/// fullest first: an empty cluster, as after a takeover, must not be read whole for every job.
+const CHOICES: usize = 512;
+const CHOICES_EACH: usize = 4;
+
 /// Room held for a stage of a pipeline lapses unless a pass holds it again.
 const HELD: Micros = 2 * SECOND;
 
@@ -520,10 +525,15 @@
                 if !self.allowed(spec, &shelf.kind) || !zone_ok(spec, zones, &shelf.kind.zone) {
                     continue;
                 }
-                for m in shelf.with_cpu(spec.need.cpu).filter_map(|m| self.machines.get(m)) {
+                let open = shelf.with_cpu(spec.need.cpu).filter_map(|m| self.machines.get(m));
+                let seen = found.len() + CHOICES + CHOICES_EACH * left;
+                for m in open {
                     let most = self.takes(m, id, spec, suspect, now);
                     if most > 0 {
                         found.push((!m.images.contains(&spec.image), m, most));
+                        if found.len() >= seen {
+                            break;
+                        }
                     }
                 }
             }
--- a/crates/gannethub-core/tests/stories/growth.rs
+++ b/crates/gannethub-core/tests/stories/growth.rs
@@ -77,6 +77,22 @@
     }
 }
 
+#[test]
+fn an_empty_cluster_is_not_read_whole_for_every_job() {
+    let cost = |n: usize| {
+        let cpus = n as f64 * 4.0;
+        let mut f = Floor::with(&[("red", cpus, cpus)], Some(20.0));
+        f.machines("host", n, "small", "a");
+        (0..n / 20).for_each(|i| f.submit(&format!("j-{i}"), spec(Shape::Array, "red", 40, 1.0)));
+        let looks = looks(&mut f, |f| f.c.schedule(f.now));
+        let placed: usize = f.c.machines.values().map(|m| m.attempts.len()).sum();
+        assert_eq!(placed, n / 20 * 40, "all find room");
+        looks
+    };
+    let (small, large) = (cost(1000), cost(3000));
+    assert!(large / small < 3.6, "{small} looks, {large} at three times the size");
+}
+
 #[test]
 fn a_silent_machine_is_not_offered_room_and_is_again_once_it_is_heard() {
     let mut f = Floor::new();
