A reread: a dead pair of methods, a time that nobody read, a plainer note of what found no room

Cause: Queue::len and is_empty had no caller; of a job's last gathering only whether there had been one was asked, since all gangs gather in the same passes; Pass::note_full took three values to make one of two. Change: the methods are gone, the time is a flag, callers say how many tasks found no room. No behaviour changed.

--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -71,7 +71,7 @@
             unsure: false,
             placed: false,
             within: false,
-            gathered_at: None,
+            gathered: false,
             made_at: None,
             kept_until: 0,
             queued: 0,
--- a/crates/gannethub-core/src/decide/gather.rs
+++ b/crates/gannethub-core/src/decide/gather.rs
@@ -133,10 +133,10 @@
         now: Micros,
     ) {
         let Some(job) = self.jobs.get_mut(id).filter(|j| !j.suspect()) else { return };
-        if !gathering.round && job.gathered_at.is_some() {
+        if !gathering.round && job.gathered {
             return;
         }
-        job.gathered_at = Some(now);
+        job.gathered = true;
         // Work is stopped only where waiting for it to end would be too late.
         let soon = self.gather(id, tasks, gathering, now);
         let Some(job) = self.jobs.get(id) else { return };
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -66,12 +66,9 @@
 }
 
 impl Pass {
-    /// No more than `found` tasks of a job found room, of `wanted`.
-    fn note_full(&mut self, spec: &Arc<JobSpec>, wanted: usize, found: usize) {
-        // An array takes what there is, so only where there was none is there none for the next.
-        if found == 0 || spec.shape == Shape::Gang {
-            self.full.push((spec.clone(), if spec.shape == Shape::Gang { wanted } else { 1 }));
-        }
+    /// So many tasks of a job have found no room.
+    fn note_full(&mut self, spec: &Arc<JobSpec>, tasks: usize) {
+        self.full.push((spec.clone(), tasks));
     }
 
     /// A job that asks for as much and may go to no other machines has found no room already.
@@ -447,8 +444,9 @@
             None => self.fit(id, &spec, &mut zones, wanted, now),
         };
         let found: usize = seats.iter().map(|s| s.1).sum();
-        if only.is_none() && simple && found < wanted {
-            pass.note_full(&spec, wanted, found);
+        // An array takes what there is, so only where there was none is there none for the next.
+        if only.is_none() && simple && found == 0 {
+            pass.note_full(&spec, 1);
         }
         let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
         let tasks: Vec<u32> = job.pending.iter().filter(ready).take(found).collect();
@@ -629,7 +627,7 @@
             return;
         }
         if searched && simple {
-            pass.note_full(&spec, missing.len(), 0);
+            pass.note_full(&spec, missing.len());
         }
         self.gather_or_make(id, missing.len(), &mut pass.gathering, now);
     }
--- a/crates/gannethub-core/src/memory/queue.rs
+++ b/crates/gannethub-core/src/memory/queue.rs
@@ -29,12 +29,4 @@
     pub fn jobs(&self) -> impl Iterator<Item = (&JobId, bool)> {
         self.entries.iter().map(|k| (&k.5, !k.1))
     }
-
-    pub fn len(&self) -> usize {
-        self.entries.len()
-    }
-
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
-    }
 }
--- a/crates/gannethub-core/src/memory/records.rs
+++ b/crates/gannethub-core/src/memory/records.rs
@@ -188,8 +188,8 @@
     pub placed: bool,
     /// It lay within its team's guarantee when the queue was last put in order.
     pub within: bool,
-    /// When room was last gathered or made for it.
-    pub gathered_at: Option<Micros>,
+    /// Room has been gathered for it: from then on it is gathered with all others.
+    pub gathered: bool,
     /// When other work was last stopped to make room for it.
     pub made_at: Option<Micros>,
     /// No room is kept for it after this.
