A new leader decides machine by machine, by marks that are raised before launches

Now a machine that has reported under the new term may be placed on at once; what an earlier leader may have launched and nobody has shown yet stays in doubt, counts against its team's limit and is started nowhere. Each job's value carries a mark: tasks at or above it are on no machine. It is raised, durably and under the guard of the leader's key, before a launch goes out. Who cannot know that marks are complete doubts every task.

In an outage marks cannot be written. Then launches go out without them once all siblings have promised, and none of these siblings goes by the marks of that term afterwards; neither does a process that began within it.

A launch that no sibling has been told of is told in the same step where a ledger is kept: its copy was taken for complete though a launch of the last half second was missing.

--- a/crates/gannethub-core/src/apply/pipelines.rs
+++ b/crates/gannethub-core/src/apply/pipelines.rs
@@ -8,6 +8,9 @@
 use crate::model::{JobId, seconds};
 use crate::wire::store::{self, Commit, JobRecord, OverRecord, WaitingRecord};
 
+/// So many tasks of a released job may be launched without another write.
+const RELEASED_OPEN: u32 = 128;
+
 impl Cluster {
     /// Takes in the record of a waiting job.
     pub fn waiting_record(&mut self, id: &str, record: WaitingRecord, stamp: u64) {
@@ -125,6 +128,8 @@
                 0 => {
                     let mut record = JobRecord::new((*w.spec).clone(), w.at);
                     record.ready = Some(self.wall.max(w.at));
+                    // It is most likely to start at once.
+                    record.open = Some(w.spec.tasks.min(RELEASED_OPEN));
                     commit.put(&live, store::raw(&record), None);
                     batch.push(Item::Release { id: id.clone(), record: Box::new(record) }, live);
                 }
--- a/crates/gannethub-core/src/apply/reports.rs
+++ b/crates/gannethub-core/src/apply/reports.rs
@@ -207,6 +207,8 @@
             } else if !ended && free && task.index < job.spec.tasks {
                 job.live.insert(task.index, (id.clone(), attempt));
                 job.pending.remove(task.index);
+                job.doubted.remove(task.index);
+                job.open_to(task.index + 1);
                 if job.cancelled {
                     entry.stop = Some(0);
                 } else if job.spec.shape == Shape::Gang {
@@ -313,6 +315,7 @@
         for x in range {
             job.done.insert(x);
             job.pending.remove(x);
+            job.doubted.remove(x);
             job.backoff.remove(&x);
             job.dirty_parts.insert(x / PART_TASKS);
             if let Some(g) = &mut job.gang {
@@ -425,7 +428,8 @@
         for ((task, attempt_no), a) in &machine.attempts {
             let (name, attempt) = (|| task.to_string(), *attempt_no);
             // What belongs to no live pipeline has to end.
-            let stop = if self.jobs.contains_key(&task.job) { a.stop } else { Some(0) };
+            let job = self.jobs.get(&task.job);
+            let stop = if job.is_some() { a.stop } else { Some(0) };
             match (a.phase, stop) {
                 (Phase::Ended(why), _) => {
                     // A completion must be in the state service before the worker forgets it.
@@ -445,7 +449,10 @@
                     let grace_s = grace as f64 / SECOND as f64;
                     orders.push(Order::Stop { task: name(), attempt, grace_s });
                 }
-                (Phase::Starting, None) => starts.push(Order::Start { task: name(), attempt }),
+                // Until the mark that covers it is written, its place is only kept for it.
+                (Phase::Starting, None) if job.is_some_and(|j| self.may_launch(j, task.index)) => {
+                    starts.push(Order::Start { task: name(), attempt });
+                }
                 _ => {}
             }
         }
@@ -485,14 +492,14 @@
             }
         }
         if !self.settled {
-            let waits = |m: &Machine| m.recorded && !m.confirmed && now <= m.answered_at + limit;
-            let waiting = self.machines.values().filter(|m| waits(m)).count();
+            let waiting = self.weigh_doubts(now);
             // Every worker has had the time to find this leader. When only a few are silent they
             // have most likely died, and deleting them is sooner known than their leases' ends. Of
             // a zone that is cut off more are silent, and their work goes on: they are waited for.
             let few = (self.machines.len() / FEW_SILENT).max(1);
             if now > self.taken_at + 2 * self.settings.report + 2 * SECOND && waiting <= few {
-                for m in self.machines.values_mut().filter(|m| waits(m) && !m.deleting) {
+                let waits = |m: &&mut Machine| m.doubtful(now, limit) && !m.deleting;
+                for m in self.machines.values_mut().filter(waits) {
                     tracing::info!(machine = %m.id, why = "it holds up a takeover", "returning");
                     m.deleting = true;
                 }
--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -14,7 +14,17 @@
 use crate::model::{JobId, JobSpec, Micros, Ranges, SECOND, seconds};
 use crate::policy::Setting;
 use crate::saga::{Action, Saga};
-use crate::wire::store::{self, Commit, JobRecord, LiveRecord, OverRecord, PART_TASKS, PartRecord};
+use crate::wire::store::{
+    self, Commit, JobRecord, LeadRecord, LiveRecord, OverRecord, PART_TASKS, PartRecord,
+};
+
+/// Why a job's value is to be written, in the order in which that is done.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Mark,
+    Over,
+    Progress,
+}
 
 impl Cluster {
     /// Takes in a live job's record.
@@ -32,6 +42,7 @@
                 job.stamp = stamp;
             }
             job.unsure = false;
+            job.opened = job.opened.max(record.mark());
             store::decode_done(&record.done, 0, &mut job.flushed);
             if record.cancelled && !job.cancelled {
                 self.cancel(id);
@@ -42,6 +53,7 @@
             return;
         }
         self.upstream_released(&id.into());
+        let opened = record.mark();
         let spec = Arc::new(record.spec);
         let mut done = Ranges::default();
         store::decode_done(&record.done, 0, &mut done);
@@ -49,6 +61,13 @@
         done.iter().for_each(|x| {
             pending.remove(x);
         });
+        // What was there before this term may be on machines of which nothing is known yet.
+        let doubtful = match self.doubt.loading {
+            true if self.trusted => opened,
+            true => spec.tasks,
+            false => 0,
+        };
+        let doubted = pending.slice(0, doubtful);
         let submitted = spec.clone();
         let mut job = Job {
             id: id.into(),
@@ -63,6 +82,9 @@
             cancelled: false,
             saga: Saga::flat(1),
             pending,
+            doubted,
+            opened,
+            opening: opened,
             live: HashMap::new(),
             gang: None,
             progress: HashMap::new(),
@@ -112,6 +134,7 @@
                     job.done.insert(x);
                     job.flushed.insert(x);
                     job.pending.remove(x);
+                    job.doubted.remove(x);
                 }
             }
             _ => self.drops.push(key.to_string()),
@@ -170,6 +193,7 @@
     /// Everything has been read; leases of recorded machines are counted from here.
     pub fn loaded(&mut self, now: Micros) {
         self.taken_at = now;
+        self.doubt.loading = false;
         self.block.loaded();
         self.machines.values_mut().for_each(|m| m.answered_at = now);
     }
@@ -186,24 +210,29 @@
         self.write_block(&mut commit, &mut batch, &mut bytes, most, false);
         self.write_ledger(&mut commit, &mut batch, &mut bytes, now);
         self.write_pipelines(&mut commit, &mut batch, &mut bytes);
-        let mut due: Vec<(bool, Micros, JobId)> = Vec::new();
-        for job in self.jobs.values().filter(|j| !j.writing && !j.unsure) {
+        let mut due: Vec<(Due, Micros, JobId)> = Vec::new();
+        for job in self.jobs.values_mut().filter(|j| !j.writing && !j.unsure) {
             let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
             match job.dirty_since {
-                _ if over => due.push((false, 0, job.id.clone())),
+                _ if over => due.push((Due::Over, 0, job.id.clone())),
+                // Launches wait for it.
+                _ if job.opening > job.opened && !self.unmarked => {
+                    job.dirty_parts.insert(0);
+                    due.push((Due::Mark, 0, job.id.clone()));
+                }
                 // Progress can wait: until it is written, the worker keeps the result.
                 Some(t) if now >= t + 2 * SECOND && !job.dirty_parts.is_empty() => {
-                    due.push((true, t, job.id.clone()));
+                    due.push((Due::Progress, t, job.id.clone()));
                 }
                 _ => {}
             }
         }
         due.sort();
-        for (progress, _, id) in due {
+        for (what, _, id) in due {
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let live = format!("{}{id}", store::LIVE);
             let room = ops - commit.changes();
-            if !progress {
+            if what == Due::Over {
                 if room < 2 || bytes > 40_000 {
                     break;
                 }
@@ -233,6 +262,7 @@
                     let mut r = JobRecord::new(spec, job.at);
                     r.ready = (job.ready != job.at).then_some(job.ready);
                     (r.cancelled, r.failing) = (job.cancelled, job.suspect());
+                    r.open = Some(job.opening);
                     r.done.clone_from(&done);
                     let value = store::raw(&r);
                     job.outgrown |= value.get().len() + store::SLACK > limit;
@@ -275,7 +305,14 @@
                 job.dirty_since = None;
             }
             job.writing = true;
-            batch.push(Item::Job { id, parts, whole }, live);
+            batch.push(Item::Job { id, parts, open: whole.then_some(job.opening) }, live);
+        }
+        if self.marked == Some(false) && commit.changes() < ops && self.covered() {
+            let holder = self.settings.name.clone();
+            let record = LeadRecord { holder, term: self.term, marked: true };
+            commit.put(store::TERM, store::raw(&record), None);
+            batch.items.push(Item::Marked);
+            self.marked = None;
         }
         while commit.changes() < ops && bytes < 40_000 {
             let Some(key) = self.drops.pop() else { break };
@@ -357,11 +394,12 @@
         self.refusals = 0;
         for item in batch.items {
             match item {
-                Item::Job { id, parts, whole } => {
+                Item::Job { id, parts, open } => {
                     let Some(job) = self.jobs.get_mut(&id) else { continue };
                     job.writing = false;
-                    if whole {
+                    if let Some(open) = open {
                         job.stamp = job.stamp.max(stamp);
+                        job.opened = job.opened.max(open);
                     }
                     for x in parts.values().flat_map(Ranges::iter) {
                         job.flushed.insert(x);
@@ -390,6 +428,10 @@
                     let tickets = book.map_or_else(Vec::new, |b| b.written(stamp));
                     self.ledger_written(tickets);
                 }
+                Item::Marked => {
+                    tracing::info!(term = self.term, "a successor can go by the jobs' marks");
+                    self.marked = Some(true);
+                }
                 Item::Drop => {}
             }
         }
@@ -420,6 +462,8 @@
                         ledger.book.not_written(unsure);
                     }
                 }
+                // That it may say so, though it was not told, is true all the same.
+                Item::Marked => self.marked = Some(false),
                 Item::Chunk { index, .. } if !unsure => self.block.unwritten(*index),
                 // A dropped key that stays is found and dropped again at the next takeover.
                 Item::Chunk { .. } | Item::Drop => {}
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -91,7 +91,7 @@
         sent: Micros,
     },
     Takeover {
-        term: u64,
+        record: LeadRecord,
         grant: u64,
         sent: Micros,
     },
@@ -370,6 +370,9 @@
             self.next_tick = clock.now + 50_000;
             self.tick();
         }
+        if self.lead.as_ref().is_some_and(|l| l.cluster.urgent_tabs()) {
+            self.tell_tabs();
+        }
         self.flush_accepts();
         while let Some((id, request)) = self.budget.pop(clock.now) {
             self.effects.push(Effect::Store { id, request });
@@ -542,6 +545,10 @@
         for i in 0..self.siblings.len() {
             self.say(i, Body::Heartbeat(beat.clone()));
         }
+        self.tell_tabs();
+    }
+
+    fn tell_tabs(&mut self) {
         let now = self.clock.now;
         let tabs = self.lead.as_mut().map(|l| l.cluster.tabs_to_tell(now));
         for (i, tabs) in tabs.into_iter().flatten() {
@@ -1387,6 +1394,10 @@
             Some(Body::Promise(promise)) => {
                 if let Some(lead) = self.lead.as_mut().filter(|l| l.term == promise.term) {
                     lead.authority.promised(promise.round, i);
+                    if lead.authority.bridged() {
+                        lead.cluster.unmarked = true;
+                        self.candidacy.bridged(promise.term);
+                    }
                 }
             }
             Some(Body::Changed(changed)) if valid_job_id(&changed.job) => {
@@ -1427,7 +1438,9 @@
         match purpose {
             Purpose::Probe => self.probed(answer),
             Purpose::Grant { sent } => self.granted(sent, answer),
-            Purpose::Takeover { term, grant, sent } => self.taken_over(term, grant, sent, answer),
+            Purpose::Takeover { record, grant, sent } => {
+                self.taken_over(record, grant, sent, answer);
+            }
             Purpose::DropGrant => {
                 if matches!(status, Some(200 | 204 | 404)) {
                     self.candidacy.grant_dropped();
@@ -1510,17 +1523,26 @@
             return self.send(Urgency::Renewal, request, Purpose::DropGrant);
         }
         let (holder, term, last) = self.candidacy.versions();
-        let record = LeadRecord { holder: self.settings.name.clone(), term: last + 1 };
+        // What this leader knows of marks, its own successor will: if it does not go by them, nobody is to until
+        // it has covered all that it finds.
+        let marked = self.candidacy.trusts();
+        let record = LeadRecord { holder: self.settings.name.clone(), term: last + 1, marked };
         let mut commit = Commit::default();
         commit.guard(HOLDER, holder);
         commit.guard(TERM, term);
         commit.put(HOLDER, store::raw(&record), Some(granted.permit));
         commit.put(TERM, store::raw(&record), None);
-        let purpose = Purpose::Takeover { term: record.term, grant: granted.permit, sent };
+        let purpose = Purpose::Takeover { record, grant: granted.permit, sent };
         self.send(Urgency::Renewal, commit.request(), purpose);
     }
 
-    fn taken_over(&mut self, term: u64, grant: u64, sent: Micros, answer: Option<(u16, Bytes)>) {
+    fn taken_over(
+        &mut self,
+        record: LeadRecord,
+        grant: u64,
+        sent: Micros,
+        answer: Option<(u16, Bytes)>,
+    ) {
         let now = self.clock.now;
         self.candidacy.trying = false;
         let stamp = match &answer {
@@ -1540,10 +1562,12 @@
                 Purpose::DropGrant,
             );
         };
-        tracing::info!(term, "leading");
-        self.candidacy.took(term, stamp.ledger_no, &self.settings.name);
-        let cluster =
-            Cluster::new(term, self.settings.clone(), self.flavors.clone(), now, self.clock.wall);
+        let (term, trusted) = (record.term, record.marked);
+        tracing::info!(term, trusted, "leading");
+        self.candidacy.took(record, stamp.ledger_no);
+        let (settings, flavors) = (self.settings.clone(), self.flavors.clone());
+        let mut cluster = Cluster::new(term, settings, flavors, now, self.clock.wall);
+        cluster.trust(trusted);
         self.lead = Some(Box::new(Lead {
             term,
             grant,
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -36,6 +36,7 @@
     asked_at: Micros,
     needed: usize,
     promised: HashSet<usize>,
+    bridged: bool,
 }
 
 impl Authority {
@@ -49,6 +50,7 @@
             asked_at: 0,
             needed: 0,
             promised: HashSet::new(),
+            bridged: false,
         }
     }
 
@@ -82,8 +84,15 @@
         self.promised.insert(sibling);
         if self.needed > 0 && self.promised.len() >= self.needed {
             self.promise_until = self.promise_until.max(safe_end(self.asked_at, PROMISE));
+            self.bridged = true;
         }
     }
+
+    /// All siblings have promised in one round at some time in this term: none of them goes by its marks any
+    /// more ([`Candidacy::trusts`]), so launches need none, as in the outage there is no writing them.
+    pub fn bridged(&self) -> bool {
+        self.bridged
+    }
 }
 
 /// A controller's own chances of leading.
@@ -95,6 +104,10 @@
     abstain_until: Micros,
     /// A takeover that had no answer may still be carried out.
     unsure: bool,
+    /// The last term when this process began: what it promised of later ones it knows.
+    first: Option<u64>,
+    /// The highest term that it has promised anything to, or bridged an outage in.
+    promised: u64,
     pub trying: bool,
     /// What the last look at the state service showed.
     seen: bool,
@@ -110,6 +123,8 @@
             promise_until: 0,
             abstain_until: 0,
             unsure: false,
+            first: None,
+            promised: 0,
             trying: false,
             seen: false,
             holder: None,
@@ -120,10 +135,30 @@
     /// Takes in what the state service says of the leader and of the last term.
     pub fn saw(&mut self, holder: Option<(LeadRecord, u64)>, term: Option<(LeadRecord, u64)>) {
         self.seen = true;
+        self.first.get_or_insert(term.as_ref().map_or(0, |t| t.0.term));
         self.holder = holder;
         self.term = term;
     }
 
+    /// Whether a successor to the last term may go by the jobs' marks. Its leader may have launched without
+    /// them once *all* its siblings had promised it a time, so whoever remembers none is enough to know that it
+    /// did not; but a process that began within that term may have forgotten one.
+    pub fn trusts(&self) -> bool {
+        match &self.term {
+            // Nobody ever led, so nothing was launched.
+            None => true,
+            Some((last, _)) => {
+                let remembers = self.first.is_some_and(|first| first < last.term);
+                last.marked && remembers && self.promised < last.term
+            }
+        }
+    }
+
+    /// This controller led in that term, and launched without marks.
+    pub fn bridged(&mut self, term: u64) {
+        self.promised = self.promised.max(term);
+    }
+
     pub fn may_try(&self, now: Micros) -> bool {
         !self.trying && !self.unsure && self.still_may(now)
     }
@@ -154,6 +189,7 @@
             return false;
         }
         self.promise_until = self.promise_until.max(now + micros + micros / 1000);
+        self.promised = self.promised.max(term);
         true
     }
 
@@ -171,8 +207,7 @@
     }
 
     /// The takeover succeeded.
-    pub fn took(&mut self, term: u64, stamp: u64, name: &str) {
-        let record = LeadRecord { holder: name.into(), term };
+    pub fn took(&mut self, record: LeadRecord, stamp: u64) {
         self.holder = Some((record.clone(), stamp));
         self.term = Some((record, stamp));
         // What is known now is out of date once leadership has been lost.
@@ -187,7 +222,7 @@
     const TTL: Micros = 3 * SECOND;
 
     fn rec(name: &str, term: u64) -> Option<(LeadRecord, u64)> {
-        Some((LeadRecord { holder: name.into(), term }, term + 10))
+        Some((LeadRecord { holder: name.into(), term, marked: true }, term + 10))
     }
 
     #[test]
--- a/crates/gannethub-core/src/decide/gather.rs
+++ b/crates/gannethub-core/src/decide/gather.rs
@@ -304,7 +304,7 @@
     /// for a job within its team's guarantee by stopping work that other teams run above theirs.
     /// What loses least is stopped first, and the room is kept for the job.
     pub fn make_room(&mut self, id: &JobId, tasks: usize, gathering: &mut Gathering, now: Micros) {
-        let Some(job) = self.jobs.get(id) else { return };
+        let Some(job) = self.jobs.get(id).filter(|_| self.settled) else { return };
         let spec = job.spec.clone();
         let urgent = spec.priority >= Priority::High;
         let gang = spec.shape == Shape::Gang;
--- a/crates/gannethub-core/src/decide/mod.rs
+++ b/crates/gannethub-core/src/decide/mod.rs
@@ -7,3 +7,4 @@
 pub mod pulls;
 pub mod renting;
 pub mod scheduler;
+pub mod takeover;
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -208,7 +208,7 @@
     /// How many more of the job's tasks its team's limit allows.
     pub fn headroom(&self, job: &Job) -> i64 {
         let Some(t) = job.team else { return 0 };
-        let mut free = self.settings.teams[t].limit - self.used[t];
+        let mut free = self.settings.teams[t].limit - self.used[t] - self.doubt.held[t];
         free.mem = UNLIMITED;
         let need = Resources { mem: 0, ..job.spec.need };
         need.times_in(&free)
@@ -241,11 +241,9 @@
         self.tiers = tiers.collect();
     }
 
-    /// Places what can be placed now, and makes room for what must not wait.
+    /// Places what can be placed now, and makes room for what must not wait. At a takeover it places on what
+    /// has been heard, and stops nothing: there may be room enough.
     pub fn schedule(&mut self, now: Micros) {
-        if !self.settled {
-            return;
-        }
         let before = self.looks.get();
         self.pull(now);
         self.order_queue(now);
@@ -283,7 +281,8 @@
                 }
             }
             let Some(job) = self.jobs.get(&id) else { continue };
-            if !job.placed && (job.pending.is_empty() || self.headroom(job) <= 0) {
+            let limited = self.settled && self.headroom(job) <= 0;
+            if !job.placed && (job.pending.is_empty() || limited) {
                 let waited_s = seconds(self.wall.saturating_sub(job.ready)) as u32;
                 let (class, team, tasks) = (&job.spec.class, &job.spec.team, job.spec.tasks);
                 // The time it could still have waited, for its own sake and for what waits for it.
@@ -295,6 +294,7 @@
                 }
             }
         }
+        self.open_ahead(now);
         let steps = self.looks.get() - before;
         self.next_pass = now + self.cost_of(steps);
         self.spent.passes += 1;
@@ -313,9 +313,6 @@
     /// else in the order of the last one. A gang that may want it needs room elsewhere too, and is
     /// left to the next pass.
     pub fn fill(&mut self, id: &MachineId, now: Micros) {
-        if !self.settled {
-            return;
-        }
         let paced = self.last_pass + PASS_EVERY * self.machines.len() as Micros;
         if now >= paced.max(self.next_pass) {
             return self.schedule(now);
@@ -327,7 +324,7 @@
         let candidates = || {
             let offered = self.order.iter().take(OFFERED).filter_map(|j| self.jobs.get(j));
             offered.filter(|job| {
-                !job.pending.is_empty()
+                job.placeable() > 0
                     && !job.cancelled
                     && job.spec.need.fits(&free)
                     && self.suits(machine, &job.spec)
@@ -361,7 +358,7 @@
         for i in 0..self.order.len().min(OFFERED) {
             let Some(j) = self.jobs.get(&self.order[i]) else { continue };
             let Some(m) = self.machines.get(id) else { return };
-            if !j.pending.is_empty()
+            if j.placeable() > 0
                 && !j.cancelled
                 && j.spec.shape != Shape::Gang
                 && !j.spec.zoned()
@@ -431,8 +428,11 @@
         let limit = self.headroom(job).min(job.trials(now).saturating_sub(job.live.len() as i64));
         // A huge array must cost no more than the room there is for it.
         let waiting = job.backoff.values().filter(|b| b.0 > now).count();
-        let wanted =
-            (job.pending.len() as usize).saturating_sub(waiting).min(limit.max(0) as usize);
+        if spec.zoned() && !job.doubted.is_empty() {
+            // Where those are decides where the others may go.
+            return 0;
+        }
+        let wanted = job.placeable().saturating_sub(waiting).min(limit.max(0) as usize);
         let simple = !spec.zoned() && job.blame.machines.is_empty();
         if wanted == 0 || (simple && !self.keeps(id) && pass.is_full(&spec, 1)) {
             return wanted;
@@ -451,7 +451,8 @@
         if only.is_none() && simple && found == 0 {
             pass.note_full(&spec, 1);
         }
-        let ready = |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now);
+        let ready =
+            |x: &u32| job.backoff.get(x).is_none_or(|b| b.0 <= now) && !job.doubted.contains(*x);
         let tasks: Vec<u32> = job.pending.iter().filter(ready).take(found).collect();
         let places = seats.iter().flat_map(|(m, n)| std::iter::repeat_n(m, *n));
         for (index, machine) in tasks.into_iter().zip(places) {
@@ -604,6 +605,8 @@
             || job.gang.as_ref().is_some_and(|g| g.stopping || g.running)
             || job.backoff.values().any(|b| b.0 > now)
             || job.trials(now) == 0
+            // Its attempt may go on, on machines that have not been heard yet.
+            || !job.doubted.is_empty()
         {
             return;
         }
--- /dev/null
+++ b/crates/gannethub-core/src/decide/takeover.rs
@@ -0,0 +1,111 @@
+//! What a new leader may decide before it knows all machines, and the marks that let it.
+//!
+//! A machine that has reported with this term's token has told all that it holds, so it may be placed on at
+//! once. Every other machine on the block's record counts as holding the most that it can: a task that an
+//! earlier leader may have launched on it stays where it is in doubt, and its team's limit is taken up by it.
+//! Which tasks these are, the jobs' marks say ([`JobRecord::open`](crate::wire::store::JobRecord::open)): a task
+//! at or above its job's mark is on no machine, since the mark is raised, durably and under the guard of the
+//! leader's key, before a launch goes out. Marks are raised ahead of what is about to be launched, so that
+//! launches seldom wait for them, and together with completions, so that they seldom cost a change.
+
+use std::collections::BTreeMap;
+
+use crate::memory::cluster::Cluster;
+use crate::memory::room::Kind;
+use crate::model::{JobSpec, Micros, Resources, Shape};
+
+/// Marks are at least so many tasks ahead of what is launched, and one for so many machines, which may all
+/// have room in the same moment; and more where more is launched ([`Pace`](crate::memory::doubt::Pace)).
+const AHEAD_LEAST: usize = 32;
+const AHEAD_MACHINES: usize = 4;
+
+impl Cluster {
+    /// What is in doubt may only be on a machine that its job allows and that has room for it.
+    fn holds_at_most(&self, spec: &JobSpec) -> i64 {
+        let fits = |kind: &Option<Kind>| match kind {
+            Some(kind) if !self.allowed(spec, kind) => 0,
+            Some(kind) => spec.need.times_in(&self.flavors[kind.flavor].size),
+            None => i64::MAX,
+        };
+        let each = self.doubt.silent.iter().map(|(kind, n)| fits(kind).saturating_mul(*n));
+        each.fold(0, i64::saturating_add)
+    }
+
+    /// Goes over what is in doubt, as machines have been heard or are known to hold nothing. Returns how many
+    /// may still hold something.
+    pub fn weigh_doubts(&mut self, now: Micros) -> usize {
+        let limit = self.lease_limit();
+        let mut silent: BTreeMap<Option<Kind>, i64> = BTreeMap::new();
+        let mut most = Resources::default();
+        for m in self.machines.values().filter(|m| m.doubtful(now, limit)) {
+            let kind = m.shelf.map(|n| self.rooms.shelves[n].kind.clone());
+            *silent.entry(kind).or_default() += 1;
+            most += m.size;
+        }
+        let unknown = silent.contains_key(&None);
+        let machines = silent.values().sum::<i64>() as usize;
+        self.doubt.silent = silent.into_iter().collect();
+        let mut held = vec![Resources::default(); self.used.len()];
+        let mut clear = Vec::new();
+        for job in self.jobs.values().filter(|j| !j.doubted.is_empty()) {
+            self.looks.set(self.looks.get() + 1);
+            // As it was submitted: what policy forbids now, another leader may have allowed.
+            let most = self.holds_at_most(&job.submitted);
+            if most == 0 {
+                clear.push(job.id.clone());
+            }
+            if let Some(t) = job.team {
+                held[t] += job.submitted.need.times(most.min(i64::from(job.doubted.len())));
+            }
+        }
+        for id in clear {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.doubted = Default::default();
+                self.stirred = true;
+            }
+        }
+        if !unknown {
+            for h in &mut held {
+                h.cpu = h.cpu.min(most.cpu);
+                h.gpu = h.gpu.min(most.gpu);
+            }
+        }
+        self.doubt.held = held;
+        machines
+    }
+
+    /// Raises marks ahead of what is to be launched next, in the order of the last pass.
+    pub fn open_ahead(&mut self, now: Micros) {
+        self.launching.measure(now);
+        let large = self.machines.len() / AHEAD_MACHINES;
+        let mut left = AHEAD_LEAST.max(large).max(self.launching.ahead as usize);
+        for i in 0..self.order.len() {
+            let id = self.order[i].clone();
+            let Some(job) = self.jobs.get(&id) else { continue };
+            self.looks.set(self.looks.get() + 1);
+            let waiting = job.placeable();
+            if waiting == 0 || job.cancelled || self.headroom(job) <= 0 {
+                continue;
+            }
+            let wanted = if job.spec.shape == Shape::Gang { waiting } else { waiting.min(left) };
+            let covered = job.pending.slice(0, job.opening).len() as usize;
+            // A mark that has half of what it should have is raised by all of it.
+            if covered < wanted && covered <= wanted / 2 {
+                let last = job.pending.iter().nth(wanted - 1);
+                if let (Some(last), Some(job)) = (last, self.jobs.get_mut(&id)) {
+                    job.open_to(last + 1);
+                }
+            }
+            left = left.saturating_sub(wanted);
+            if left == 0 {
+                break;
+            }
+        }
+    }
+
+    /// Whether all that may be on a machine is below its mark, as the state service holds it: then a successor
+    /// can go by them.
+    pub fn covered(&self) -> bool {
+        self.settled && !self.unmarked && self.jobs.values().all(|j| j.opening <= j.opened)
+    }
+}
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use super::block::Block;
+use super::doubt::{Doubt, Pace};
 use super::fleet::Fleet;
 use super::ledger::Ledger;
 use super::pipeline::Pipelines;
@@ -54,8 +55,18 @@
     pub size: Resources,
     pub block: Block,
     pub fleet: Fleet,
-    /// Every machine of the block has reported to this term, or its lease has run out.
+    /// Every machine of the block has reported to this term, or its lease has run out: nothing is in doubt.
     pub settled: bool,
+    /// What may be on machines for which neither is so yet.
+    pub doubt: Doubt,
+    /// The jobs' marks of earlier terms say what was launched then.
+    pub trusted: bool,
+    /// The state service holds that whatever is launched is covered by marks; being written: `None`.
+    pub marked: Option<bool>,
+    /// Launches go out without marks: all siblings know that.
+    pub unmarked: bool,
+    /// How fast tasks are launched, which tells how far marks have to be ahead.
+    pub launching: Pace,
     pub(crate) taken_at: Micros,
     pub(crate) attempts: u64,
     pub(crate) drops: Vec<String>,
@@ -110,6 +121,7 @@
     ) -> Cluster {
         let chunk = settings.policy.number(Setting::BlockChunk, &[]) as usize;
         let block = Block::new(0, term, &settings.name, settings.value_bytes, chunk);
+        let doubt = Doubt::new(settings.teams.len());
         Cluster {
             term,
             used: vec![Resources::default(); settings.teams.len()],
@@ -123,6 +135,11 @@
             rooms: Rooms::default(),
             block,
             settled: false,
+            doubt,
+            trusted: false,
+            marked: Some(false),
+            unmarked: false,
+            launching: Pace::default(),
             taken_at: now,
             attempts: 0,
             drops: Vec::new(),
@@ -150,6 +167,12 @@
         }
     }
 
+    /// Goes by the marks of earlier terms, or does not.
+    pub fn trust(&mut self, trusted: bool) {
+        self.trusted = trusted;
+        self.marked = Some(trusted);
+    }
+
     /// The newest version of a live record that is known here.
     pub fn stamp_of(&self, id: &str) -> Option<u64> {
         self.jobs.get(id).map(|j| j.stamp).or_else(|| self.waiting_stamp(id))
@@ -320,6 +343,8 @@
         };
         j.pending.remove(index);
         j.live.insert(index, (machine.clone(), attempt));
+        j.open_to(index + 1);
+        self.launching.placed();
         let need = j.spec.need;
         if j.priority() >= Priority::High {
             m.urgent_at = Some(now);
@@ -346,6 +371,11 @@
         self.occupy(machine, team, need, now);
     }
 
+    /// Whether the launch of a task may go out: its mark covers it, or no successor relies on marks.
+    pub fn may_launch(&self, job: &Job, index: u32) -> bool {
+        index < job.opened || self.unmarked
+    }
+
     /// A number that no other start of the same task has, in this term or another.
     pub fn next_attempt(&mut self) -> u64 {
         if let Some(number) = self.number_now() {
--- /dev/null
+++ b/crates/gannethub-core/src/memory/doubt.rs
@@ -0,0 +1,61 @@
+//! What a leader does not know yet of the machines that it took over.
+
+use super::records::Machine;
+use super::room::Kind;
+use crate::model::{Micros, Resources, SECOND};
+
+/// Machines that may hold tasks of an earlier term and have not been heard in this one, by kind. A kind that
+/// is not known may hold anything.
+#[derive(Debug, Default)]
+pub struct Doubt {
+    /// How many machines of each kind may still hold something.
+    pub silent: Vec<(Option<Kind>, i64)>,
+    /// The most that each team's tasks may hold on them: it counts against the team's limit.
+    pub held: Vec<Resources>,
+    /// Records are being read: what they show was there before this term.
+    pub loading: bool,
+}
+
+impl Doubt {
+    pub fn new(teams: usize) -> Doubt {
+        Doubt { silent: Vec::new(), held: vec![Resources::default(); teams], loading: true }
+    }
+}
+
+impl Machine {
+    /// It may hold tasks of an earlier term that nobody has told this leader of: it is on its block's record, has
+    /// not reported with this term's token, and its lease may not be over. `limit`: how long that takes.
+    pub fn doubtful(&self, now: Micros, limit: Micros) -> bool {
+        self.recorded && !self.confirmed && now <= self.answered_at + limit
+    }
+}
+
+/// Marks are ahead of launches by what has been launched in this time ...
+const AHEAD: Micros = 3 * SECOND;
+/// ... which is measured so often.
+const PACE_EVERY: Micros = SECOND;
+
+/// How many tasks have been placed, and how many of them a second.
+#[derive(Debug, Default)]
+pub struct Pace {
+    since: Micros,
+    placed: u32,
+    /// Tasks placed in three seconds, as of late.
+    pub ahead: u32,
+}
+
+impl Pace {
+    pub fn placed(&mut self) {
+        self.placed += 1;
+    }
+
+    pub fn measure(&mut self, now: Micros) {
+        let passed = now.saturating_sub(self.since);
+        if passed >= PACE_EVERY {
+            let ahead = u64::from(self.placed) * AHEAD / passed;
+            // It falls slowly: launches come in bursts.
+            self.ahead = (ahead as u32).max(self.ahead / 2);
+            (self.placed, self.since) = (0, now);
+        }
+    }
+}
--- a/crates/gannethub-core/src/memory/ledger.rs
+++ b/crates/gannethub-core/src/memory/ledger.rs
@@ -116,6 +116,8 @@
     inherited: HashMap<Key, u64>,
     /// What siblings are to be told of.
     changed: BTreeSet<(MachineId, (TaskId, u64))>,
+    /// Launches among that are going out now.
+    urgent: bool,
     ended: Vec<u64>,
     closed: Vec<TabKey>,
     told: Vec<Sent>,
@@ -207,6 +209,7 @@
             ghosts: BTreeMap::new(),
             inherited: HashMap::new(),
             changed: BTreeSet::new(),
+            urgent: false,
             ended: Vec::new(),
             closed: Vec::new(),
             told: vec![Sent { seq: 0, all: true }; self.settings.siblings.len()],
@@ -379,6 +382,7 @@
         let news = self.new_tabs(now);
         let Some(ledger) = &mut self.ledger else { return Vec::new() };
         ledger.changed.clear();
+        ledger.urgent = false;
         ledger.ended.clear();
         let closed = std::mem::take(&mut ledger.closed);
         let mut messages = Vec::new();
@@ -403,6 +407,12 @@
         messages
     }
 
+    /// Launches go out that no sibling has been told of: one that is lost with its machine just after this leader
+    /// would else be known to nobody, and a successor would take its copy for complete.
+    pub fn urgent_tabs(&self) -> bool {
+        self.ledger.as_ref().is_some_and(|l| l.urgent)
+    }
+
     /// A sibling has missed something.
     pub fn tell_all(&mut self, sibling: usize) {
         if let Some(told) = self.ledger.as_mut().and_then(|l| l.told.get_mut(sibling)) {
@@ -554,9 +564,22 @@
 
     /// Launches that wait on a machine go out with the answer to its report.
     pub(crate) fn launches_sent(&mut self, id: &MachineId, now: Micros) {
+        let Some(m) = self.machines.get(id) else { return };
+        let goes = |(t, _): &&(TaskId, u64)| {
+            self.jobs.get(&t.job).is_some_and(|j| self.may_launch(j, t.index))
+        };
+        let starting = m.attempts.iter().filter(|(_, a)| a.phase == Phase::Starting);
+        let sent: Vec<_> = starting.map(|(key, _)| key).filter(goes).cloned().collect();
+        if let Some(ledger) = &mut self.ledger {
+            let untold = |key: &(TaskId, u64)| ledger.changed.contains(&(id.clone(), key.clone()));
+            ledger.urgent |= sent.iter().any(untold);
+        }
         let Some(m) = self.machines.get_mut(id) else { return };
-        let starting = m.attempts.values_mut().filter(|a| a.phase == Phase::Starting);
-        starting.filter_map(|a| a.tab.as_mut()).for_each(|tab| tab.meter.sent(now));
+        for key in sent {
+            if let Some(tab) = m.attempts.get_mut(&key).and_then(|a| a.tab.as_mut()) {
+                tab.meter.sent(now);
+            }
+        }
     }
 
     /// An attempt's place has come free: it is charged, unless it was.
--- a/crates/gannethub-core/src/memory/mod.rs
+++ b/crates/gannethub-core/src/memory/mod.rs
@@ -3,6 +3,7 @@
 pub mod block;
 pub mod boots;
 pub mod cluster;
+pub mod doubt;
 pub mod fleet;
 pub mod ledger;
 pub mod mirror;
--- a/crates/gannethub-core/src/memory/records.rs
+++ b/crates/gannethub-core/src/memory/records.rs
@@ -177,6 +177,12 @@
     /// The job's own saga. [`Pipelines`] holds the one that it shares with what waits for it.
     pub saga: Saga<u32>,
     pub pending: Ranges,
+    /// Those of `pending` that an earlier leader may have put on a machine which has not been heard yet.
+    pub doubted: Ranges,
+    /// Its mark as the state service holds it: tasks below it may be launched ...
+    pub opened: u32,
+    /// ... and what it is to be raised to.
+    pub opening: u32,
     pub live: HashMap<u32, (MachineId, u64)>,
     pub gang: Option<Gang>,
     /// How long tasks ran before they were stopped and saved, as far as this leader has seen.
@@ -210,6 +216,17 @@
         self.spec.shape != Shape::Service && self.done.len() == self.spec.tasks
     }
 
+    /// How many of its tasks wait for a machine and are known to be on none.
+    pub fn placeable(&self) -> usize {
+        self.pending.len().saturating_sub(self.doubted.len()) as usize
+    }
+
+    /// Its mark is to cover all tasks below `to`.
+    pub fn open_to(&mut self, to: u32) {
+        let to = if self.spec.shape == Shape::Gang { self.spec.tasks } else { to };
+        self.opening = self.opening.max(to.min(self.spec.tasks));
+    }
+
     /// Its record is to be written again.
     pub fn note(&mut self, now: Micros) {
         self.dirty_parts.insert(0);
--- a/crates/gannethub-core/src/memory/writes.rs
+++ b/crates/gannethub-core/src/memory/writes.rs
@@ -11,7 +11,8 @@
     Job {
         id: JobId,
         parts: BTreeMap<u32, Ranges>,
-        whole: bool,
+        /// The mark in its own value, if that is written.
+        open: Option<u32>,
     },
     /// `late_s`: by how much it missed its deadline.
     Over {
@@ -34,6 +35,8 @@
     },
     /// A page of the ledger.
     Ledger,
+    /// That marks cover all launches.
+    Marked,
     Drop,
 }
 
--- a/crates/gannethub-core/src/wire/store.rs
+++ b/crates/gannethub-core/src/wire/store.rs
@@ -40,6 +40,10 @@
 pub struct LeadRecord {
     pub holder: String,
     pub term: u64,
+    /// Whatever may be on a machine of any term so far is below its job's mark ([`JobRecord::open`]). The
+    /// version before marks does not write it, and launches without them.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub marked: bool,
 }
 
 /// The value of a live job that waits for no other, or no longer.
@@ -58,13 +62,22 @@
     /// It fails wherever it runs.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub failing: bool,
+    /// Its mark: only tasks with lower numbers may be on a machine. It is raised before they are launched.
+    /// `None`: any may be.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub open: Option<u32>,
 }
 
 impl JobRecord {
-    /// Of a job that is accepted at `at`.
+    /// Of a job that is accepted at `at`, none of whose tasks has been launched.
     pub fn new(spec: JobSpec, at: u64) -> JobRecord {
-        let (done, ready) = (String::new(), None);
-        JobRecord { spec, at, ready, done, cancelled: false, failing: false }
+        let (done, ready, open) = (String::new(), None, Some(0));
+        JobRecord { spec, at, ready, done, cancelled: false, failing: false, open }
+    }
+
+    /// The mark: tasks with this number or a higher one are on no machine.
+    pub fn mark(&self) -> u32 {
+        self.open.unwrap_or(self.spec.tasks).min(self.spec.tasks)
     }
 }
 
--- a/crates/gannethub-core/tests/stories/growth.rs
+++ b/crates/gannethub-core/tests/stories/growth.rs
@@ -52,6 +52,7 @@
         f.pass(1);
         let idle = looks(&mut f, |f| f.c.schedule(f.now));
         let plan = looks(&mut f, |f| drop(f.c.wanted(f.now)));
+        f.write();
         let mut starts = 0;
         let reports = looks(&mut f, |f| {
             for name in names.iter().take(n / 20) {
--- a/crates/gannethub-core/tests/stories/scale.rs
+++ b/crates/gannethub-core/tests/stories/scale.rs
@@ -143,6 +143,7 @@
     }
     f.c.schedule(f.now);
     f.run_all();
+    f.write();
     let running: Vec<Vec<(String, u64)>> = names
         .iter()
         .map(|n| {
