Restarted controllers are told that marks hold; gangs' room at a takeover; ends by their likeliest time

A process that began within a term knows nothing of what it may have promised before; whoever remembers tells it, in answer to its own question, once no earlier promise of its can count any more. Rolling restarts now keep marks.

At a takeover gangs keep room on what has been heard, and machines are rented again once every worker had the time to report, instead of when the last lease was over.

The ledger charged a lost attempt up to the report that showed its worker's next session; it ends when its machine was last heard, give or take. Ends are taken for the middle of the time in which they may lie, and two stints of a gang's task under one number are two entries in the workers' record as well. Stories for all of it.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -23,7 +23,8 @@
 use crate::wire::api::{self, JobView, Refusal, Route, Status, Submission};
 use crate::wire::cloud::CloudRequest;
 use crate::wire::peer::{
-    Body, Changed, Envelope, Heartbeat, Promise, PromiseAsk, Relay, Relayed, Running, TabsAsk,
+    Body, Changed, Envelope, Heartbeat, Marks, Promise, PromiseAsk, Relay, Relayed, Running,
+    TabsAsk,
 };
 use crate::wire::store::{
     self, Budget, Commit, Committed, Conflict, Followed, Granted, HOLDER, Item, JobRecord, LEAD,
@@ -270,6 +271,8 @@
     flavors: Arc<Vec<Flavor>>,
     flavors_at: Micros,
     candidacy: Candidacy,
+    /// Tells this process from an earlier one of the same name.
+    life: u64,
     lead: Option<Box<Lead>>,
     siblings: Vec<SiblingView>,
     running: HashMap<String, (u32, u32)>,
@@ -311,6 +314,7 @@
         let n = settings.siblings.len();
         let mut controller = Controller {
             candidacy: Candidacy::new(&settings.name, clock.now),
+            life: clock.wall,
             budget: Budget::new(1.0, 1.0),
             rates: settings.state_rates,
             restraint: 1.0,
@@ -512,6 +516,10 @@
         if self.lead.is_some() {
             self.lead_tick();
         } else {
+            if let Some(term) = self.candidacy.asks_marks(now) {
+                let ask = Marks { term, life: self.life };
+                (0..self.siblings.len()).for_each(|i| self.say(i, Body::MarksAsk(ask.clone())));
+            }
             if !self.probing && now >= self.probe_at {
                 self.probing = true;
                 self.probe_at = now + PROBE_EVERY;
@@ -1393,7 +1401,7 @@
             }
             Some(Body::Promise(promise)) => {
                 if let Some(lead) = self.lead.as_mut().filter(|l| l.term == promise.term) {
-                    lead.authority.promised(promise.round, i);
+                    lead.authority.promised(promise.round, i, now);
                     if lead.authority.bridged() {
                         lead.cluster.unmarked = true;
                         self.candidacy.bridged(promise.term);
@@ -1418,7 +1426,20 @@
                     lead.cluster.tell_all(i);
                 }
             }
-            Some(Body::Changed(_) | Body::OpenTabs(_)) | None => {}
+            Some(Body::MarksAsk(ask)) => {
+                let leads = self.lead.as_ref().filter(|l| l.term == ask.term);
+                let holds = match leads {
+                    Some(lead) => !lead.cluster.unmarked,
+                    None => self.candidacy.knows_marks(ask.term),
+                };
+                if holds {
+                    self.say(i, Body::MarksHold(ask));
+                }
+            }
+            Some(Body::MarksHold(told)) if told.life == self.life => {
+                self.candidacy.marks_hold(told.term);
+            }
+            Some(Body::Changed(_) | Body::OpenTabs(_) | Body::MarksHold(_)) | None => {}
         }
     }
 
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -14,6 +14,12 @@
 /// How long a promise lasts.
 pub const PROMISE: Micros = 8 * SECOND;
 const MARGIN: Micros = 150_000;
+/// A promise that comes later than this after it was asked for counts for nothing. So what a process promised
+/// before it was restarted is of no use to anyone once it is back for so long.
+const PROMISE_FRESH: Micros = 2 * SECOND;
+const FORGOTTEN: Micros = PROMISE_FRESH + SECOND / 2;
+/// A process that does not know whether marks hold asks this often.
+const ASK_MARKS: Micros = SECOND;
 
 /// The end, on our clock, of something that lasts `d` from `from` on any clock that may run 0.05%
 /// faster, less a margin.
@@ -77,8 +83,8 @@
     }
 
     /// A sibling promised. Only all of them together extend the authority.
-    pub fn promised(&mut self, round: u64, sibling: usize) {
-        if round != self.round {
+    pub fn promised(&mut self, round: u64, sibling: usize, now: Micros) {
+        if round != self.round || now > self.asked_at + PROMISE_FRESH {
             return;
         }
         self.promised.insert(sibling);
@@ -108,6 +114,10 @@
     first: Option<u64>,
     /// The highest term that it has promised anything to, or bridged an outage in.
     promised: u64,
+    /// The last term of which it was told, in this life, that nothing had been launched without marks in it.
+    told: u64,
+    born: Micros,
+    ask_at: Micros,
     pub trying: bool,
     /// What the last look at the state service showed.
     seen: bool,
@@ -125,6 +135,9 @@
             unsure: false,
             first: None,
             promised: 0,
+            told: 0,
+            born: now,
+            ask_at: 0,
             trying: false,
             seen: false,
             holder: None,
@@ -140,18 +153,35 @@
         self.term = term;
     }
 
-    /// Whether a successor to the last term may go by the jobs' marks. Its leader may have launched without
-    /// them once *all* its siblings had promised it a time, so whoever remembers none is enough to know that it
-    /// did not; but a process that began within that term may have forgotten one.
+    /// Whether it knows that nothing has been launched without marks in a term so far. That takes a promise of
+    /// *every* sibling of its leader, so one that remembers to have given none is enough. What a process promised
+    /// before it began it does not remember, but somebody else may have told it since.
+    pub fn knows_marks(&self, term: u64) -> bool {
+        let remembers = self.first.is_some_and(|first| first < term) || self.told == term;
+        remembers && self.promised < term
+    }
+
+    /// Whether a successor to the last term may go by the jobs' marks.
     pub fn trusts(&self) -> bool {
-        match &self.term {
-            // Nobody ever led, so nothing was launched.
-            None => true,
-            Some((last, _)) => {
-                let remembers = self.first.is_some_and(|first| first < last.term);
-                last.marked && remembers && self.promised < last.term
-            }
+        // If nobody ever led, nothing was launched.
+        self.term.as_ref().is_none_or(|(last, _)| last.marked && self.knows_marks(last.term))
+    }
+
+    /// The term that siblings are to be asked about now: only once nothing that this process may have promised
+    /// before it began can be of use to that term's leader any more.
+    pub fn asks_marks(&mut self, now: Micros) -> Option<u64> {
+        let term = self.term.as_ref().filter(|t| t.0.marked).map(|t| t.0.term)?;
+        let due = now >= self.ask_at.max(self.born + FORGOTTEN);
+        if !due || self.promised >= term || self.knows_marks(term) {
+            return None;
         }
+        self.ask_at = now + ASK_MARKS;
+        Some(term)
+    }
+
+    /// Somebody who knows says so, in answer to this process.
+    pub fn marks_hold(&mut self, term: u64) {
+        self.told = self.told.max(term);
     }
 
     /// This controller led in that term, and launched without marks.
@@ -238,13 +268,13 @@
     fn only_the_promises_of_all_siblings_in_one_round_extend_authority() {
         let mut a = Authority::new(0, TTL);
         let first = a.ask(SECOND, 2);
-        a.promised(first, 0);
+        a.promised(first, 0, SECOND);
         let second = a.ask(2 * SECOND, 2);
-        a.promised(first, 1);
-        a.promised(second, 1);
-        a.promised(second, 1);
+        a.promised(first, 1, 2 * SECOND);
+        a.promised(second, 1, 2 * SECOND);
+        a.promised(second, 1, 2 * SECOND);
         assert!(!a.valid(TTL));
-        a.promised(second, 0);
+        a.promised(second, 0, 2 * SECOND);
         assert!(a.valid(2 * SECOND + PROMISE - 200_000));
         assert!(!a.valid(2 * SECOND + PROMISE));
     }
--- a/crates/gannethub-core/src/decide/plan.rs
+++ b/crates/gannethub-core/src/decide/plan.rs
@@ -278,22 +278,23 @@
 impl Cluster {
     /// Work that has no room now and may run under its team's limit, in queue order.
     fn waiting(&self, now: Micros) -> Vec<Waiting> {
-        let mut spare: Vec<Resources> =
-            (0..self.used.len()).map(|t| self.settings.teams[t].limit - self.used[t]).collect();
+        let mut spare: Vec<Resources> = (0..self.used.len()).map(|t| self.room_of(t)).collect();
         let mut out = Vec::new();
         for (id, within) in self.queue.jobs() {
             self.looks.set(self.looks.get() + 1);
             let Some(job) = self.jobs.get(id) else { continue };
             let Some(t) = job.team else { continue };
-            if job.pending.is_empty() {
+            let pending = job.placeable() as i64;
+            if pending == 0 {
                 continue;
             }
             spare[t].mem = UNLIMITED;
             let need = Resources { mem: 0, ..job.spec.need };
             let backing = job.backoff.values().filter(|b| b.0 > now + 10 * SECOND).count() as i64;
-            let mut tasks = (i64::from(job.pending.len()) - backing).min(need.times_in(&spare[t]));
+            let mut tasks = (pending - backing).min(need.times_in(&spare[t]));
             tasks = tasks.min(job.worth_renting(now).saturating_sub(job.live.len() as i64));
             if job.spec.shape == Shape::Gang && tasks < i64::from(job.pending.len()) {
+                // Of one that is in doubt, or has no room under its team's limit, nothing is planned.
                 tasks = 0;
             }
             if tasks <= 0 {
--- a/crates/gannethub-core/src/decide/renting.rs
+++ b/crates/gannethub-core/src/decide/renting.rs
@@ -76,9 +76,11 @@
         }
         self.watch_zones(now);
         self.find_bad(now);
+        if self.settled || self.all_could_report(now) {
+            self.rent_wanted(now, &mut calls);
+        }
         if self.settled {
             self.return_idle(now);
-            self.rent_wanted(now, &mut calls);
             self.consolidate(now);
         }
         let doomed: Vec<String> =
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -6,7 +6,7 @@
 //! and however long the queue, and reports, renewals and users are never late behind it.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use crate::decide::gather::Gathering;
@@ -205,10 +205,15 @@
         zones
     }
 
+    /// What a team may still use, counting all that it may have on machines.
+    pub fn room_of(&self, team: usize) -> Resources {
+        self.settings.teams[team].limit - self.used[team] - self.doubt.held[team]
+    }
+
     /// How many more of the job's tasks its team's limit allows.
     pub fn headroom(&self, job: &Job) -> i64 {
         let Some(t) = job.team else { return 0 };
-        let mut free = self.settings.teams[t].limit - self.used[t] - self.doubt.held[t];
+        let mut free = self.room_of(t);
         free.mem = UNLIMITED;
         let need = Resources { mem: 0, ..job.spec.need };
         need.times_in(&free)
@@ -635,9 +640,45 @@
         if searched && simple {
             pass.note_full(&spec, missing.len());
         }
+        if !self.settled {
+            return self.keep_heard(id, &spec, missing.len(), now);
+        }
         self.gather_or_make(id, missing.len(), &mut pass.gathering, now);
     }
 
+    /// At a takeover a gang rarely finds room for all of it at once, as machines are heard one by one. What has
+    /// been heard is kept for it, most of it in one zone: smaller tasks would take it, bit by bit, for as long as
+    /// they run.
+    fn keep_heard(&mut self, id: &JobId, spec: &JobSpec, tasks: usize, now: Micros) {
+        let mut zones: BTreeMap<&Arc<str>, Vec<(bool, &MachineId, i64)>> = BTreeMap::new();
+        for shelf in self.rooms.shelves.iter().filter(|s| self.allowed(spec, &s.kind)) {
+            let open = shelf.with_cpu(spec.need.cpu).take(CHOICES);
+            for m in open.filter_map(|m| self.machines.get(m)) {
+                let other = m.kept(now).is_some_and(|k| k.job != *id);
+                let most = if other { 0 } else { self.takes(m, id, spec, false, now) };
+                if most > 0 {
+                    let entry = (m.kept(now).is_none(), &m.id, most);
+                    zones.entry(&m.zone).or_default().push(entry);
+                }
+            }
+        }
+        let all = zones.into_values().max_by_key(|z| z.iter().map(|m| m.2).sum::<i64>());
+        let mut found = all.unwrap_or_default();
+        found.sort_unstable();
+        let mut left = tasks as i64;
+        let mut keep: Vec<(MachineId, i64)> = Vec::new();
+        for (_, machine, most) in found {
+            if left <= 0 {
+                break;
+            }
+            keep.push((machine.clone(), most.min(left)));
+            left -= most;
+        }
+        for (machine, tasks) in keep {
+            self.keep(&machine, Kept { job: id.clone(), tasks, until: now + HELD });
+        }
+    }
+
     /// Room for all of a gang's missing tasks, where its zone rules let them be together.
     fn seats_for_all(
         &self,
--- a/crates/gannethub-core/src/decide/takeover.rs
+++ b/crates/gannethub-core/src/decide/takeover.rs
@@ -12,7 +12,7 @@
 
 use crate::memory::cluster::Cluster;
 use crate::memory::room::Kind;
-use crate::model::{JobSpec, Micros, Resources, Shape};
+use crate::model::{JobSpec, Micros, Resources, SECOND, Shape};
 
 /// Marks are at least so many tasks ahead of what is launched, and one for so many machines, which may all
 /// have room in the same moment; and more where more is launched ([`Pace`](crate::memory::doubt::Pace)).
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Every worker that reaches a controller has had the time to report to this leader: what is silent now may
+    /// stay so for a lease, and gives no room that can be planned with.
+    pub fn all_could_report(&self, now: Micros) -> bool {
+        now > self.taken_at + self.settings.report * 5 / 4 + 2 * SECOND
+    }
+
     /// Whether all that may be on a machine is below its mark, as the state service holds it: then a successor
     /// can go by them.
     pub fn covered(&self) -> bool {
--- a/crates/gannethub-core/src/memory/doubt.rs
+++ b/crates/gannethub-core/src/memory/doubt.rs
@@ -31,7 +31,7 @@
 }
 
 /// Marks are ahead of launches by what has been launched in this time ...
-const AHEAD: Micros = 3 * SECOND;
+const AHEAD: Micros = SECOND;
 /// ... which is measured so often.
 const PACE_EVERY: Micros = SECOND;
 
@@ -40,7 +40,7 @@
 pub struct Pace {
     since: Micros,
     placed: u32,
-    /// Tasks placed in three seconds, as of late.
+    /// Tasks placed in a second, as of late.
     pub ahead: u32,
 }
 
--- a/crates/gannethub-core/src/memory/ledger.rs
+++ b/crates/gannethub-core/src/memory/ledger.rs
@@ -306,10 +306,10 @@
         if !left.is_empty() {
             ledger.ghosts.insert(id.clone(), left);
         }
-        let end = self.time_of_day(now);
+        let (end, likely) = (self.time_of_day(now), self.settings.report / 2);
         for (key, ghost) in over {
             // Whenever it ended, that was not seen.
-            let news = News::Silence { heard: Some(ghost.told_at) };
+            let news = News::Silence { heard: Some(ghost.told_at), likely };
             let reading = ghost.tab.meter.end(now, news).quiet(ghost.late);
             let (machine, kind, saved) = (id.clone(), ghost.kind, ghost.tab.saved);
             let end = End { key, machine, kind, reading, at: now, end, reason, saved };
@@ -521,8 +521,10 @@
             let mut tab = ghost.tab;
             tab.meter.wait(ghost.late);
             if ended {
-                // It may have ended at any time since it was told of.
-                tab.meter.unsure += now.saturating_sub(ghost.told_at) + ghost.late;
+                // It may have ended at any time since it was told of: in the middle, on average.
+                let open = now.saturating_sub(ghost.told_at);
+                tab.meter.since = tab.meter.since.max(ghost.told_at + open / 2);
+                tab.meter.unsure += open + ghost.late;
             } else if stage(phase) != tab.meter.stage {
                 tab.meter.enter(stage(phase), now);
             }
@@ -538,7 +540,7 @@
         };
         // How long its launch took to reach the worker is not known: a report, or another after a lost answer.
         let unsure = unsure + 2 * self.settings.report + LOST_ANSWER;
-        let unsure = if ended { unsure + age } else { unsure };
+        let (age, unsure) = if ended { (age / 2, unsure + age) } else { (age, unsure) };
         let meter = Meter::found(age, unsure, stage(phase), now);
         Some(Box::new(Tab { meter, owner, charged, saved: false }))
     }
@@ -598,7 +600,11 @@
         let Some(tab) = tab.filter(|t| t.charged == Charged::Open) else { return };
         let kind = self.kind(machine);
         let news = match reason {
-            Reason::Lease | Reason::Machine => News::Silence { heard: machine.heard_at },
+            // The report that shows a new session did not show what was lost with the one before.
+            Reason::Lease | Reason::Machine => {
+                let heard = machine.heard_at.filter(|t| *t < now).or(machine.heard_before);
+                News::Silence { heard, likely: self.settings.report / 2 }
+            }
             _ => News::Reported { before: machine.heard_before, missed: machine.missed },
         };
         let reading = tab.meter.end(now, news);
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -11,7 +11,7 @@
     /// The sender's name.
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<Body>,
 }
 
@@ -33,6 +33,10 @@
     OpenTabs(OpenTabs),
     #[prost(message, tag = "9")]
     TabsAsk(TabsAsk),
+    #[prost(message, tag = "10")]
+    MarksAsk(Marks),
+    #[prost(message, tag = "11")]
+    MarksHold(Marks),
 }
 
 /// Sent to every sibling, by every controller, all the time.
@@ -102,6 +106,17 @@
     pub term: u64,
 }
 
+/// A process that began within a term asks, and whoever knows answers, whether nothing was launched without
+/// marks in it so far.
+#[derive(Clone, PartialEq, Message)]
+pub struct Marks {
+    #[prost(uint64, tag = "1")]
+    pub term: u64,
+    /// The asking process's own number: answers to another life of it count for nothing.
+    #[prost(uint64, tag = "2")]
+    pub life: u64,
+}
+
 /// A job was accepted or cancelled here. The leader looks at it if its watch does not tell it soon.
 #[derive(Clone, PartialEq, Message)]
 pub struct Changed {
--- a/crates/gannethub-core/tests/stories/ledger.rs
+++ b/crates/gannethub-core/tests/stories/ledger.rs
@@ -70,8 +70,7 @@
     let mut teams: BTreeMap<String, (u64, u64, u64)> = BTreeMap::new();
     let unknown: HashSet<&str> = audit.gaps.iter().map(|g| &*g.machine).collect();
     for (key, span) in &w.record.spans {
-        let Some(ended) = span.ended else { continue };
-        let real = ended - span.began;
+        let (Some(ended), Some(real)) = (span.ended, span.time()) else { continue };
         let Some(entries) = audit.entries.get(key) else {
             // It was forgotten before anyone who knew of it could write it down, and the ledger says so: of its
             // machine, or of a leader that did not know what was open when the last line was written.
@@ -87,7 +86,7 @@
         // A gang's task that is replaced where it was keeps its number: then there are two, one after the other.
         let mut stints: Vec<&Entry> = entries.iter().map(|(_, e)| e).collect();
         stints.sort_by_key(|e| e.begin);
-        if stints.windows(2).any(|two| two[1].begin < two[0].end()) {
+        if stints.windows(2).any(|two| two[1].begin < two[0].end()) || stints.len() > span.stints {
             wrong.push(format!("{key:?} is charged {} times: {stints:?}", entries.len()));
         }
         let team = &entries[0].0;
--- a/crates/gannethub-core/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -7,6 +7,7 @@
 mod pipelines;
 mod scale;
 mod sim;
+mod takeover;
 mod upgrade;
 
 use gannethub_core::control::leadership::PROMISE;
--- a/crates/gannethub-ledger/src/meter.rs
+++ b/crates/gannethub-ledger/src/meter.rs
@@ -67,8 +67,9 @@
     /// Its worker reported it. When the worker's report before that came, if one did.
     /// `missed`: it has sent others in between.
     Reported { before: Option<Micros>, missed: bool },
-    /// Its machine fell silent and is given up. When it was last heard, if ever.
-    Silence { heard: Option<Micros> },
+    /// Its machine fell silent and is given up. When it was last heard with it, if ever, and how long it went on
+    /// after that, most likely: half the time between two reports.
+    Silence { heard: Option<Micros>, likely: Micros },
 }
 
 impl Reading {
@@ -157,11 +158,15 @@
         let (heard, mut bound, mut estimate) = match news {
             News::Reported { before, missed } => {
                 let gap = before.map_or(SPACING, |t| now.saturating_sub(t));
-                (now, if missed { gap } else { gap.min(SPACING + JITTER) }, false)
+                // A report that came as soon as it might after the one before was held up by that, and one after
+                // others that were lost tells of any time since: then it ended in the middle, on average.
+                let held = missed || gap <= SPACING + JITTER;
+                let late = if held { (gap / 2).min(now - self.since) } else { 0 };
+                (now - late, if missed { gap } else { gap.min(SPACING + JITTER) }, false)
             }
-            News::Silence { heard } => {
+            News::Silence { heard, likely } => {
                 let heard = heard.unwrap_or(self.since).clamp(self.since, now);
-                (heard, now - heard, true)
+                ((heard + likely).min(now), now - heard, true)
             }
         };
         // What was never shown was never at the worker, or its end came before its first report.
@@ -206,11 +211,14 @@
         let mut m = Meter::placed(0);
         m.sent(0);
         m.enter(Stage::Running, S);
-        let r = m.end(30 * S, News::Silence { heard: Some(20 * S) });
-        assert_eq!(r.spent, Spent([0, 0, 0, 20 * S, 0, 10 * S]));
+        let r = m.end(30 * S, News::Silence { heard: Some(20 * S), likely: S });
+        assert_eq!(r.spent, Spent([0, 0, 0, 21 * S, 0, 9 * S]));
         assert_eq!((r.bound, r.estimate), (10 * S, true));
+        // It did not go on after it was known to be gone.
+        let r = m.end(20 * S, News::Silence { heard: Some(20 * S), likely: S });
+        assert_eq!(r.spent.held(), 20 * S);
         // A place that was held for nothing is charged, and there is nothing to estimate.
-        let r = Meter::placed(0).end(9 * S, News::Silence { heard: None });
+        let r = Meter::placed(0).end(9 * S, News::Silence { heard: None, likely: S });
         assert_eq!((r.spent.held(), r.bound, r.estimate), (9 * S, 0, false));
         // Found with an uncertain begin; and no clock that goes back makes time negative.
         let m = Meter::found(90 * S, S, Stage::Running, 8 * S);
--- a/crates/gannethub-standin/src/record.rs
+++ b/crates/gannethub-standin/src/record.rs
@@ -11,6 +11,20 @@
     pub ended: Option<u64>,
     /// It went with its machine or its worker's lease.
     pub lost: bool,
+    /// A gang's task that is replaced where it was keeps its number. How often that was, and the time until then.
+    pub stints: usize,
+    pub before: u64,
+}
+
+impl Span {
+    fn new(began: u64) -> Span {
+        Span { began, ended: None, lost: false, stints: 1, before: 0 }
+    }
+
+    /// All time at its worker, once it has ended.
+    pub fn time(&self) -> Option<u64> {
+        Some(self.before + self.ended? - self.began)
+    }
 }
 
 /// By machine, task and attempt.
@@ -27,10 +41,11 @@
     pub fn note(&mut self, w: &Worker, now: u64) {
         for t in w.tasks.values() {
             let key = (w.name.clone(), t.name.clone(), t.attempt);
-            let new = Span { began: now, ended: None, lost: false };
-            let span = self.spans.entry(key).or_insert(new);
+            let span = self.spans.entry(key).or_insert_with(|| Span::new(now));
             if t.ended() {
                 span.ended.get_or_insert(now);
+            } else if let Some(before) = span.time().filter(|_| !w.dead && !w.lease_over(now)) {
+                *span = Span { before, stints: span.stints + 1, ..Span::new(now) };
             }
         }
         let gone = |(k, s): &(&SpanKey, &mut Span)| {
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -638,30 +638,33 @@
 ) -> Result<(), DevError> {
     let (mut sums, mut wrong): (BTreeMap<&str, Sums>, Vec<String>) = Default::default();
     for (key, span) in spans {
-        let Some(ended) = span.ended else {
+        let Some(real) = span.time() else {
             wrong.push(format!("{key:?} has not ended"));
             continue;
         };
-        let real = ended - span.began;
-        let Some([e]) = entries.get(key).map(Vec::as_slice) else {
-            let times = entries.get(key).map_or(0, Vec::len);
-            wrong.push(format!("{key:?} is charged {times} times"));
+        // A gang's task that is replaced where it was keeps its number, and each stint is an entry.
+        let stints = entries.get(key).map_or(&[][..], Vec::as_slice);
+        if stints.len() != span.stints {
+            let (times, of) = (stints.len(), span.stints);
+            wrong.push(format!("{key:?} ran {of} times and is charged {times} times: {stints:?}"));
             continue;
-        };
-        let charged = e.spent.at_worker();
+        }
+        let charged: u64 = stints.iter().map(|e| e.spent.at_worker()).sum();
+        let bound: u64 = stints.iter().map(|e| e.bound).sum();
+        let estimate = stints.iter().any(|e| e.estimate);
         let off = charged.abs_diff(real);
-        if off > e.bound + SLACK {
-            wrong.push(format!("{key:?} took {real} us and is charged {charged}, {e:?}"));
+        if off > bound + SLACK {
+            wrong.push(format!("{key:?} took {real} us and is charged {charged}, {stints:?}"));
         }
         let team = teams.get(key.1.split('/').next().unwrap_or("")).copied().unwrap_or("");
         let s = sums.entry(team).or_default();
         s.attempts += 1;
-        s.estimates += u32::from(e.estimate);
+        s.estimates += u32::from(estimate);
         s.workers += real;
         s.ledger += charged;
-        s.bound += e.bound;
+        s.bound += bound;
         s.largest = s.largest.max(off);
-        if !e.estimate && e.bound <= SEEN {
+        if !estimate && bound <= SEEN {
             s.seen += 1;
             s.seen_workers += real;
             s.seen_ledger += charged;
