--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -1375,6 +1375,7 @@
                 self.siblings[i].leading = beat.leading;
                 self.siblings[i].state_ok = beat.state_ok;
                 self.siblings[i].takes_reports = beat.takes_reports;
+                self.shadow.heard(beat.leading, now);
                 if beat.leading > 0 {
                     self.running =
                         beat.running.into_iter().map(|r| (r.job, (r.tasks, r.done))).collect();
--- a/crates/gannethub-core/src/memory/ledger.rs
+++ b/crates/gannethub-core/src/memory/ledger.rs
@@ -232,7 +232,7 @@
 
     /// Goes on with what the leader before this one had not in writing, as far as it told.
     fn inherit(&mut self, tabs: Vec<Told>, now: Micros) {
-        for Told { tab: t, at: told_at, late } in tabs {
+        for Told { tab: t, at: told_at, late, until } in tabs {
             let Some(k) = &t.key else { continue };
             let name = (k.job.clone(), k.task, k.attempt, k.machine.clone());
             let known = self.ledger.as_ref().is_none_or(|l| l.before.contains(&name));
@@ -264,11 +264,12 @@
                 // Whether its launch went out was not told.
                 sent: Some((told_at.saturating_sub(t.since), told_at)),
                 spent,
-                unsure: t.unsure,
+                // The machine may have been lost before its leader was, which did not know it yet.
+                unsure: t.unsure + until - told_at,
                 guessed: t.guessed,
             };
             let tab = Tab { meter, owner, charged: Charged::Open, saved: t.saved };
-            let ghost = Ghost { tab, kind, session: t.session, told_at, late };
+            let ghost = Ghost { tab, kind, session: t.session, told_at: until, late };
             let Some(ledger) = &mut self.ledger else { return };
             ledger.changed.insert((machine.clone(), key.clone()));
             ledger.ghosts.entry(machine).or_default().insert(key, ghost);
--- a/crates/gannethub-core/src/memory/shadow.rs
+++ b/crates/gannethub-core/src/memory/shadow.rs
@@ -20,6 +20,8 @@
     /// When that came, and how long it had been on its way.
     pub at: Micros,
     pub late: Micros,
+    /// When the leader was last heard, and had nothing else to tell of it.
+    pub until: Micros,
 }
 
 /// What is known of a leader's open tabs.
@@ -30,6 +32,7 @@
     complete: bool,
     filling: bool,
     asked_at: Option<Micros>,
+    heard_at: Micros,
     tabs: BTreeMap<TabKey, Told>,
 }
 
@@ -67,7 +70,7 @@
         }
         for tab in message.open {
             if let Some(key) = tab.key.clone() {
-                self.tabs.insert(key, Told { tab, at: now, late });
+                self.tabs.insert(key, Told { tab, at: now, late, until: now });
             }
         }
         if message.last && self.filling {
@@ -81,11 +84,20 @@
         ask && due
     }
 
-    /// What the leader of `term` left open, and whether that is all.
+    /// The leader of `term` is alive.
+    pub fn heard(&mut self, term: u64, now: Micros) {
+        if term == self.term {
+            self.heard_at = now;
+        }
+    }
+
+    /// What the leader of `term` left open, and whether that is all. Of what it had no news of, nothing had
+    /// changed while it was heard.
     pub fn inherit(&mut self, term: u64) -> (Vec<Told>, bool) {
         let complete = self.complete && self.term == term;
-        let tabs = std::mem::take(self).tabs.into_values().collect();
-        (tabs, complete)
+        let Shadow { tabs, heard_at, .. } = std::mem::take(self);
+        let until = |told: Told| Told { until: told.until.max(heard_at), ..told };
+        (tabs.into_values().map(until).collect(), complete)
     }
 }
 
