The controller by its roles: intake, queries, standing, holder and lease, around one port

Roles now have their own state; the owner hands them commands, answers and messages. A lease (grant, term, version, authority counted from when the renewal was sent) is one type, to serve whatever is held under one. No change of behaviour meant.

--- /dev/null
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -0,0 +1,558 @@
+//! Holding: the machines of a block, what runs on them, and what is written of it, under one lease.
+
+use std::collections::{BTreeSet, VecDeque};
+
+use bytes::Bytes;
+use gannethub_ledger::audit::Page;
+use gannethub_ledger::book::Head;
+
+use super::lease::Lease;
+use super::port::{Port, Purpose};
+use crate::apply::reports::Outcome;
+use crate::http::Response;
+use crate::memory::block::ChunkRecord;
+use crate::memory::cluster::Cluster;
+use crate::memory::fleet::CloudCall;
+use crate::memory::shadow::Shadow;
+use crate::memory::writes::Batch;
+use crate::model::{JobId, Micros, SECOND};
+use crate::wire::peer::Running;
+use crate::wire::store::{
+    self, Committed, Conflict, Followed, HOLDER, Item, Listing, LiveRecord, OverRecord, PartRecord,
+    StoreRequest, Urgency,
+};
+use crate::wire::worker::{Report, ReportAnswer};
+
+/// A leader that hears neither workers nor siblings for this long makes way.
+const DEAF: Micros = 3 * SECOND;
+/// The watch should have brought a change by this time after it was told of.
+const WATCH_PATIENCE: Micros = 400_000;
+/// Jobs that a heartbeat tells the progress of.
+const MOST_RUNNING: usize = 2000;
+
+const STAGES: [&str; 3] = [store::LIVE, store::PART, store::BLOCK];
+/// What follows where a ledger is kept: its head, and its last pages.
+const HEAD_STAGE: usize = STAGES.len();
+const PAGE_STAGE: usize = HEAD_STAGE + 1;
+const LOADED: usize = PAGE_STAGE + 1;
+
+#[derive(Debug)]
+pub(super) struct Holder {
+    pub lease: Lease,
+    pub cluster: Cluster,
+    /// Why it has to give its lease back, if it has to.
+    pub ended: Option<&'static str>,
+    /// That is because it hears nobody.
+    pub deaf: bool,
+    /// When it last heard a worker or a sibling.
+    pub heard_at: Option<Micros>,
+    /// The stage of reading the state; past the last one everything is loaded.
+    stage: usize,
+    loaded_once: bool,
+    /// What has been read of the ledger.
+    ledger_head: Option<Head>,
+    ledger_pages: Vec<(Page, u64)>,
+    load_at: Option<Micros>,
+    watched: u64,
+    following: bool,
+    follow_at: Micros,
+    writing: bool,
+    write_at: Micros,
+    readbacks: BTreeSet<String>,
+    readback_at: Micros,
+    reading: usize,
+    /// Changes that siblings told of: when the watch should have brought them, their versions and
+    /// keys. They come in order of time.
+    expected: VecDeque<(Micros, u64, String)>,
+    schedule_at: Micros,
+    fleet_at: Micros,
+}
+
+impl Holder {
+    pub fn new(lease: Lease, cluster: Cluster) -> Holder {
+        Holder {
+            lease,
+            cluster,
+            ended: None,
+            deaf: false,
+            heard_at: None,
+            stage: 0,
+            loaded_once: false,
+            ledger_head: None,
+            ledger_pages: Vec::new(),
+            load_at: None,
+            watched: 0,
+            following: false,
+            follow_at: 0,
+            writing: false,
+            write_at: 0,
+            readbacks: BTreeSet::new(),
+            readback_at: 0,
+            reading: 0,
+            expected: VecDeque::new(),
+            schedule_at: 0,
+            fleet_at: 0,
+        }
+    }
+
+    /// All that was there when it took over has been read.
+    pub fn loaded(&self) -> bool {
+        self.stage >= LOADED
+    }
+
+    /// Jobs with tasks on machines, for siblings to tell users of.
+    pub fn running(&self) -> Vec<Running> {
+        let running = self.cluster.jobs.values().filter(|j| j.running() > 0).take(MOST_RUNNING);
+        let told = running.map(|job| Running {
+            job: job.id.to_string(),
+            tasks: job.running(),
+            done: job.done.len(),
+        });
+        told.collect()
+    }
+
+    /// What a job has on machines, and has done.
+    pub fn progress(&self, id: &JobId) -> Option<(u32, u32)> {
+        self.cluster.jobs.get(id).map(|job| (job.running(), job.done.len()))
+    }
+
+    /// How a job ended that was no longer alive when it was read.
+    pub fn over_read(&mut self, key: &str, answer: Option<(u16, Bytes)>) {
+        self.reading = self.reading.saturating_sub(1);
+        let id = key.trim_start_matches(store::OVER);
+        match answer {
+            Some((200, body)) => {
+                let item = serde_json::from_slice::<Item>(&body).ok();
+                let end = item.as_ref().and_then(|i| i.record::<OverRecord>());
+                let stamp = item.map_or(u64::MAX, |i| i.stamp);
+                self.cluster.job_gone(id, stamp, end.map(|e| e.cancelled));
+            }
+            Some((404, _)) => {}
+            _ => {
+                self.readbacks.insert(format!("{}{id}", store::LIVE));
+            }
+        }
+    }
+
+    /// Asks the cloud for what the plan wants.
+    fn plan(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        if now < self.fleet_at.max(self.cluster.next_plan) {
+            return;
+        }
+        self.fleet_at = now + 500_000;
+        for call in self.cluster.plan_fleet(now) {
+            let request = call.request(&self.cluster.flavors);
+            port.call(self.lease.term, call, request);
+        }
+    }
+
+    /// Takes in an answer of the cloud.
+    pub fn cloud_answer(&mut self, port: &Port, call: CloudCall, answer: Option<(u16, Bytes)>) {
+        let now = port.clock.now;
+        let answer = answer.as_ref().map(|a| (a.0, &a.1[..]));
+        if matches!(call, CloudCall::Rent { .. }) {
+            // A refusal leads to the next best offer without delay.
+            self.fleet_at = now;
+        }
+        self.cluster.cloud_answer(call, answer, now);
+        self.cluster.stirred = true;
+    }
+
+    /// Reads whose jobs were that were over before an attempt's end was found.
+    pub(super) fn read_owners(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        let (term, wanted) = (self.lease.term, self.cluster.owners_wanted(now));
+        for job in wanted {
+            let key = format!("{}{job}", store::OVER);
+            port.send(Urgency::Rest, StoreRequest::get(&key), Purpose::ReadOwner { term, job });
+        }
+    }
+
+    pub(super) fn owner_read(&mut self, port: &Port, job: &JobId, answer: Option<(u16, Bytes)>) {
+        let now = port.clock.now;
+        match answer {
+            Some((200, body)) => {
+                let over = serde_json::from_slice::<Item>(&body).ok();
+                let over = over.and_then(|i| i.record::<OverRecord>());
+                self.cluster.owner_read(job, over.and_then(|o| o.owner), now);
+            }
+            Some((404, _)) => self.cluster.owner_read(job, None, now),
+            // It is asked for again.
+            _ => {}
+        }
+    }
+
+    pub(super) fn follow(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        if self.following || now < self.follow_at {
+            return;
+        }
+        self.following = true;
+        // Bounds how often the watch is opened when much is written.
+        self.follow_at = now + 100_000;
+        let (term, from) = (self.lease.term, self.watched);
+        port.send(
+            Urgency::Commit,
+            StoreRequest::follow(store::LIVE, from),
+            Purpose::Follow { term },
+        );
+    }
+
+    pub(super) fn write(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        if self.writing || now < self.write_at {
+            return;
+        }
+        if let Some((commit, batch)) = self.cluster.next_commit(now, self.lease.stamp) {
+            self.writing = true;
+            self.write_at = now + 100_000;
+            let term = self.lease.term;
+            port.send(Urgency::Commit, commit.request(), Purpose::Write { term, batch });
+        }
+    }
+
+    pub(super) fn read_back(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        while let Some((due, stamp, _)) = self.expected.front() {
+            let come = self.watched >= *stamp;
+            if !come && now < *due {
+                break;
+            }
+            self.readbacks.extend(self.expected.pop_front().filter(|_| !come).map(|e| e.2));
+        }
+        if self.reading > 0 || now < self.readback_at || self.readbacks.is_empty() {
+            return;
+        }
+        self.readback_at = now + 300_000;
+        let keys = std::mem::take(&mut self.readbacks);
+        self.reading = keys.len();
+        let term = self.lease.term;
+        for key in keys {
+            port.send(Urgency::Commit, StoreRequest::get(&key), Purpose::ReadBack { term, key });
+        }
+    }
+
+    pub(super) fn expect(&mut self, port: &Port, id: &str, stamp: u64) {
+        let due = port.clock.now + WATCH_PATIENCE;
+        if self.watched < stamp {
+            self.expected.push_back((due, stamp, format!("{}{id}", store::LIVE)));
+        }
+    }
+
+    /// The leader's answer to a report.
+    pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> (u16, Bytes) {
+        let now = port.clock.now;
+        let error = |status: u16, why: &str| (status, Response::error(status, why).body);
+        self.heard_at = Some(now);
+        self.cluster.wall = port.clock.wall;
+        let report: Report<'_> = match serde_json::from_slice(body) {
+            Ok(report) => report,
+            Err(e) => {
+                tracing::debug!(error = %e, "a report makes no sense");
+                return error(400, "not a report");
+            }
+        };
+        if !self.loaded() && report.token <= self.lease.term {
+            // Renews the worker's lease and shows it the new token while the state is read.
+            let body = ReportAnswer { token: self.lease.term, orders: &[] };
+            return (200, Response::json(200, &body).body);
+        }
+        match self.cluster.report(now, &report) {
+            Outcome::Orders(orders) => {
+                let body = ReportAnswer { token: self.lease.term, orders: &orders };
+                (200, Response::json(200, &body).body)
+            }
+            Outcome::Stale => error(503, "an old report"),
+            Outcome::Deposed => {
+                self.ended = Some("a worker has seen a higher token");
+                error(503, "not leading")
+            }
+        }
+    }
+
+    pub(super) fn load(&mut self, port: &mut Port, after: &str) {
+        let now = port.clock.now;
+        let (term, stage) = (self.lease.term, self.stage);
+        match STAGES.get(stage) {
+            Some(prefix) => {
+                let request = StoreRequest::list(prefix, after);
+                port.send(Urgency::Renewal, request, Purpose::Load { term, stage });
+            }
+            // Later reads find the ledger kept already, and whoever keeps none has nothing to read.
+            None if stage < LOADED && (self.loaded_once || port.settings.ledger.is_none()) => {
+                self.stage = LOADED;
+                self.load(port, "");
+            }
+            None if stage == HEAD_STAGE => {
+                let request = StoreRequest::get(store::LEDGER_HEAD);
+                port.send(Urgency::Renewal, request, Purpose::LoadLedger { term });
+            }
+            None if stage == PAGE_STAGE => {
+                let from = self.ledger_head.as_ref().map_or(0, |h| h.from);
+                let first = from.checked_sub(1).map(store::ledger_page).unwrap_or_default();
+                let after = if after.is_empty() { &first } else { after };
+                let request = StoreRequest::list(store::LEDGER_PAGE, after);
+                port.send(Urgency::Renewal, request, Purpose::Load { term, stage });
+            }
+            None => {
+                self.loaded_once = true;
+                self.cluster.loaded(now);
+            }
+        }
+    }
+
+    pub(super) fn ledger_head(
+        &mut self,
+        port: &mut Port,
+        shadow: &mut Shadow,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let now = port.clock.now;
+        match answer {
+            Some((200, body)) => {
+                let item = serde_json::from_slice::<Item>(&body).ok();
+                self.ledger_head = item.and_then(|i| i.record::<Head>());
+                self.stage = match self.ledger_head {
+                    Some(_) => PAGE_STAGE,
+                    // Where it stands is not known: nothing is charged in this term, and nothing overwritten.
+                    None => {
+                        tracing::error!(key = store::LEDGER_HEAD, "the ledger cannot be kept");
+                        LOADED
+                    }
+                };
+                self.load(port, "");
+            }
+            Some((404, _)) => {
+                self.cluster.open_ledger(None, &[], shadow, now);
+                self.stage = LOADED;
+                self.load(port, "");
+            }
+            _ => self.load_at = Some(now + 300_000),
+        }
+    }
+
+    pub(super) fn load_answer(
+        &mut self,
+        port: &mut Port,
+        shadow: &mut Shadow,
+        stage: usize,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let listing = answer
+            .filter(|a| a.0 == 200)
+            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let Some(listing) = listing else {
+            // Reading a stage again is harmless.
+            self.load_at = Some(port.clock.now + 300_000);
+            return;
+        };
+        if stage == 0 && self.watched == 0 {
+            self.watched = listing.ledger_no;
+        }
+        for item in &listing.items {
+            match stage {
+                0 => {
+                    if let Some(record) = item.live() {
+                        let id = item.k.trim_start_matches(store::LIVE);
+                        self.cluster.live_record(id, record, item.stamp);
+                    }
+                }
+                1 => {
+                    if let Some(record) = item.record::<PartRecord>() {
+                        self.cluster.part_record(&item.k, &record);
+                    }
+                }
+                PAGE_STAGE => match item.record::<Page>() {
+                    Some(page) => self.ledger_pages.push((page, item.stamp)),
+                    None => tracing::error!(key = %item.k, "kept as it is"),
+                },
+                // After the first time this leader knows better: nobody else writes the block.
+                _ if self.loaded_once => {}
+                _ => {
+                    if let Some(record) = item.record::<ChunkRecord>() {
+                        self.cluster.chunk_record(&item.k, record, item.stamp);
+                    }
+                }
+            }
+        }
+        let last = listing.items.last().map(|i| i.k.clone()).filter(|_| listing.truncated);
+        if last.is_none() {
+            self.stage += 1;
+            if stage == PAGE_STAGE {
+                let pages = std::mem::take(&mut self.ledger_pages);
+                let head = self.ledger_head.take();
+                self.cluster.open_ledger(head, &pages, shadow, port.clock.now);
+            }
+        }
+        self.load(port, last.as_deref().unwrap_or(""));
+    }
+
+    pub(super) fn followed(&mut self, port: &mut Port, answer: Option<(u16, Bytes)>) {
+        let now = port.clock.now;
+        self.following = false;
+        let followed = match answer {
+            Some((200, body)) => serde_json::from_slice::<Followed>(&body).ok(),
+            Some((410, _)) => {
+                // Too far behind: read everything live again. What ended is found by reading back.
+                tracing::info!("the watch fell behind; reading all jobs again");
+                let waiting = self.cluster.pipelines.waiting.keys();
+                let known = self.cluster.jobs.keys().chain(waiting);
+                self.readbacks.extend(known.map(|id| format!("{}{id}", store::LIVE)));
+                self.watched = 0;
+                self.stage = 0;
+                return self.load(port, "");
+            }
+            _ => None,
+        };
+        let Some(followed) = followed else {
+            self.follow_at = now + 500_000;
+            return;
+        };
+        for change in followed.log {
+            if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(store::LIVE)) {
+                self.cluster.job_gone(id, change.stamp, None);
+            }
+            let key = change.write.as_deref().and_then(|k| k.strip_prefix(store::LIVE));
+            let (Some(id), Some(v)) = (key, &change.v) else { continue };
+            if self.cluster.stamp_of(id).is_some_and(|known| known >= change.stamp) {
+                continue;
+            }
+            match LiveRecord::parse(v.get()) {
+                Ok(record) => {
+                    // New work is planned for at once: a machine takes long enough to boot.
+                    self.fleet_at = now;
+                    self.cluster.live_record(id, record, change.stamp);
+                }
+                Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
+            }
+            self.cluster.stirred = true;
+        }
+        self.watched = followed.ledger_no;
+        self.cluster.watched(followed.ledger_no);
+    }
+
+    pub(super) fn written(&mut self, port: &Port, batch: Batch, answer: Option<(u16, Bytes)>) {
+        let now = port.clock.now;
+        self.writing = false;
+        match answer {
+            Some((200, body)) => match serde_json::from_slice::<Committed>(&body) {
+                Ok(done) => {
+                    self.cluster.stirred = true;
+                    self.cluster.committed(batch, done.ledger_no);
+                }
+                Err(_) => self.unwritten(port, batch),
+            },
+            Some((409, body)) => {
+                let conflict = serde_json::from_slice::<Conflict>(&body);
+                if conflict.is_ok_and(|c| c.failed.iter().any(|k| k == HOLDER)) {
+                    self.ended = Some("its key is gone");
+                    return;
+                }
+                self.unwritten(port, batch);
+            }
+            Some((429 | 503, _)) => {
+                self.cluster.uncommitted(&batch, false, now);
+                self.write_at = now + 300_000;
+            }
+            Some((status, body)) => {
+                let reason = String::from_utf8_lossy(&body).into_owned();
+                tracing::error!(status, reason, "the state service refuses a transaction");
+                // Smaller ones are tried, and more and more rarely: it may allow less than we know.
+                self.cluster.refusals += 1;
+                self.write_at = now + (SECOND << self.cluster.refusals.min(6)) / 2;
+                self.unwritten(port, batch);
+            }
+            None => self.unwritten(port, batch),
+        }
+    }
+
+    pub(super) fn unwritten(&mut self, port: &Port, batch: Batch) {
+        let now = port.clock.now;
+        self.cluster.uncommitted(&batch, true, now);
+        self.readbacks.extend(batch.keys().iter().cloned());
+        self.readback_at = now;
+    }
+
+    pub(super) fn read_again(
+        &mut self,
+        port: &mut Port,
+        key: String,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        self.reading = self.reading.saturating_sub(1);
+        self.cluster.stirred = true;
+        let item = match &answer {
+            Some((200, body)) => serde_json::from_slice::<Item>(body).ok(),
+            _ => None,
+        };
+        if let Some(chunk) = self.cluster.block.chunk_of_key(&key) {
+            match (item, answer) {
+                (Some(item), _) => self.cluster.block.rewrite(chunk, item.stamp),
+                (None, Some((404, _))) => self.cluster.block.rewrite(chunk, 0),
+                _ => {
+                    self.readbacks.insert(key);
+                }
+            }
+            return;
+        }
+        if key.starts_with(store::LEDGER_PAGE) {
+            match (item, answer) {
+                (Some(item), _) => self.cluster.ledger_reread(Some(&item)),
+                (None, Some((404, _))) => self.cluster.ledger_reread(None),
+                _ => {
+                    self.readbacks.insert(key);
+                }
+            }
+            return;
+        }
+        let id = key.trim_start_matches(store::LIVE).to_string();
+        match (item, answer) {
+            (Some(item), _) => {
+                if let Some(record) = item.live() {
+                    self.cluster.live_record(&id, record, item.stamp);
+                }
+            }
+            (None, Some((404, _))) => {
+                self.reading += 1;
+                let key = format!("{}{id}", store::OVER);
+                let purpose = Purpose::ReadOver { term: self.lease.term, key: key.clone() };
+                port.send(Urgency::Commit, StoreRequest::get(&key), purpose);
+            }
+            _ => {
+                self.readbacks.insert(key);
+            }
+        }
+    }
+
+    pub(super) fn tick(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        let wall = port.clock.wall;
+        let siblings = port.settings.siblings.len();
+        if siblings > 0 && self.heard_at.is_some_and(|t| now > t + DEAF) {
+            self.deaf = true;
+            self.ended = Some("it hears neither workers nor siblings");
+            return;
+        }
+        self.lease.keep(port);
+        if !self.loaded() {
+            if self.load_at.is_some_and(|t| t <= now) {
+                self.load_at = None;
+                self.load(port, "");
+            }
+            return;
+        }
+        self.cluster.tick(now, wall);
+        let due = self.cluster.stirred || now >= self.cluster.last_pass + SECOND;
+        // Passes and plans are spaced by what they cost: reports, renewals and users come first.
+        if now >= self.schedule_at.max(self.cluster.next_pass) && due {
+            self.schedule_at = now + 100_000;
+            self.cluster.schedule(now);
+        }
+        self.plan(port);
+        self.follow(port);
+        self.write(port);
+        self.read_back(port);
+        self.read_owners(port);
+    }
+}
--- a/crates/gannethub-core/src/control/mod.rs
+++ b/crates/gannethub-core/src/control/mod.rs
@@ -1,4 +1,10 @@
-//! The single owner of a process's state, and who leads.
+//! The roles of a controller, and the owner of them all.
 
 pub mod controller;
+mod holder;
+mod intake;
 pub mod leadership;
+mod lease;
+mod port;
+mod queries;
+mod standing;
