--- a/crates/gannethub-core/src/apply/cloud.rs
+++ b/crates/gannethub-core/src/apply/cloud.rs
@@ -7,6 +7,7 @@
 use crate::memory::fleet::{CloudCall, Offer, Refusal};
 use crate::memory::records::MachineId;
 use crate::model::{Micros, SECOND, micros};
+use crate::wire::store::MoveRecord;
 
 /// Nothing of a deleted machine comes later than this.
 const GHOSTS: Micros = 900 * SECOND;
@@ -51,15 +52,26 @@
                         self.fleet.refusals.remove(&offer);
                     }
                     let flavor = self.flavors[offer.flavor].name.clone();
+                    let to = self.renting_for.remove(&name);
                     for m in rented.machines {
-                        self.machine(&m, &flavor, &offer.zone, offer.spot, now);
+                        match to {
+                            // It may have reported by now, and have been adopted.
+                            Some(to) if !self.machines.contains_key(m.as_str()) => {
+                                let (flavor, zone) = (flavor.to_string(), offer.zone.clone());
+                                let record = MoveRecord { flavor, zone, spot: offer.spot };
+                                self.give(&m, record, to);
+                            }
+                            _ => drop(self.machine(&m, &flavor, &offer.zone, offer.spot, now)),
+                        }
                     }
                 } else if no_capacity(answer) || tries >= 4 {
                     self.fleet.renting.remove(&name);
+                    self.renting_for.remove(&name);
                     self.refused(&offer, now);
                 } else if matches!(answer, Some((400, _))) {
                     tracing::error!(%name, "the cloud calls a rental request malformed");
                     self.fleet.renting.remove(&name);
+                    self.renting_for.remove(&name);
                     self.refused(&offer, now);
                 } else {
                     // The same name again: it rents once, however often it is carried out.
@@ -70,6 +82,15 @@
         }
     }
 
+    /// Block 0's holder was refused machines of these offers, and leaves them alone for so long.
+    pub fn told_refused(&mut self, offers: Vec<(Offer, Micros)>, now: Micros) {
+        for (offer, left) in offers {
+            let held = self.held(&offer);
+            let refusal = Refusal { at: now, until: now + left, times: 1, held };
+            self.fleet.refusals.insert(offer, refusal);
+        }
+    }
+
     fn refused(&mut self, offer: &Offer, now: Micros) {
         let times = self.fleet.refusals.get(offer).map_or(0, |r| r.times);
         let until = now + ((8 * SECOND) << times.min(2));
@@ -98,6 +119,9 @@
         self.fleet.next_list = now + 4 * SECOND;
         let seen = std::mem::take(&mut self.fleet.list_seen);
         let lag = 2 * self.settings.list_lag;
+        // What other blocks have and is on no list any more is gone, however old the list is.
+        let old = now > self.taken_at + lag + GHOSTS;
+        self.elsewhere.retain(|m, _| !old || seen.iter().any(|l| l.id == *m));
         let limit = self.lease_limit();
         let mut gone: Vec<MachineId> = Vec::new();
         let names: HashSet<&str> = seen.iter().map(|l| l.id.as_str()).collect();
@@ -117,6 +141,9 @@
         self.fleet.removed.retain(|_, at| now < *at + GHOSTS + lag);
         let mut adopted = 0;
         for l in &seen {
+            if self.elsewhere.contains_key(&l.id) {
+                continue;
+            }
             if !self.machines.contains_key(l.id.as_str()) {
                 // A list may still show what was deleted a moment ago.
                 if self.fleet.removed.contains_key(&l.id) {
--- a/crates/gannethub-core/src/apply/pipelines.rs
+++ b/crates/gannethub-core/src/apply/pipelines.rs
@@ -4,6 +4,7 @@
 
 use crate::memory::cluster::Cluster;
 use crate::memory::pipeline::{Consequences, Fate, Waiting};
+use crate::memory::share;
 use crate::memory::writes::{Batch, Item};
 use crate::model::{JobId, seconds};
 use crate::wire::store::{self, Commit, JobRecord, OverRecord, WaitingRecord};
@@ -15,6 +16,9 @@
     /// Takes in the record of a waiting job.
     pub fn waiting_record(&mut self, id: &str, record: WaitingRecord, stamp: u64) {
         let id: JobId = id.into();
+        if self.block.id != 0 {
+            return;
+        }
         if self.jobs.contains_key(&id) || self.buried(&id, stamp) {
             return;
         }
@@ -34,8 +38,9 @@
         w.stamp = w.stamp.max(stamp);
         w.marked |= record.cancelled;
         w.unsure = false;
-        let (jobs, waiting) = (&self.jobs, &lines.waiting);
+        let (jobs, waiting, foreign) = (&self.jobs, &lines.waiting, &self.foreign);
         let fate = |u: &JobId| match jobs.get(u) {
+            None if foreign.contains_key(u) => Fate::Alive,
             Some(j) if j.cancelled => Fate::Cancelled,
             Some(_) => Fate::Alive,
             None if waiting.contains_key(u) => Fate::Alive,
@@ -130,7 +135,12 @@
                     record.ready = Some(self.wall.max(w.at));
                     // It is most likely to start at once.
                     record.open = Some(w.spec.tasks.min(RELEASED_OPEN));
-                    commit.put(&live, store::raw(&record), None);
+                    record.block = share::home(&self.loads);
+                    if record.block != 0 {
+                        // Whoever holds that block may know of others to go first.
+                        record.open = Some(0);
+                    }
+                    commit.put(&live, record.value(), None);
                     batch.push(Item::Release { id: id.clone(), record: Box::new(record) }, live);
                 }
                 1 => {
--- a/crates/gannethub-core/src/apply/reports.rs
+++ b/crates/gannethub-core/src/apply/reports.rs
@@ -40,16 +40,24 @@
     Stale,
     /// The worker has seen a higher token: this controller has been replaced.
     Deposed,
+    /// The machine is in another block, or not in this one.
+    Elsewhere(Option<u32>),
 }
 
 impl Cluster {
     /// Answers a worker's report. The caller has checked that this controller may act.
     pub fn report(&mut self, now: Micros, report: &Report<'_>) -> Outcome {
         self.now = now;
+        let known = self.machines.contains_key(&*report.machine);
+        if !known && self.block.id != 0 {
+            return Outcome::Elsewhere(None);
+        }
+        if let Some(block) = self.elsewhere.get(&*report.machine) {
+            return Outcome::Elsewhere(Some(*block));
+        }
         if report.token > self.term {
             return Outcome::Deposed;
         }
-        let known = self.machines.contains_key(&*report.machine);
         if !known && self.fleet.removed.contains_key(&*report.machine) {
             // The machine is known to be gone: its tasks, shown by a report that was held back,
             // must not hold up their successors for another lease.
--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Due {
     Mark,
+    /// It goes to another block.
+    Home,
     Over,
     Progress,
 }
@@ -37,6 +39,10 @@
 
     /// Takes in a job's record: a new job, a cancellation, or what was read back.
     pub fn job_record(&mut self, id: &str, record: JobRecord, stamp: u64) {
+        if record.block != self.block.id {
+            return self.foreign_record(id, &record, stamp);
+        }
+        self.foreign.remove(id);
         if let Some(job) = self.jobs.get_mut(id) {
             if stamp > job.stamp {
                 job.stamp = stamp;
@@ -96,6 +102,7 @@
             writing: false,
             unsure: false,
             placed: false,
+            home: None,
             within: false,
             gathered: false,
             made_at: None,
@@ -119,6 +126,23 @@
         }
     }
 
+    /// A job whose tasks run in another block. Block 0's holder keeps track of it, for jobs that wait for it.
+    fn foreign_record(&mut self, id: &str, record: &JobRecord, stamp: u64) {
+        if self.jobs.remove(id).is_some() {
+            tracing::info!(job = id, block = record.block, "goes to another block");
+        }
+        if self.block.id != 0 || self.buried(id, stamp) {
+            return;
+        }
+        let known = self.foreign.insert(id.into(), stamp).is_some();
+        if !known {
+            self.upstream_released(&id.into());
+        }
+        if record.cancelled {
+            self.upstream_cancelled(id);
+        }
+    }
+
     /// Takes in finished tasks of a large array.
     pub fn part_record(&mut self, key: &str, record: &PartRecord) {
         let parsed = key.strip_prefix(store::PART).and_then(|k| k.rsplit_once('/'));
@@ -137,13 +161,23 @@
                     job.doubted.remove(x);
                 }
             }
-            _ => self.drops.push(key.to_string()),
+            // What belongs to no job is left over from one that is over.
+            _ if self.block.id == 0 && !self.foreign.contains_key(id) => {
+                self.drops.push(key.to_string());
+            }
+            _ => {}
         }
     }
 
     /// Takes in a part of the block's record. Its machines may hold tasks of an earlier term.
     pub fn chunk_record(&mut self, key: &str, record: ChunkRecord, stamp: u64) {
-        let Some(index) = self.block.chunk_of_key(key) else { return };
+        let Some(index) = self.block.chunk_of_key(key) else {
+            let block = key.strip_prefix(store::BLOCK).and_then(|k| k.split_once('/'));
+            if let Some(block) = block.and_then(|(b, _)| b.parse().ok()) {
+                self.elsewhere.extend(record.machines.into_keys().map(|m| (m, block)));
+            }
+            return;
+        };
         for (name, member) in &record.machines {
             let taken = self.taken_at;
             let machine = self.machine(name, &member.flavor, &member.zone, member.spot, taken);
@@ -178,6 +212,7 @@
             return;
         }
         self.buried.insert(id.into(), stamp);
+        self.foreign.remove(id);
         if self.waiting_gone(id) {
             return;
         }
@@ -204,14 +239,19 @@
         let mut commit = Commit::default();
         let mut batch = Batch::default();
         let mut bytes = 512;
-        commit.guard(store::HOLDER, holder);
+        commit.guard(&self.keys.0, holder);
         // A transaction must be able to carry the end of a job beside machines.
         let most = (ops / 2).max(1);
         self.write_block(&mut commit, &mut batch, &mut bytes, most, false);
         self.write_ledger(&mut commit, &mut batch, &mut bytes, now);
+        self.write_moves(&mut commit, &mut batch, &mut bytes, most);
         self.write_pipelines(&mut commit, &mut batch, &mut bytes);
         let mut due: Vec<(Due, Micros, JobId)> = Vec::new();
         for job in self.jobs.values_mut().filter(|j| !j.writing && !j.unsure) {
+            if job.home.is_some_and(|home| home != self.block.id) && job.untouched() {
+                due.push((Due::Home, 0, job.id.clone()));
+                continue;
+            }
             let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
             match job.dirty_since {
                 _ if over => due.push((Due::Over, 0, job.id.clone())),
@@ -232,6 +272,20 @@
             let Some(job) = self.jobs.get_mut(&id) else { continue };
             let live = format!("{}{id}", store::LIVE);
             let room = ops - commit.changes();
+            if let (Due::Home, Some(home)) = (what, job.home) {
+                if room == 0 || bytes > 40_000 {
+                    break;
+                }
+                let mut r = JobRecord::new((*job.submitted).clone(), job.at);
+                r.ready = (job.ready != job.at).then_some(job.ready);
+                (r.cancelled, r.failing, r.block) = (job.cancelled, job.suspect(), home);
+                commit.guard(&live, job.stamp);
+                commit.put(&live, r.value(), None);
+                bytes += 1500;
+                job.writing = true;
+                batch.push(Item::Home { id, record: Box::new(r) }, live);
+                continue;
+            }
             if what == Due::Over {
                 if room < 2 || bytes > 40_000 {
                     break;
@@ -262,15 +316,15 @@
                     let mut r = JobRecord::new(spec, job.at);
                     r.ready = (job.ready != job.at).then_some(job.ready);
                     (r.cancelled, r.failing) = (job.cancelled, job.suspect());
-                    r.open = Some(job.opening);
+                    (r.open, r.block) = (Some(job.opening), self.block.id);
                     r.done.clone_from(&done);
-                    let value = store::raw(&r);
+                    let value = r.value();
                     job.outgrown |= value.get().len() + store::SLACK > limit;
                     // Both change in one transaction. Whoever reads the parts, the version before
                     // as well, takes part 0 for what it is.
                     record = Some(if job.outgrown {
                         r.done.clear();
-                        store::raw(&r)
+                        r.value()
                     } else {
                         value
                     });
@@ -310,7 +364,7 @@
         if self.marked == Some(false) && commit.changes() < ops && self.covered() {
             let holder = self.settings.name.clone();
             let record = LeadRecord { holder, term: self.term, marked: true };
-            commit.put(store::TERM, store::raw(&record), None);
+            commit.put(&self.keys.1, store::raw(&record), None);
             batch.items.push(Item::Marked);
             self.marked = None;
         }
@@ -416,6 +470,10 @@
                 Item::Chunk { index, members } => {
                     self.block.written(index, stamp);
                     for name in members {
+                        if self.taking.remove(&name) {
+                            // Only now that it is on this block's record may that of its way here go.
+                            self.drops.push(format!("{}{}/{name}", store::MOVE, self.block.id));
+                        }
                         if let Some(m) = self.machines.get_mut(name.as_str()) {
                             m.recorded = true;
                             let id = m.id.clone();
@@ -428,6 +486,8 @@
                     let tickets = book.map_or_else(Vec::new, |b| b.written(stamp));
                     self.ledger_written(tickets);
                 }
+                Item::Home { id, record } => self.job_record(&id, *record, stamp),
+                Item::Gave { machine } => self.gave(&machine),
                 Item::Marked => {
                     tracing::info!(term = self.term, "a successor can go by the jobs' marks");
                     self.marked = Some(true);
@@ -442,6 +502,12 @@
     pub fn uncommitted(&mut self, batch: &Batch, unsure: bool, now: Micros) {
         for item in &batch.items {
             match item {
+                Item::Home { id, .. } => {
+                    if let Some(job) = self.jobs.get_mut(id) {
+                        (job.writing, job.unsure) = (false, unsure);
+                    }
+                }
+                Item::Gave { machine } => self.not_given(machine),
                 Item::Job { id, parts, .. } => {
                     if let Some(job) = self.jobs.get_mut(id) {
                         job.writing = false;
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -5,44 +5,85 @@
 //! | --- | --- |
 //! | [`intake`](super::intake), [`queries`](super::queries) | users: submissions, queries, cancellations, and the copy of what is live |
 //! | [`standing`](super::standing) | siblings: who is heard, who leads, and this controller's own chances |
+//! | [`seats`](super::seats), [`allotter`](super::allotter) | where there are several blocks: who holds which, and what teams may use in each |
 //! | [`holder`](super::holder) | under a [`lease`](super::lease): the machines, what runs on them, and what is written of it |
 //! | [`port`](super::port) | no role: what all of them ask of the outside |
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::Deserialize;
 
-use super::holder::Holder;
+use super::holder::{Answer, Holder, Holders};
 use super::intake::{Intake, POLL_PATIENCE, SUBMIT_PATIENCE, Waiter};
+use super::leadership::Candidacy;
 use super::lease::Lease;
 pub use super::port::{Clock, Command, Effect};
 use super::port::{News, Port, Purpose};
-use super::standing::Standing;
+use super::seats::Seats;
+use super::standing::{Standing, offer_of};
 use crate::http::{Request, Response};
 use crate::memory::cluster::Cluster;
-use crate::memory::fleet::CloudCall;
+use crate::memory::fleet::{CloudCall, Offer};
 use crate::memory::shadow::Shadow;
 use crate::model::{JobId, Micros, SECOND, valid_job_id};
 use crate::settings::Settings;
 use crate::wire::api::{self, Route};
 use crate::wire::cloud::{self, CloudRequest};
-use crate::wire::peer::{Body, Changed, Envelope, OpenTabs, Promise, Relay, Relayed, TabsAsk};
+use crate::wire::peer::{
+    Body, Changed, Envelope, OfferTold, OpenTabs, Promise, Relay, Relayed, TabsAsk,
+};
 use crate::wire::store::{Committed, LeadRecord};
 use crate::wire::worker::ReportElsewhere;
 
 const RELAY_PATIENCE: Micros = 1_500_000;
 const TICK: Micros = 50_000;
 
+/// Machines whose holders are remembered.
+const MOST_ROUTES: usize = 20_000;
+/// Why a block is given up that a sibling is to take.
+const HANDED_ON: &str = "it is handed on";
+
+/// Who holds a block in that term. Answers to an earlier term of this controller's own are nobody's any more.
+fn of_term(holders: &mut Holders, term: u64) -> Option<&mut Holder> {
+    holders.values_mut().find(|h| h.lease.term == term).map(|h| &mut **h)
+}
+
+/// What becomes of a report.
+enum Reported {
+    Now(u16, Bytes),
+    /// Its machine's block is not held here; perhaps by that sibling.
+    Elsewhere(Option<usize>, String),
+}
+
+/// Of a report, whose it is.
+#[derive(Deserialize)]
+struct Named {
+    #[serde(rename = "host")]
+    machine: String,
+}
+
+/// Where a report is to be sent, as a sibling's answer says.
+#[derive(Deserialize)]
+struct ReportTo {
+    #[serde(rename = "foreman")]
+    to: String,
+}
+
 pub struct Controller {
     port: Port,
     standing: Standing,
     intake: Intake,
-    holder: Option<Box<Holder>>,
+    seats: Seats,
+    /// The blocks that it holds. Whoever holds block 0 is the leader.
+    holders: Holders,
+    /// Siblings that hold the blocks of machines that have reported here.
+    routes: HashMap<String, usize>,
     /// What the leader has not charged yet.
     shadow: Shadow,
-    /// Reports passed on to the leader: whose they are, and until when it may answer.
-    relays: HashMap<u64, (u64, Micros)>,
+    /// Reports passed on to a holder: whose they are, until when it may answer, and what to ask another if it is not its.
+    relays: HashMap<u64, (u64, Micros, Bytes)>,
     flavors_at: Micros,
     next_tick: Micros,
 }
@@ -54,7 +95,9 @@
             standing: Standing::new(&port),
             port,
             intake: Intake::default(),
-            holder: None,
+            seats: Seats::default(),
+            holders: Holders::new(),
+            routes: HashMap::new(),
             shadow: Shadow::default(),
             relays: HashMap::new(),
             flavors_at: 0,
@@ -86,7 +129,7 @@
             self.tick();
             self.check_ended();
         }
-        if self.holder.as_ref().is_some_and(|h| h.cluster.urgent_tabs()) {
+        if self.holders.get(&0).is_some_and(|h| h.cluster.urgent_tabs()) {
             self.tell_tabs();
         }
         self.intake.flush_accepts(&mut self.port);
@@ -98,30 +141,45 @@
 
     /// The cluster as the leader sees it; `None` on every other controller.
     pub fn cluster(&self) -> Option<&Cluster> {
-        self.holder.as_ref().map(|h| &h.cluster)
+        self.holders.get(&0).map(|h| &h.cluster)
+    }
+
+    /// All blocks that this controller holds.
+    pub fn clusters(&self) -> impl Iterator<Item = &Cluster> {
+        self.holders.values().map(|h| &h.cluster)
     }
 
     fn check_authority(&mut self) {
-        if self.holder.as_ref().is_some_and(|h| !h.lease.valid(&self.port)) {
-            self.step_down("its authority ran out");
+        for holder in self.holders.values_mut() {
+            if !holder.lease.valid(&self.port) {
+                holder.ended = Some("its authority ran out");
+            }
         }
+        self.check_ended();
     }
 
     fn check_ended(&mut self) {
-        if let Some(why) = self.holder.as_ref().and_then(|h| h.ended) {
-            self.step_down(why);
+        let ended = self.holders.iter().find_map(|(b, h)| h.ended.map(|why| (*b, why)));
+        if let Some((block, why)) = ended {
+            self.step_down(block, why);
+            self.check_ended();
         }
     }
 
-    fn step_down(&mut self, why: &str) {
-        let Some(holder) = self.holder.take() else { return };
-        tracing::info!(term = holder.lease.term, why, "no longer leading");
+    fn step_down(&mut self, block: u32, why: &str) {
+        let Some(holder) = self.holders.remove(&block) else { return };
+        let (term, grant) = (holder.lease.term, holder.lease.grant);
+        if block > 0 {
+            tracing::info!(block, term, why, "gives up a block");
+            return self.seats.left(&mut self.port, block, grant, why == HANDED_ON);
+        }
+        tracing::info!(term, why, "no longer leading");
         if holder.cluster.ledger.is_some() {
             let now = self.port.clock.now;
-            self.shadow = Shadow::own(holder.lease.term, holder.cluster.all_tabs(now), now);
+            self.shadow = Shadow::own(term, holder.cluster.all_tabs(now), now);
         }
         self.port.lead(false);
-        self.standing.stepped_down(&mut self.port, holder.lease.grant, holder.deaf);
+        self.standing.stepped_down(&mut self.port, grant, holder.deaf);
     }
 
     /// What one role has told is for others.
@@ -135,10 +193,16 @@
 
     /// Lets the leader know, in case its watch does not: that may hang in a cut.
     fn changed(&mut self, id: &JobId, stamp: u64) {
-        if let Some(holder) = &mut self.holder {
+        for holder in self.holders.values_mut() {
             holder.expect(&self.port, id, stamp);
-        } else if let Some(i) = self.standing.leader(&self.port) {
-            self.port.say(i, Body::Changed(Changed { job: id.to_string(), stamp }));
+        }
+        let told = Changed { job: id.to_string(), stamp };
+        if self.port.several {
+            let all = 0..self.standing.siblings.len();
+            all.for_each(|i| self.port.say(i, Body::Changed(told.clone())));
+        } else if let Some(i) = self.standing.leader(&self.port).filter(|_| self.holders.is_empty())
+        {
+            self.port.say(i, Body::Changed(told));
         }
     }
 
@@ -152,23 +216,53 @@
         self.relays.retain(|_, r| r.1 > now);
         self.port.forgive();
         self.intake.refresh(&mut self.port);
-        self.intake.read_ends(&mut self.port, self.holder.as_deref());
-        if self.standing.beat(&mut self.port, self.holder.as_deref()) {
+        self.intake.read_ends(&mut self.port, self.holders.get(&0).map(|h| &**h));
+        if self.standing.beat(&mut self.port, &self.holders) {
             self.tell_tabs();
+            self.share_out();
         }
         if self.port.flavors.is_empty() && now >= self.flavors_at {
             self.flavors_at = now + 2 * SECOND;
             self.port.call(0, CloudCall::Flavors, CloudRequest::flavors());
         }
-        match &mut self.holder {
-            Some(holder) => holder.tick(&mut self.port),
-            None => self.standing.tick(&mut self.port),
+        if !self.holders.contains_key(&0) {
+            self.standing.tick(&mut self.port);
+        }
+        self.holders.values_mut().for_each(|h| h.tick(&mut self.port));
+        self.seats.tick(&mut self.port, &self.standing, &self.holders);
+        if let Some(block) = self.seats.hands_over(&self.port, &self.standing, &self.holders) {
+            self.step_down(block, HANDED_ON);
+        }
+    }
+
+    /// What is known of all blocks goes to those who go by it: intake for homes of new jobs, holders for those that
+    /// have no room, and block 0's for machines that others ask for.
+    fn share_out(&mut self) {
+        if !self.port.several {
+            return;
+        }
+        let most = self.port.blocks();
+        let mut loads = self.standing.loads(&self.port);
+        let orders: BTreeMap<u32, BTreeMap<Offer, u32>> = loads
+            .iter()
+            .filter(|l| l.block > 0 && !l.wants.is_empty())
+            .map(|l| (l.block, l.wants.iter().cloned().collect()))
+            .collect();
+        self.port.loads.clone_from(&loads);
+        if let Some(holder) = self.holders.get_mut(&0) {
+            holder.cluster.orders = orders;
+        }
+        // A block that is one too many gets no more work.
+        loads.retain(|l| l.block < most);
+        for (block, holder) in &mut self.holders {
+            holder.cluster.loads.clone_from(&loads);
+            holder.cluster.send_away(*block >= most);
         }
     }
 
     fn tell_tabs(&mut self) {
         let now = self.port.clock.now;
-        let tabs = self.holder.as_mut().map(|h| h.cluster.tabs_to_tell(now));
+        let tabs = self.holders.get_mut(&0).map(|h| h.cluster.tabs_to_tell(now));
         for (i, tabs) in tabs.into_iter().flatten() {
             self.port.say(i, Body::OpenTabs(tabs));
         }
@@ -208,21 +302,19 @@
     }
 
     fn report(&mut self, conn: u64, body: Bytes) {
-        let port = &mut self.port;
-        if let Some(holder) = &mut self.holder {
-            let (status, body) = holder.report(port, &body);
-            return port.reply(conn, Response { status, body, retry_after: None });
-        }
-        match self.standing.leader(port) {
-            // Passed on rather than sent away: the worker may not reach the leader itself.
-            Some(i) => {
-                let id = port.next_id;
-                port.next_id += 1;
-                let until = port.clock.now + RELAY_PATIENCE;
-                port.deadlines.insert(conn, until);
-                self.relays.insert(id, (conn, until));
-                port.say(i, Body::Relay(Relay { id, report: body }));
+        let (to, machine) = match self.report_here(&body) {
+            Reported::Now(status, body) => {
+                let response = Response { status, body, retry_after: None };
+                return self.port.reply(conn, response);
             }
+            Reported::Elsewhere(to, machine) => (to, machine),
+        };
+        let port = &mut self.port;
+        let known = self.routes.get(&machine).copied();
+        let known = known.filter(|i| self.standing.heard(port, *i));
+        match to.or(known).or_else(|| self.standing.leader(port)) {
+            // Passed on rather than sent away: the worker may not reach its holder itself.
+            Some(i) => self.relay(conn, i, body),
             None => {
                 // A sibling that still hears the leader is told by name, which spares the worker
                 // the wait before it would try that one itself.
@@ -234,6 +326,98 @@
         }
     }
 
+    fn relay(&mut self, conn: u64, to: usize, report: Bytes) {
+        let port = &mut self.port;
+        let id = port.next_id;
+        port.next_id += 1;
+        let until = port.clock.now + RELAY_PATIENCE;
+        port.deadlines.insert(conn, until);
+        self.relays.insert(id, (conn, until, report.clone()));
+        port.say(to, Body::Relay(Relay { id, report }));
+    }
+
+    /// Answers a report of a machine whose block is held here.
+    fn report_here(&mut self, body: &Bytes) -> Reported {
+        if !self.port.several {
+            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body)) {
+                Some(Answer::Now(status, body)) => Reported::Now(status, body),
+                _ => Reported::Elsewhere(None, String::new()),
+            };
+        }
+        let Ok(Named { machine }) = serde_json::from_slice::<Named>(body) else {
+            return Reported::Now(400, Response::error(400, "not a report").body);
+        };
+        let other = self.holders.values_mut().find(|h| h.lease.block > 0 && h.has(&machine));
+        let holder = match other {
+            Some(holder) => Some(holder),
+            None => self.holders.get_mut(&0),
+        };
+        let answer = holder.map(|h| h.report(&self.port, body));
+        match answer {
+            Some(Answer::Now(status, body)) => Reported::Now(status, body),
+            Some(Answer::Elsewhere(Some(block))) => {
+                let holds = self.port.loads.iter().find(|l| l.block == block);
+                match holds.map(|l| l.holder) {
+                    Some(Some(i)) => Reported::Elsewhere(Some(i), machine),
+                    // Its holder is not known, or does not know of the machine yet.
+                    _ => Reported::Now(503, Response::error(503, "its block is not held").body),
+                }
+            }
+            _ => Reported::Elsewhere(None, machine),
+        }
+    }
+
+    /// A sibling passes on a report.
+    fn relayed_here(&mut self, from: usize, relay: Relay) {
+        let (status, body) = match self.report_here(&relay.report) {
+            Reported::Now(status, body) => (status, body),
+            Reported::Elsewhere(Some(i), _) => {
+                let report_to = Some(self.port.settings.siblings[i].name.as_str());
+                (421, Response::json(421, &ReportElsewhere { report_to }).body)
+            }
+            Reported::Elsewhere(None, _) => (404, Response::error(404, "not held here").body),
+        };
+        let reply = Relayed { id: relay.id, status: u32::from(status), body };
+        self.port.say(from, Body::Relayed(reply));
+    }
+
+    /// A sibling has answered a report that was passed on to it.
+    fn relay_answered(&mut self, from: usize, reply: Relayed) {
+        let Some((conn, _, report)) = self.relays.remove(&reply.id) else { return };
+        let status = u16::try_from(reply.status).unwrap_or(503);
+        let machine = || serde_json::from_slice::<Named>(&report).ok().map(|n| n.machine);
+        match status {
+            404 => {
+                machine().map(|m| self.routes.remove(&m));
+                // Whoever leads knows where it is.
+                match self.standing.leader(&self.port).filter(|l| *l != from) {
+                    Some(leader) => self.relay(conn, leader, report),
+                    None => self.port.unavailable(conn),
+                }
+            }
+            421 if self.port.several => {
+                let to = serde_json::from_slice::<ReportTo>(&reply.body).ok().map(|t| t.to);
+                let siblings = &self.port.settings.siblings;
+                let to = to.and_then(|to| siblings.iter().position(|s| *s.name == *to));
+                match (to.filter(|i| *i != from), machine()) {
+                    (Some(i), Some(machine)) => {
+                        if self.routes.len() >= MOST_ROUTES {
+                            self.routes.clear();
+                        }
+                        self.routes.insert(machine, i);
+                        self.relay(conn, i, report);
+                    }
+                    // This controller held it a moment ago, or holds it now.
+                    _ => self.port.unavailable(conn),
+                }
+            }
+            _ => {
+                let response = Response { status, body: reply.body, retry_after: None };
+                self.port.reply(conn, response);
+            }
+        }
+    }
+
     // ---- Siblings ----
 
     fn peer(&mut self, message: Envelope) {
@@ -244,35 +428,37 @@
             return;
         };
         self.standing.siblings[i].heard_at = Some(now);
-        if let Some(holder) = &mut self.holder {
-            holder.heard_at = Some(now);
-        }
+        self.holders.values_mut().for_each(|h| h.heard_at = Some(now));
         match message.body {
             Some(Body::Heartbeat(beat)) => {
                 self.shadow.heard(beat.leading, now);
-                self.standing.beaten(i, beat);
-            }
-            Some(Body::Relay(relay)) => {
-                let (status, body) = match &mut self.holder {
-                    Some(holder) => holder.report(port, &relay.report),
-                    None => (503, Response::error(503, "not leading").body),
-                };
-                let reply = Relayed { id: relay.id, status: u32::from(status), body };
-                port.say(i, Body::Relayed(reply));
-            }
-            Some(Body::Relayed(reply)) => {
-                if let Some((conn, _)) = self.relays.remove(&reply.id) {
-                    let status = u16::try_from(reply.status).unwrap_or(503);
-                    port.reply(conn, Response { status, body: reply.body, retry_after: None });
+                if beat.leading > 0 {
+                    let offer =
+                        |o: &OfferTold| Some((offer_of(&port.flavors, o)?, o.number * 1000));
+                    let refused: Vec<(Offer, Micros)> =
+                        beat.refused.iter().filter_map(offer).collect();
+                    for holder in self.holders.values_mut() {
+                        holder.cluster.told_refused(refused.clone(), now);
+                    }
                 }
+                self.standing.beaten(port, i, beat);
             }
+            Some(Body::Relay(relay)) => self.relayed_here(i, relay),
+            Some(Body::Relayed(reply)) => self.relay_answered(i, reply),
             Some(Body::PromiseAsk(ask)) => {
-                let leads = self.holder.is_some();
-                self.standing.promise_asked(port, i, &ask, leads);
+                let seats = &mut self.seats.seats;
+                let candidacy = match ask.block {
+                    0 => Some(&mut self.standing.candidacy),
+                    b => seats.get_mut(&b).map(|s| &mut s.candidacy),
+                };
+                let free = !self.holders.contains_key(&ask.block);
+                if let Some(candidacy) = candidacy.filter(|_| free) {
+                    Standing::promise_asked(port, candidacy, i, &ask);
+                }
             }
             Some(Body::Promise(promise)) => self.promised(i, &promise),
             Some(Body::Changed(changed)) if valid_job_id(&changed.job) => {
-                if let Some(holder) = &mut self.holder {
+                for holder in self.holders.values_mut() {
                     holder.expect(port, &changed.job, changed.stamp);
                 }
             }
@@ -280,26 +466,48 @@
                 self.tabs_told(i, tabs);
             }
             Some(Body::TabsAsk(ask)) => {
-                let asked = self.holder.as_mut().filter(|h| h.lease.term == ask.term);
+                let asked = self.holders.values_mut().find(|h| h.lease.term == ask.term);
                 if let Some(holder) = asked {
                     holder.cluster.tell_all(i);
                 }
             }
             Some(Body::MarksAsk(ask)) => {
-                self.standing.marks_asked(port, i, ask, self.holder.as_deref());
+                let holder = self.holders.get(&ask.block).map(|h| &**h);
+                let candidacy = match ask.block {
+                    0 => Some(&self.standing.candidacy),
+                    b => self.seats.seats.get(&b).map(|s| &s.candidacy),
+                };
+                if let Some(candidacy) = candidacy {
+                    Standing::marks_asked(port, candidacy, i, ask, holder);
+                }
+            }
+            Some(Body::MarksHold(told)) if told.life == self.standing.life => {
+                if let Some(candidacy) = self.candidacy(told.block) {
+                    candidacy.marks_hold(told.term);
+                }
             }
-            Some(Body::MarksHold(told)) => self.standing.marks_told(&told),
-            Some(Body::Changed(_) | Body::OpenTabs(_)) | None => {}
+            Some(Body::Changed(_) | Body::OpenTabs(_) | Body::MarksHold(_)) | None => {}
+        }
+    }
+
+    /// This controller's own chances of holding a block.
+    fn candidacy(&mut self, block: u32) -> Option<&mut Candidacy> {
+        match block {
+            0 => Some(&mut self.standing.candidacy),
+            b => self.seats.seats.get_mut(&b).map(|s| &mut s.candidacy),
         }
     }
 
     fn promised(&mut self, i: usize, promise: &Promise) {
-        let asked = self.holder.as_mut().filter(|h| h.lease.term == promise.term);
+        let block = promise.block;
+        let asked = self.holders.get_mut(&block).filter(|h| h.lease.term == promise.term);
         let Some(holder) = asked else { return };
         holder.lease.authority.promised(promise.round, i, self.port.clock.now);
         if holder.lease.authority.bridged() {
             holder.cluster.unmarked = true;
-            self.standing.candidacy.bridged(promise.term);
+            if let Some(candidacy) = self.candidacy(block) {
+                candidacy.bridged(promise.term);
+            }
         }
     }
 
@@ -310,7 +518,7 @@
         // What two clocks may be apart does not count.
         let late = if late > off + SECOND { late } else { 0 };
         let term = tabs.term;
-        if self.holder.is_none() && self.shadow.take(tabs, port.clock.now, late) {
+        if !self.holders.contains_key(&0) && self.shadow.take(tabs, port.clock.now, late) {
             port.say(i, Body::TabsAsk(TabsAsk { term }));
         }
     }
@@ -330,11 +538,9 @@
             port.slow_down();
         }
         let (intake, standing) = (&mut self.intake, &mut self.standing);
-        let holder = self.holder.as_deref_mut();
-        // Answers to an earlier term of this controller's own are nobody's any more.
-        let of = |term: u64| holder.filter(|h| h.lease.term == term);
+        let holders = &mut self.holders;
         match purpose {
-            Purpose::Probe => standing.probed(answer),
+            Purpose::Probe => standing.probed(port, answer),
             Purpose::Grant { sent } => standing.granted(port, sent, answer),
             Purpose::Takeover { record, grant, sent } => {
                 self.taken_over(record, grant, sent, answer);
@@ -345,51 +551,82 @@
                 }
             }
             Purpose::Renew { sent, term } => {
-                let Some(holder) = of(term) else { return };
+                let Some(holder) = of_term(holders, term) else { return };
                 if !holder.lease.renewed(sent, status, now) {
                     holder.ended = Some("its grant ended");
                 }
             }
+            Purpose::Moves { term } => {
+                if let Some(h) = of_term(holders, term) {
+                    h.moves_read(port, answer);
+                }
+            }
+            Purpose::Allots { term } => {
+                if let Some(h) = of_term(holders, term) {
+                    h.allotter.read_all(port, &h.lease, &mut h.cluster, answer);
+                }
+            }
+            Purpose::Allot { term } => {
+                if let Some(h) = of_term(holders, term) {
+                    h.allotter.written(now, status);
+                }
+            }
+            Purpose::Seats => self.seats.probed(port, answer),
+            Purpose::SeatGrant { block, sent } => self.seats.granted(port, block, sent, answer),
+            Purpose::SeatTerms { block, grant, sent } => {
+                self.seats.terms_read(port, block, grant, sent, answer);
+            }
+            Purpose::SeatTake { block, record, grant, sent } => {
+                self.seat_taken(block, record, grant, sent, answer);
+            }
+            Purpose::DropSeat { block } => {
+                if matches!(status, Some(200 | 204 | 404))
+                    && let Some(seat) = self.seats.seats.get_mut(&block)
+                {
+                    seat.candidacy.grant_dropped();
+                }
+            }
             Purpose::Load { term, stage } => {
                 let shadow = &mut self.shadow;
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.load_answer(port, shadow, stage, answer);
                 }
             }
             Purpose::LoadLedger { term } => {
                 let shadow = &mut self.shadow;
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.ledger_head(port, shadow, answer);
                 }
             }
             Purpose::Follow { term } => {
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.followed(port, answer);
                 }
             }
             Purpose::Write { term, batch } => {
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.written(port, batch, answer);
                 }
             }
             Purpose::ReadBack { term, key } => {
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.read_again(port, key, answer);
                 }
             }
             Purpose::ReadOver { term, key } => {
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.over_read(&key, answer);
                 }
             }
             Purpose::ReadOwner { term, job } => {
-                if let Some(h) = of(term) {
+                if let Some(h) = of_term(holders, term) {
                     h.owner_read(port, &job, answer);
                 }
             }
             Purpose::ShowLedger { conn, team } => intake.ledger_shown(port, conn, team, answer),
             Purpose::Upstream { job } => {
-                intake.upstream_read(port, job, answer, self.holder.as_deref_mut());
+                let holder = self.holders.get_mut(&0).map(|h| &mut **h);
+                intake.upstream_read(port, job, answer, holder);
             }
             Purpose::Named { conn, job } => intake.named(port, conn, job, answer),
             Purpose::Copy => intake.copied(port, answer),
@@ -404,19 +641,18 @@
     /// Queries are answered, with what the leader knows beside what is stored.
     fn asked(&mut self, purpose: Purpose, answer: Option<(u16, Bytes)>) {
         let (port, standing) = (&mut self.port, &self.standing);
-        let holder = self.holder.as_deref();
-        let told = standing.progress(port);
-        let progress = |id: &JobId| match holder {
-            Some(holder) => holder.progress(id),
-            None => told?.get(&**id).copied(),
-        };
+        let holders = &self.holders;
+        let siblings = standing.running(port);
+        let told = |id: &JobId| siblings.iter().find_map(|s| s.get(&**id).copied());
+        let own = |id: &JobId| holders.values().find_map(|h| h.progress(id));
+        let progress = |id: &JobId| own(id).or_else(|| told(id));
         match purpose {
             Purpose::Look { job, over } => {
                 self.intake.looked(port, job, over, answer, &progress);
             }
             _ => {
                 self.intake.refreshed(port, answer, &progress);
-                self.intake.read_ends(port, holder);
+                self.intake.read_ends(port, holders.get(&0).map(|h| &**h));
             }
         }
     }
@@ -440,7 +676,7 @@
         };
         let (term, trusted) = (record.term, record.marked);
         tracing::info!(term, trusted, "leading");
-        let lease = Lease::new(&record, grant, stamp.ledger_no, sent, port);
+        let lease = Lease::new(0, term, grant, stamp.ledger_no, sent, port);
         standing.candidacy.took(record, stamp.ledger_no);
         let (settings, flavors) = (port.settings.clone(), port.flavors.clone());
         let mut cluster = Cluster::new(term, settings, flavors, now, port.clock.wall);
@@ -449,10 +685,44 @@
         port.lead(true);
         standing.beat_soon(now);
         holder.load(port, "");
-        self.holder = Some(Box::new(holder));
+        self.holders.insert(0, Box::new(holder));
         self.tick();
     }
 
+    fn seat_taken(
+        &mut self,
+        block: u32,
+        record: LeadRecord,
+        grant: u64,
+        sent: Micros,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let port = &mut self.port;
+        let status = answer.as_ref().map(|a| a.0);
+        let stamp = match &answer {
+            Some((200, body)) => serde_json::from_slice::<Committed>(body).ok(),
+            _ => None,
+        };
+        let Some(seat) = self.seats.seats.get_mut(&block) else { return };
+        seat.candidacy.trying = false;
+        let Some(stamp) = stamp else {
+            return self.seats.not_taken(port, block, grant, status);
+        };
+        let (term, trusted) = (record.term, record.marked);
+        tracing::info!(block, term, trusted, "holds a block");
+        seat.candidacy.took(record, stamp.ledger_no);
+        let lease = Lease::new(block, term, grant, stamp.ledger_no, sent, port);
+        let (settings, flavors) = (port.settings.clone(), port.flavors.clone());
+        let now = port.clock.now;
+        let mut cluster = Cluster::new(term, settings, flavors, now, port.clock.wall);
+        cluster.of_block(block);
+        cluster.trust(trusted);
+        let mut holder = Holder::new(lease, cluster);
+        holder.load(port, "");
+        self.standing.beat_soon(now);
+        self.holders.insert(block, Box::new(holder));
+    }
+
     fn cloud_answer(&mut self, id: u64, answer: Option<(u16, Bytes)>) {
         let Some((term, call)) = self.port.calls.remove(&id) else { return };
         if term == 0 {
@@ -462,7 +732,7 @@
             }
             return;
         }
-        if let Some(holder) = self.holder.as_mut().filter(|h| h.lease.term == term) {
+        if let Some(holder) = self.holders.values_mut().find(|h| h.lease.term == term) {
             holder.cloud_answer(&self.port, call, answer);
         }
     }
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -1,11 +1,12 @@
 //! Holding: the machines of a block, what runs on them, and what is written of it, under one lease.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
 use gannethub_ledger::audit::Page;
 use gannethub_ledger::book::Head;
 
+use super::allotter::Allotter;
 use super::lease::Lease;
 use super::port::{Port, Purpose};
 use crate::apply::reports::Outcome;
@@ -18,8 +19,8 @@
 use crate::model::{JobId, Micros, SECOND};
 use crate::wire::peer::Running;
 use crate::wire::store::{
-    self, Committed, Conflict, Followed, HOLDER, Item, Listing, LiveRecord, OverRecord, PartRecord,
-    StoreRequest, Urgency,
+    self, Committed, Conflict, Followed, Item, Listing, LiveRecord, MoveRecord, OverRecord,
+    PartRecord, StoreRequest, Urgency,
 };
 use crate::wire::worker::{Report, ReportAnswer};
 
@@ -27,10 +28,14 @@
 const DEAF: Micros = 3 * SECOND;
 /// The watch should have brought a change by this time after it was told of.
 const WATCH_PATIENCE: Micros = 400_000;
+/// Machines on their way here are looked for this often.
+const MOVES_EVERY: Micros = SECOND;
 /// Jobs that a heartbeat tells the progress of.
 const MOST_RUNNING: usize = 2000;
 
-const STAGES: [&str; 3] = [store::LIVE, store::PART, store::BLOCK];
+const STAGES: [&str; 5] = [store::LIVE, store::PART, store::BLOCK, store::MOVE, store::ALLOT];
+const MOVE_STAGE: usize = 3;
+const ALLOT_STAGE: usize = 4;
 /// What follows where a ledger is kept: its head, and its last pages.
 const HEAD_STAGE: usize = STAGES.len();
 const PAGE_STAGE: usize = HEAD_STAGE + 1;
@@ -66,6 +71,20 @@
     expected: VecDeque<(Micros, u64, String)>,
     schedule_at: Micros,
     fleet_at: Micros,
+    /// Its block's part of the teams' limits.
+    pub allotter: Allotter,
+    /// When it was last looked for machines on their way here.
+    moves_at: Micros,
+}
+
+/// What this controller holds, by block.
+pub(super) type Holders = BTreeMap<u32, Box<Holder>>;
+
+/// What a report is answered with.
+pub(super) enum Answer {
+    Now(u16, Bytes),
+    /// The machine is another block's; which one, block 0's holder knows.
+    Elsewhere(Option<u32>),
 }
 
 impl Holder {
@@ -92,6 +111,8 @@
             expected: VecDeque::new(),
             schedule_at: 0,
             fleet_at: 0,
+            allotter: Allotter::default(),
+            moves_at: 0,
         }
     }
 
@@ -134,6 +155,46 @@
         }
     }
 
+    /// It is its block's.
+    pub fn has(&self, machine: &str) -> bool {
+        self.cluster.machines.contains_key(machine)
+    }
+
+    /// A machine that was given to a block and is on no record yet.
+    fn on_the_way(&mut self, item: &Item, now: Micros) {
+        let key = item.k.strip_prefix(store::MOVE).and_then(|k| k.split_once('/'));
+        let Some((block, machine)) = key.and_then(|(b, m)| Some((b.parse::<u32>().ok()?, m)))
+        else {
+            return;
+        };
+        if block == self.lease.block {
+            if let Some(record) = item.record::<MoveRecord>() {
+                self.cluster.incoming(machine, &record, now);
+            }
+        } else if self.lease.block == 0 {
+            self.cluster.elsewhere.insert(machine.into(), block);
+        }
+    }
+
+    /// Machines on their way here have been looked for.
+    pub fn moves_read(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
+        let listing = answer.filter(|a| a.0 == 200);
+        let listing = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        for item in listing.iter().flat_map(|l| &l.items) {
+            self.on_the_way(item, port.clock.now);
+        }
+    }
+
+    fn look_for_moves(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        if self.lease.block == 0 || now < self.moves_at {
+            return;
+        }
+        self.moves_at = now + MOVES_EVERY;
+        let request = StoreRequest::list(&format!("{}{}/", store::MOVE, self.lease.block), "");
+        port.send(Urgency::Commit, request, Purpose::Moves { term: self.lease.term });
+    }
+
     /// Asks the cloud for what the plan wants.
     fn plan(&mut self, port: &mut Port) {
         let now = port.clock.now;
@@ -241,9 +302,9 @@
     }
 
     /// The leader's answer to a report.
-    pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> (u16, Bytes) {
+    pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> Answer {
         let now = port.clock.now;
-        let error = |status: u16, why: &str| (status, Response::error(status, why).body);
+        let error = |status: u16, why: &str| Answer::Now(status, Response::error(status, why).body);
         self.heard_at = Some(now);
         self.cluster.wall = port.clock.wall;
         let report: Report<'_> = match serde_json::from_slice(body) {
@@ -253,16 +314,21 @@
                 return error(400, "not a report");
             }
         };
+        if !self.loaded() && self.lease.block != 0 {
+            // Whether the machine is this block's is not known yet.
+            return error(503, "the state is being read");
+        }
         if !self.loaded() && report.token <= self.lease.term {
             // Renews the worker's lease and shows it the new token while the state is read.
             let body = ReportAnswer { token: self.lease.term, orders: &[] };
-            return (200, Response::json(200, &body).body);
+            return Answer::Now(200, Response::json(200, &body).body);
         }
         match self.cluster.report(now, &report) {
             Outcome::Orders(orders) => {
                 let body = ReportAnswer { token: self.lease.term, orders: &orders };
-                (200, Response::json(200, &body).body)
+                Answer::Now(200, Response::json(200, &body).body)
             }
+            Outcome::Elsewhere(block) => Answer::Elsewhere(block),
             Outcome::Stale => error(503, "an old report"),
             Outcome::Deposed => {
                 self.ended = Some("a worker has seen a higher token");
@@ -275,6 +341,10 @@
         let now = port.clock.now;
         let (term, stage) = (self.lease.term, self.stage);
         match STAGES.get(stage) {
+            Some(_) if stage >= MOVE_STAGE && !port.several => {
+                self.stage = HEAD_STAGE;
+                self.load(port, "");
+            }
             Some(prefix) => {
                 let request = StoreRequest::list(prefix, after);
                 port.send(Urgency::Renewal, request, Purpose::Load { term, stage });
@@ -296,6 +366,9 @@
                 port.send(Urgency::Renewal, request, Purpose::Load { term, stage });
             }
             None => {
+                if !self.loaded_once && port.several {
+                    self.allotter.obey(&mut self.cluster);
+                }
                 self.loaded_once = true;
                 self.cluster.loaded(now);
             }
@@ -369,6 +442,8 @@
                 },
                 // After the first time this leader knows better: nobody else writes the block.
                 _ if self.loaded_once => {}
+                MOVE_STAGE => self.on_the_way(item, port.clock.now),
+                ALLOT_STAGE => self.allotter.read(item),
                 _ => {
                     if let Some(record) = item.record::<ChunkRecord>() {
                         self.cluster.chunk_record(&item.k, record, item.stamp);
@@ -445,7 +520,7 @@
             },
             Some((409, body)) => {
                 let conflict = serde_json::from_slice::<Conflict>(&body);
-                if conflict.is_ok_and(|c| c.failed.iter().any(|k| k == HOLDER)) {
+                if conflict.is_ok_and(|c| c.failed.contains(&self.cluster.keys.0)) {
                     self.ended = Some("its key is gone");
                     return;
                 }
@@ -543,6 +618,8 @@
             return;
         }
         self.cluster.tick(now, wall);
+        self.look_for_moves(port);
+        self.allotter.tick(port, &self.lease);
         let due = self.cluster.stirred || now >= self.cluster.last_pass + SECOND;
         // Passes and plans are spaced by what they cost: reports, renewals and users come first.
         if now >= self.schedule_at.max(self.cluster.next_pass) && due {
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -10,6 +10,7 @@
 use crate::http::Response;
 use crate::memory::mirror::Mirror;
 use crate::memory::pipeline::Fate;
+use crate::memory::share;
 use crate::model::{JobId, Micros, SECOND};
 use crate::wire::api::{self, JobView, Refusal, Status, Submission};
 use crate::wire::store::{
@@ -217,7 +218,8 @@
             cancelled |= fate == Fate::Cancelled;
         }
         if open.is_empty() {
-            (store::raw(&JobRecord::new(spec, at)), 0)
+            let block = share::home(&port.homes());
+            (JobRecord { block, ..JobRecord::new(spec, at) }.value(), 0)
         } else {
             (store::raw(&WaitingRecord::new(spec, at, cancelled, &open)), open.len())
         }
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -189,6 +189,11 @@
         self.promised = self.promised.max(term);
     }
 
+    /// There has been such a lease at some time, as far as was seen.
+    pub fn known(&self) -> bool {
+        self.term.is_some()
+    }
+
     pub fn may_try(&self, now: Micros) -> bool {
         !self.trying && !self.unsure && self.still_may(now)
     }
--- a/crates/gannethub-core/src/control/lease.rs
+++ b/crates/gannethub-core/src/control/lease.rs
@@ -8,7 +8,7 @@
 use super::port::{Port, Purpose};
 use crate::model::Micros;
 use crate::wire::peer::{Body, PromiseAsk};
-use crate::wire::store::{LeadRecord, StoreRequest, Urgency};
+use crate::wire::store::{StoreRequest, Urgency};
 
 /// Promises are asked for this often while the grant runs low.
 const ASK_EVERY: Micros = 600_000;
@@ -17,6 +17,7 @@
 
 #[derive(Debug)]
 pub(super) struct Lease {
+    pub block: u32,
     pub term: u64,
     pub grant: u64,
     /// Version of the holder's key: every write of this holder depends on it.
@@ -28,9 +29,9 @@
 
 impl Lease {
     /// Taken with a grant that was asked for at `sent`.
-    pub fn new(record: &LeadRecord, grant: u64, stamp: u64, sent: Micros, port: &Port) -> Lease {
+    pub fn new(block: u32, term: u64, grant: u64, stamp: u64, sent: Micros, port: &Port) -> Lease {
         let authority = Authority::new(sent, port.ttl());
-        Lease { term: record.term, grant, stamp, authority, renew_at: port.clock.now, ask_at: 0 }
+        Lease { block, term, grant, stamp, authority, renew_at: port.clock.now, ask_at: 0 }
     }
 
     pub fn valid(&self, port: &Port) -> bool {
@@ -50,9 +51,8 @@
         if self.authority.low(now) && now >= self.ask_at && siblings > 0 {
             self.ask_at = now + ASK_EVERY;
             let (round, term) = (self.authority.ask(now, siblings), self.term);
-            for i in 0..siblings {
-                port.say(i, Body::PromiseAsk(PromiseAsk { round, term, micros: PROMISE }));
-            }
+            let ask = PromiseAsk { round, term, micros: PROMISE, block: self.block };
+            (0..siblings).for_each(|i| port.say(i, Body::PromiseAsk(ask.clone())));
         }
     }
 
--- a/crates/gannethub-core/src/control/mod.rs
+++ b/crates/gannethub-core/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! The roles of a controller, and the owner of them all.
 
+mod allotter;
 pub mod controller;
 mod holder;
 mod intake;
@@ -7,4 +8,5 @@
 mod lease;
 mod port;
 mod queries;
+mod seats;
 mod standing;
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -8,6 +8,7 @@
 
 use crate::http::{Request, Response};
 use crate::memory::fleet::CloudCall;
+use crate::memory::share::Load;
 use crate::memory::writes::Batch;
 use crate::model::{Flavor, JobId, Micros, SECOND, micros};
 use crate::policy::Setting;
@@ -86,6 +87,39 @@
         term: u64,
         key: String,
     },
+    /// Machines on their way to a block.
+    Moves {
+        term: u64,
+    },
+    /// What blocks may use.
+    Allots {
+        term: u64,
+    },
+    /// That a block may use less or more.
+    Allot {
+        term: u64,
+    },
+    /// Who holds the blocks other than 0.
+    Seats,
+    SeatGrant {
+        block: u32,
+        sent: Micros,
+    },
+    /// The terms there are, for a seat that is to be taken.
+    SeatTerms {
+        block: u32,
+        grant: u64,
+        sent: Micros,
+    },
+    SeatTake {
+        block: u32,
+        record: LeadRecord,
+        grant: u64,
+        sent: Micros,
+    },
+    DropSeat {
+        block: u32,
+    },
     /// Where the ledger stands, for a new leader.
     LoadLedger {
         term: u64,
@@ -153,6 +187,10 @@
     pub deadlines: HashMap<u64, Micros>,
     pub effects: Vec<Effect>,
     pub news: Vec<News>,
+    /// How the blocks stand, as their holders last told.
+    pub loads: Vec<Load>,
+    /// There are several blocks, or have been, or are to be. Where not, nothing is asked or told of them.
+    pub several: bool,
 }
 
 impl Port {
@@ -173,7 +211,10 @@
             deadlines: HashMap::new(),
             effects: Vec::new(),
             news: Vec::new(),
+            loads: Vec::new(),
+            several: false,
         };
+        port.several = port.blocks() > 1;
         port.share();
         port
     }
@@ -186,7 +227,9 @@
 
     fn share(&mut self) {
         let n = self.settings.siblings.len() as f64;
+        // Where all hold blocks, all need the same.
         let share = match (self.leads, n > 0.0) {
+            (_, true) if self.blocks() > 1 => 0.95 / (n + 1.0),
             (_, false) => 0.95,
             (true, true) => 0.5,
             (false, true) => 0.6 / n,
@@ -205,6 +248,18 @@
         }
     }
 
+    /// Into how many blocks the machines are divided.
+    pub fn blocks(&self) -> u32 {
+        let blocks = self.settings.policy.number(Setting::Blocks, &[]) as u32;
+        if self.settings.ledger.is_some() { 1 } else { blocks }
+    }
+
+    /// Blocks that new jobs may go to: those that are one too many get no more work.
+    pub fn homes(&self) -> Vec<Load> {
+        let most = self.blocks();
+        self.loads.iter().filter(|l| l.block < most).cloned().collect()
+    }
+
     /// How long this controller's grants last without renewal.
     pub fn ttl(&self) -> Micros {
         micros(self.settings.policy.number(Setting::Grant, &[]))
--- /dev/null
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -0,0 +1,233 @@
+//! Who holds the blocks other than 0: looking for those that nobody holds, taking them in turn, and handing back what
+//! a sibling was lost with.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+
+use super::holder::Holders;
+use super::leadership::Candidacy;
+use super::port::{PROBE_EVERY, Port, Purpose};
+use super::standing::Standing;
+use crate::model::{Micros, SECOND};
+use crate::wire::peer::{Body, Marks};
+use crate::wire::store::{
+    self, COUNT, Commit, Granted, LEAD, LeadRecord, Listing, SEAT, StoreRequest, TERM, Urgency,
+    seat_keys,
+};
+
+/// Where one block is enough, others that are left over are looked for this often.
+const LEFT_OVER: Micros = 5 * SECOND;
+/// A block that nobody holds is left to those before this controller for so long, each.
+const TURN: Micros = 700_000;
+/// A block is handed to the sibling whose turn is first once that has been heard for so long.
+const SETTLED_IN: Micros = 8 * SECOND;
+/// Who handed a block on does not take it back for so long.
+const ABSTAIN: Micros = 6 * SECOND;
+
+#[derive(Debug)]
+pub(super) struct Seat {
+    pub candidacy: Candidacy,
+    free_since: Option<Micros>,
+}
+
+#[derive(Debug, Default)]
+pub(super) struct Seats {
+    pub seats: BTreeMap<u32, Seat>,
+    probing: bool,
+    probe_at: Micros,
+    /// Since when each sibling has been heard without a pause.
+    steady: Vec<Option<Micros>>,
+}
+
+impl Seats {
+    fn seat(&mut self, port: &Port, block: u32) -> &mut Seat {
+        let new = || Seat {
+            candidacy: Candidacy::new(&port.settings.name, port.clock.now),
+            free_since: None,
+        };
+        self.seats.entry(block).or_insert_with(new)
+    }
+
+    /// Controllers in the order in which they take a block: this one's place among those that are heard, and who
+    /// comes first of all.
+    fn turn(port: &Port, standing: &Standing, block: u32) -> (usize, Option<usize>) {
+        let mut all: Vec<(&str, Option<usize>)> = vec![(&port.settings.name, None)];
+        all.extend(port.settings.siblings.iter().enumerate().map(|(i, s)| (&*s.name, Some(i))));
+        all.sort_unstable();
+        let first = block as usize % all.len();
+        all.rotate_left(first);
+        let heard = |i: &Option<usize>| i.is_none_or(|i| standing.heard(port, i));
+        let place = all.iter().filter(|(_, i)| heard(i)).position(|(_, i)| i.is_none());
+        (place.unwrap_or(0), all[0].1)
+    }
+
+    /// Looks for blocks that nobody holds, and takes those whose turn it is.
+    pub fn tick(&mut self, port: &mut Port, standing: &Standing, holders: &Holders) {
+        if !port.several {
+            return;
+        }
+        let now = port.clock.now;
+        self.steady.resize(standing.siblings.len(), None);
+        for i in 0..self.steady.len() {
+            let heard = standing.heard(port, i);
+            self.steady[i] = self.steady[i].or(Some(now)).filter(|_| heard);
+        }
+        if !self.probing && now >= self.probe_at {
+            self.probing = true;
+            self.probe_at = now + if self.seats.is_empty() { LEFT_OVER } else { PROBE_EVERY };
+            port.send(Urgency::Renewal, StoreRequest::list(SEAT, ""), Purpose::Seats);
+        }
+        for block in 1..port.blocks() {
+            self.seat(port, block);
+        }
+        let led = holders.contains_key(&0) || standing.leader(port).is_some();
+        for (block, seat) in &mut self.seats {
+            if let Some(term) = seat.candidacy.asks_marks(now) {
+                let ask = Marks { term, life: standing.life, block: *block };
+                let all = 0..standing.siblings.len();
+                all.for_each(|i| port.say(i, Body::MarksAsk(ask.clone())));
+            }
+            // Only what its settings or its record speak of is taken, and only where somebody gives out machines.
+            let exists = *block < port.blocks() || seat.candidacy.known();
+            let free = exists && led && !holders.contains_key(block);
+            if !free || port.flavors.is_empty() || !seat.candidacy.may_try(now) {
+                seat.free_since = None;
+                continue;
+            }
+            let since = *seat.free_since.get_or_insert(now);
+            let (place, _) = Seats::turn(port, standing, *block);
+            if now >= since + TURN * place as Micros {
+                seat.candidacy.trying = true;
+                let purpose = Purpose::SeatGrant { block: *block, sent: now };
+                port.send(Urgency::Renewal, StoreRequest::grant(port.ttl()), purpose);
+            }
+        }
+    }
+
+    /// A block to hand to a sibling that is up again: what comes first in its turn, while this controller holds others.
+    pub fn hands_over(&self, port: &Port, standing: &Standing, holders: &Holders) -> Option<u32> {
+        let now = port.clock.now;
+        let held = holders.iter().filter(|(b, h)| **b > 0 && h.loaded() && h.cluster.settled);
+        let mut held = held.map(|(b, _)| *b).filter(|_| holders.len() > 1);
+        held.find(|b| {
+            let Some(i) = Seats::turn(port, standing, *b).1 else { return false };
+            let steady = self.steady.get(i).copied().flatten();
+            let sibling = &standing.siblings[i];
+            steady.is_some_and(|t| now > t + SETTLED_IN)
+                && sibling.state_ok
+                && sibling.leading == 0
+                && sibling.loads.is_empty()
+        })
+    }
+
+    /// This controller does not hold the block any more. `by_turn`: it was handed on.
+    pub fn left(&mut self, port: &mut Port, block: u32, grant: u64, by_turn: bool) {
+        let now = port.clock.now;
+        let seat = self.seat(port, block);
+        if by_turn {
+            seat.candidacy.abstain(now + ABSTAIN);
+        }
+        self.probe_at = now;
+        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropSeat { block });
+    }
+
+    pub fn probed(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
+        self.probing = false;
+        let listing = answer.filter(|a| a.0 == 200);
+        let Some(listing) = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok())
+        else {
+            return;
+        };
+        type Seen = Option<(LeadRecord, u64)>;
+        let mut seen: BTreeMap<u32, (Seen, Seen)> = BTreeMap::new();
+        for item in &listing.items {
+            let key = item.k.strip_prefix(SEAT).and_then(|k| k.split_once('/'));
+            let Some((block, what)) = key.and_then(|(b, w)| Some((b.parse::<u32>().ok()?, w)))
+            else {
+                tracing::error!(key = %item.k, "no block's");
+                continue;
+            };
+            let Some(record) = item.record::<LeadRecord>().filter(|_| block > 0) else { continue };
+            let (holder, term) = seen.entry(block).or_default();
+            match what {
+                "holder" => *holder = Some((record, item.stamp)),
+                "term" => *term = Some((record, item.stamp)),
+                _ => {}
+            }
+        }
+        for block in self.seats.keys().chain(seen.keys()).copied().collect::<Vec<_>>() {
+            let (holder, term) = seen.get(&block).cloned().unwrap_or_default();
+            self.seat(port, block).candidacy.saw(holder, term);
+        }
+    }
+
+    /// A grant to take a block with. The terms there are, are read once more: one counter serves all blocks.
+    pub fn granted(
+        &mut self,
+        port: &mut Port,
+        block: u32,
+        sent: Micros,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let granted = answer.filter(|a| a.0 == 200);
+        let granted = granted.and_then(|a| serde_json::from_slice::<Granted>(&a.1).ok());
+        let seat = self.seat(port, block);
+        let Some(granted) = granted else {
+            seat.candidacy.trying = false;
+            return;
+        };
+        let purpose = Purpose::SeatTerms { block, grant: granted.permit, sent };
+        port.send(Urgency::Renewal, StoreRequest::list(LEAD, ""), purpose);
+    }
+
+    pub fn terms_read(
+        &mut self,
+        port: &mut Port,
+        block: u32,
+        grant: u64,
+        sent: Micros,
+        answer: Option<(u16, Bytes)>,
+    ) {
+        let listing = answer.filter(|a| a.0 == 200);
+        let listing = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let now = port.clock.now;
+        let name = port.settings.name.clone();
+        let candidacy = &mut self.seat(port, block).candidacy;
+        let Some(listing) = listing.filter(|_| candidacy.still_may(now)) else {
+            candidacy.trying = false;
+            let purpose = Purpose::DropSeat { block };
+            return port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
+        };
+        let find = |key: &str| {
+            let item = listing.items.iter().find(|i| i.k == key);
+            item.and_then(|i| Some((i.record::<LeadRecord>()?.term, i.stamp))).unwrap_or((0, 0))
+        };
+        let (lead, count) = (find(TERM), find(COUNT));
+        let (holder, term, last) = candidacy.versions();
+        let marked = candidacy.trusts();
+        let next = lead.0.max(count.0).max(last) + 1;
+        let record = LeadRecord { holder: name, term: next, marked };
+        let keys = seat_keys(block);
+        let mut commit = Commit::default();
+        commit.guard(&keys.0, holder);
+        commit.guard(&keys.1, term);
+        commit.guard(TERM, lead.1);
+        commit.guard(COUNT, count.1);
+        commit.put(&keys.0, store::raw(&record), Some(grant));
+        commit.put(&keys.1, store::raw(&record), None);
+        commit.put(COUNT, store::raw(&record), None);
+        let purpose = Purpose::SeatTake { block, record, grant, sent };
+        port.send(Urgency::Renewal, commit.request(), purpose);
+    }
+
+    /// A block was not taken, or nothing is known of it.
+    pub fn not_taken(&mut self, port: &mut Port, block: u32, grant: u64, answer: Option<u16>) {
+        let seat = self.seat(port, block);
+        if !matches!(answer, Some(400 | 409 | 429 | 503)) {
+            seat.candidacy.unsure();
+        }
+        self.probe_at = port.clock.now;
+        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropSeat { block });
+    }
+}
--- /dev/null
+++ b/crates/gannethub-core/src/decide/allot.rs
@@ -0,0 +1,287 @@
+//! How the cluster is shared out among blocks: what teams may use in each, which machines are rented for whom, and
+//! which jobs go elsewhere before any of their tasks has been launched.
+//!
+//! A team's limit is never given out twice. What a block other than 0 may use is written under its own key; block 0
+//! has what is left. A block's own holder lowers that, and keeps to it from before it is written; only block 0's
+//! holder raises it, after it has taken the same from itself. So at any moment, whatever is late or lost, the blocks'
+//! parts add up to the limit at most.
+
+use std::collections::BTreeMap;
+
+use crate::memory::cluster::Cluster;
+use crate::memory::fleet::{CloudCall, Offer};
+use crate::memory::records::Job;
+use crate::memory::share::Load;
+use crate::model::{JobId, Micros, Resources, SECOND};
+
+/// What a block keeps beyond what it uses and waits for, as a part of that.
+const SPARE: f64 = 0.1;
+/// A job that nothing has been launched of looks for a better place after this time.
+const WAITED: u64 = 2 * SECOND;
+/// Jobs that go elsewhere at once.
+const MOST_LEAVE: usize = 4;
+
+/// Amounts of CPU and GPU that teams may use in each block other than 0.
+pub type Parts = BTreeMap<u32, Vec<Resources>>;
+
+fn clamp(r: Resources) -> Resources {
+    Resources { cpu: r.cpu.max(0), gpu: r.gpu.max(0), mem: 0 }
+}
+
+/// What block 0 may use: what is left of the whole limits.
+pub fn rest(whole: &[Resources], parts: &Parts) -> Vec<Resources> {
+    let mut rest = whole.to_vec();
+    for part in parts.values() {
+        rest.iter_mut().zip(part).for_each(|(r, p)| *r -= *p);
+    }
+    rest
+}
+
+/// What the parts of other blocks are raised to. `own`: what each team may have in block 0 now and waits for there;
+/// `told`: the same of other blocks.
+pub fn raise(
+    whole: &[Resources],
+    parts: &Parts,
+    own: &[(Resources, Resources)],
+    told: &BTreeMap<u32, Vec<(Resources, Resources)>>,
+) -> Parts {
+    let mut raised = Parts::new();
+    for (t, (mut left, (held, waits))) in rest(whole, parts).into_iter().zip(own).enumerate() {
+        left -= *held;
+        let lacks = |block: &u32, teams: &Vec<(Resources, Resources)>| {
+            let part = parts.get(block).and_then(|p| p.get(t)).copied().unwrap_or_default();
+            let (used, waiting) = teams.get(t).copied().unwrap_or_default();
+            let mut wish = used;
+            wish += waiting;
+            clamp(wish - part)
+        };
+        let lacking: Vec<(u32, Resources)> =
+            told.iter().map(|(b, teams)| (*b, lacks(b, teams))).collect();
+        let mut all = clamp(*waits);
+        lacking.iter().for_each(|(_, l)| all += *l);
+        for (block, lack) in lacking {
+            // Each gets its part of what is free, by what it lacks.
+            let share = |free: i64, lack: i64, all: i64| match all {
+                0 => 0,
+                _ if all <= free => lack,
+                _ => (lack as f64 / all as f64 * free.max(0) as f64) as i64,
+            };
+            let more = Resources {
+                cpu: share(left.cpu, lack.cpu, all.cpu),
+                gpu: share(left.gpu, lack.gpu, all.gpu),
+                mem: 0,
+            };
+            if more == Resources::default() {
+                continue;
+            }
+            let part = parts.get(&block).cloned();
+            let none = || vec![Resources::default(); whole.len()];
+            let new = raised.entry(block).or_insert_with(|| part.unwrap_or_else(none));
+            new[t] += more;
+        }
+    }
+    raised
+}
+
+/// What a block's own part is lowered to, if it has more than it uses and waits for.
+pub fn lower(part: &[Resources], teams: &[(Resources, Resources)]) -> Option<Vec<Resources>> {
+    let keep = |part: i64, used: i64, waiting: i64| {
+        let wish = used + waiting;
+        let most = wish + (wish as f64 * SPARE) as i64;
+        // Little is left alone: each change costs one of the state service's.
+        if part > most + part / 8 { most } else { part }
+    };
+    let lowered: Vec<Resources> = part
+        .iter()
+        .zip(teams)
+        .map(|(p, (used, waiting))| Resources {
+            cpu: keep(p.cpu, used.cpu, waiting.cpu),
+            gpu: keep(p.gpu, used.gpu, waiting.gpu),
+            mem: 0,
+        })
+        .collect();
+    (lowered != part).then_some(lowered)
+}
+
+impl Cluster {
+    /// How this block stands.
+    pub fn load(&self) -> Load {
+        let mut load = Load { block: self.block.id, term: self.term, ..Load::default() };
+        let held = self.used.iter().zip(&self.doubt.held);
+        load.teams = held
+            .map(|(used, doubted)| {
+                let mut all = *used;
+                all += *doubted;
+                (Resources { mem: 0, ..all }, Resources::default())
+            })
+            .collect();
+        for job in self.jobs.values().filter(|j| !j.cancelled) {
+            let waiting = job.placeable() as i64;
+            load.backlog += job.spec.need.cpu * i64::from(job.spec.tasks - job.done.len());
+            load.waiting += job.spec.need.cpu * waiting;
+            if let Some(t) = job.team.filter(|_| waiting > 0) {
+                // No more than it could start soon, however long its queue.
+                load.teams[t].1 += Resources { mem: 0, ..job.spec.need.times(waiting) };
+            }
+        }
+        for (t, team) in self.whole.iter().enumerate() {
+            let (used, waiting) = &mut load.teams[t];
+            waiting.cpu = waiting.cpu.min((team.limit.cpu - used.cpu).max(0));
+            waiting.gpu = waiting.gpu.min((team.limit.gpu - used.gpu).max(0));
+        }
+        let usable = self.machines.values().filter(|m| m.usable(self.now, self.settings.report));
+        load.free = usable.map(|m| m.free().cpu.max(0)).sum();
+        load.wants = self.wants.iter().map(|(offer, n)| (offer.clone(), *n)).collect();
+        load
+    }
+
+    /// Asks the cloud for what other blocks' plans lack, each one's in turn.
+    pub(crate) fn rent_for_others(&mut self, now: Micros, calls: &mut Vec<CloudCall>, most: u32) {
+        for (block, wants) in std::mem::take(&mut self.orders) {
+            for (offer, wanted) in wants {
+                let flavor = self.flavors[offer.flavor].name.clone();
+                let coming = self.coming(block, &flavor, &offer.zone, offer.spot);
+                let count = wanted.saturating_sub(coming).min(most);
+                if count == 0 || self.blocked(&offer, now) {
+                    continue;
+                }
+                if !self.fleet.may_call(0.0) {
+                    return;
+                }
+                let call = self.rent(offer, count);
+                if let CloudCall::Rent { name, .. } = &call {
+                    self.renting_for.insert(name.clone(), block);
+                }
+                calls.push(call);
+            }
+        }
+    }
+
+    /// Offers that the cloud has refused lately, and for how long they are left alone.
+    pub fn refused_offers(&self) -> Vec<(Offer, Micros)> {
+        let refused = self.fleet.refusals.iter().filter(|(_, r)| r.until > self.now);
+        refused.map(|(offer, r)| (offer.clone(), r.until - self.now)).collect()
+    }
+
+    /// Sends jobs that nothing was launched of, and that have no room here, to a block that has; all that can go, if
+    /// this block is to be given up.
+    pub fn send_away(&mut self, give_up: bool) {
+        if !self.settled || self.loads.len() < 2 {
+            return;
+        }
+        let own = self.block.id;
+        let best = |need: i64| {
+            let others = self.loads.iter().filter(|l| l.block != own);
+            let roomy = others.filter(|l| give_up || l.free - l.waiting >= need);
+            roomy.max_by_key(|l| (l.free - l.waiting, l.block)).map(|l| l.block)
+        };
+        let waits = |j: &&Job| {
+            let waited = self.wall.saturating_sub(j.ready) > WAITED + self.settings.report;
+            j.untouched() && !j.cancelled && !j.writing && !j.unsure && (waited || give_up)
+        };
+        let mut leave: Vec<(JobId, u32)> = Vec::new();
+        let queue = self.order.iter().filter_map(|id| self.jobs.get(id));
+        let all = self.jobs.values().filter(|_| give_up);
+        for job in queue.chain(all).filter(waits) {
+            if leave.len() >= MOST_LEAVE {
+                break;
+            }
+            let need = job.spec.need.cpu * job.placeable() as i64;
+            leave.extend(best(need).map(|to| (job.id.clone(), to)));
+        }
+        if !leave.is_empty() {
+            self.stirred = true;
+        }
+        for (id, to) in leave {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.home = Some(to);
+            }
+            // Until the other holder says how it stands now.
+            if let Some(load) = self.loads.iter_mut().find(|l| l.block == to) {
+                load.free = 0;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn cpus(n: i64) -> Resources {
+        Resources { cpu: n, gpu: 0, mem: 0 }
+    }
+
+    #[test]
+    fn what_is_free_goes_to_those_that_lack_it_and_comes_back_when_it_lies_idle() {
+        let whole = [cpus(100)];
+        let told = BTreeMap::from([(1, vec![(cpus(0), cpus(60))]), (2, vec![(cpus(0), cpus(60))])]);
+        let parts = raise(&whole, &Parts::new(), &[(cpus(20), cpus(0))], &told);
+        assert_eq!((parts[&1][0].cpu, parts[&2][0].cpu), (40, 40));
+        assert_eq!(rest(&whole, &parts), [cpus(20)]);
+        // Nothing is free any more.
+        assert!(raise(&whole, &parts, &[(cpus(20), cpus(9))], &told).is_empty());
+        assert_eq!(lower(&parts[&1], &[(cpus(30), cpus(10))]), None);
+        assert_eq!(lower(&parts[&1], &[(cpus(10), cpus(0))]), Some(vec![cpus(11)]));
+    }
+
+    proptest! {
+        /// Any order of raises, lowers and lost answers, each holder going by what it last knew to be written.
+        #[test]
+        fn parts_never_add_up_to_more_than_the_limit(
+            steps in proptest::collection::vec((0..5u8, 1..4u32, 0..120i64, 0..120i64), 1..60),
+        ) {
+            let whole = [cpus(100)];
+            // What is written, with versions; what each other holder goes by; what block 0's believes of the others.
+            let mut written: BTreeMap<u32, (u64, Vec<Resources>)> = BTreeMap::new();
+            let mut holds: BTreeMap<u32, (u64, Vec<Resources>)> = BTreeMap::new();
+            let mut believed = written.clone();
+            let mut version = 0;
+            for (what, block, used, waiting) in steps {
+                let own = holds.get(&block).map_or(0, |h| h.1[0].cpu);
+                let used = used.min(own);
+                match what {
+                    // The holder of a block reads its part.
+                    0 => drop(written.get(&block).map(|w| holds.insert(block, w.clone()))),
+                    // It lowers it, and obeys at once; the write may fail, or its answer be lost.
+                    1 | 2 => {
+                        let Some((seen, part)) = holds.get(&block).cloned() else { continue };
+                        let Some(low) = lower(&part, &[(cpus(used), cpus(waiting))]) else { continue };
+                        holds.insert(block, (seen, low.clone()));
+                        let fits = written.get(&block).is_some_and(|w| w.0 == seen);
+                        if what == 1 && fits {
+                            version += 1;
+                            written.insert(block, (version, low.clone()));
+                            holds.insert(block, (version, low));
+                        }
+                    }
+                    // Block 0's holder reads all.
+                    3 => believed = written.clone(),
+                    // It raises, guarded by the versions of all that it believes.
+                    _ => {
+                        let parts: Parts =
+                            believed.iter().map(|(b, w)| (*b, w.1.clone())).collect();
+                        let told = BTreeMap::from([(block, vec![(cpus(used), cpus(waiting))])]);
+                        let free = rest(&whole, &parts)[0].cpu;
+                        let own = (cpus(free.min(7)), cpus(3));
+                        let raised = raise(&whole, &parts, &[own], &told);
+                        if believed != written {
+                            continue;
+                        }
+                        for (b, part) in raised {
+                            version += 1;
+                            written.insert(b, (version, part));
+                        }
+                        believed = written.clone();
+                    }
+                }
+                let parts: Parts = written.iter().map(|(b, w)| (*b, w.1.clone())).collect();
+                prop_assert!(rest(&whole, &parts)[0].cpu >= 0, "{parts:?}");
+                for (b, (_, part)) in &holds {
+                    prop_assert!(part[0].cpu <= written[b].1[0].cpu, "{b} goes by more than is written");
+                }
+            }
+        }
+    }
+}
--- a/crates/gannethub-core/src/decide/mod.rs
+++ b/crates/gannethub-core/src/decide/mod.rs
@@ -1,5 +1,6 @@
 //! What is decided: reads what is remembered, and chooses.
 
+pub mod allot;
 pub mod blame;
 pub mod gather;
 pub mod order;
--- a/crates/gannethub-core/src/decide/renting.rs
+++ b/crates/gannethub-core/src/decide/renting.rs
@@ -56,7 +56,7 @@
         let before = self.looks.get();
         let earned = now.saturating_sub(self.fleet.refilled) as f64 / SECOND as f64;
         self.fleet.tokens =
-            (self.fleet.tokens + earned * self.fleet.rate).min(self.fleet.rate * 2.0);
+            (self.fleet.tokens + earned * self.fleet.rate).min((self.fleet.rate * 2.0).max(1.0));
         self.fleet.refilled = now;
         let mut calls = Vec::new();
         if now < self.fleet.paused_until {
@@ -76,8 +76,16 @@
         }
         self.watch_zones(now);
         self.find_bad(now);
+        let leads = self.block.id == 0;
         if self.settled || self.all_could_report(now) {
-            self.rent_wanted(now, &mut calls);
+            match leads {
+                true => self.rent_wanted(now, &mut calls),
+                // Block 0's holder rents for all.
+                false => self.wants = self.wanted(now),
+            }
+        }
+        if leads {
+            self.rent_for_others(now, &mut calls, MAX_RENT);
         }
         if self.settled {
             self.return_idle(now);
@@ -90,11 +98,11 @@
             let machines = doomed.into_iter().take(MAX_DELETE).collect();
             calls.push(CloudCall::Delete { machines });
         }
-        if !self.fleet.listing && now >= self.fleet.next_list && self.fleet.may_call(1.0) {
+        if leads && !self.fleet.listing && now >= self.fleet.next_list && self.fleet.may_call(1.0) {
             self.fleet.listing = true;
             calls.push(CloudCall::List { after: self.fleet.list_after.clone() });
         }
-        if now >= self.fleet.next_flavors && self.fleet.may_call(1.0) {
+        if leads && now >= self.fleet.next_flavors && self.fleet.may_call(1.0) {
             self.fleet.next_flavors = now + 30 * SECOND;
             calls.push(CloudCall::Flavors);
         }
@@ -129,7 +137,7 @@
     }
 
     /// A request for machines of an offer.
-    fn rent(&mut self, offer: Offer, count: u32) -> CloudCall {
+    pub(crate) fn rent(&mut self, offer: Offer, count: u32) -> CloudCall {
         self.fleet.requests += 1;
         // The term in the name keeps it from ever being used by another leader.
         let name = format!("r-{}-{}", self.fleet.term, self.fleet.requests);
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -9,15 +9,17 @@
 
 use super::block::Block;
 use super::doubt::{Doubt, Pace};
-use super::fleet::Fleet;
+use super::fleet::{Fleet, Offer};
 use super::ledger::Ledger;
 use super::pipeline::Pipelines;
 use super::queue::Queue;
 use super::records::{Attempt, Job, Machine, MachineId, Phase};
 use super::room::{Kind, Rooms};
-use crate::model::{Flavor, JobId, Micros, Priority, Resources, SECOND, Shape, TaskId};
+use super::share::{Giving, Load};
+use crate::model::{Flavor, JobId, Micros, Priority, Resources, SECOND, Shape, TaskId, Team};
 use crate::policy::Setting;
 use crate::settings::Settings;
+use crate::wire::store::{MoveRecord, seat_keys};
 
 /// Added to every lease that is waited out.
 const LEASE_MARGIN: Micros = 250_000;
@@ -41,7 +43,10 @@
 #[derive(Debug)]
 pub struct Cluster {
     pub term: u64,
+    /// With the limits and guarantees that hold in this block.
     pub settings: Arc<Settings>,
+    /// Teams as they are in the whole cluster.
+    pub whole: Vec<Team>,
     pub flavors: Arc<Vec<Flavor>>,
     /// Jobs that wait for no other: only these can be placed.
     pub jobs: BTreeMap<JobId, Job>,
@@ -54,6 +59,25 @@
     /// The size of all machines that are up.
     pub size: Resources,
     pub block: Block,
+    /// The keys of this block's holder and last term.
+    pub keys: (String, String),
+    /// Machines that are in another block, or on their way there; only block 0's holder keeps track.
+    pub elsewhere: BTreeMap<String, u32>,
+    /// Jobs of other blocks, and their versions; the same.
+    pub foreign: BTreeMap<JobId, u64>,
+    /// New machines that are to go to other blocks, and the requests that are to bring them.
+    pub giving: BTreeMap<String, Giving>,
+    pub renting_for: BTreeMap<String, u32>,
+    /// What has been given to other blocks lately, and until when it counts as on its way.
+    pub(crate) arriving: BTreeMap<u32, Vec<(Micros, MoveRecord)>>,
+    /// Machines that are being taken over from their way here.
+    pub taking: HashSet<String>,
+    /// Machines that this block's plan asks for.
+    pub wants: BTreeMap<Offer, u32>,
+    /// What other blocks' plans ask for, as far as it is not under way.
+    pub orders: BTreeMap<u32, BTreeMap<Offer, u32>>,
+    /// How the other blocks stand, for homes of jobs.
+    pub loads: Vec<Load>,
     pub fleet: Fleet,
     /// Every machine of the block has reported to this term, or its lease has run out: nothing is in doubt.
     pub settled: bool,
@@ -127,6 +151,7 @@
             used: vec![Resources::default(); settings.teams.len()],
             size: Resources::default(),
             fleet: Fleet::new(term, settings.cloud_rps),
+            whole: settings.teams.clone(),
             settings,
             flavors,
             jobs: BTreeMap::new(),
@@ -134,6 +159,16 @@
             machines: BTreeMap::new(),
             rooms: Rooms::default(),
             block,
+            keys: seat_keys(0),
+            elsewhere: BTreeMap::new(),
+            foreign: BTreeMap::new(),
+            giving: BTreeMap::new(),
+            renting_for: BTreeMap::new(),
+            arriving: BTreeMap::new(),
+            taking: HashSet::new(),
+            wants: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            loads: Vec::new(),
             settled: false,
             doubt,
             trusted: false,
@@ -167,6 +202,34 @@
         }
     }
 
+    /// It is of another block than the leader's.
+    pub fn of_block(&mut self, block: u32) {
+        let chunk = self.settings.policy.number(Setting::BlockChunk, &[]) as usize;
+        let (name, bytes) = (&self.settings.name, self.settings.value_bytes);
+        self.block = Block::new(block, self.term, name, bytes, chunk);
+        self.keys = seat_keys(block);
+    }
+
+    /// What teams may use in this block. Guarantees follow their limits in proportion.
+    pub fn allow(&mut self, limits: &[Resources]) {
+        let mut settings = (*self.settings).clone();
+        let teams = settings.teams.iter_mut().zip(&self.whole);
+        for ((team, whole), limit) in teams.zip(limits) {
+            let part = |limit: i64, whole: i64, guarantee: i64| match whole {
+                0 => 0,
+                _ => (limit as f64 / whole as f64 * guarantee as f64) as i64,
+            };
+            team.limit = *limit;
+            team.guarantee = Resources {
+                cpu: part(limit.cpu, whole.limit.cpu, whole.guarantee.cpu),
+                gpu: part(limit.gpu, whole.limit.gpu, whole.guarantee.gpu),
+                mem: whole.guarantee.mem,
+            };
+        }
+        self.settings = Arc::new(settings);
+        self.stirred = true;
+    }
+
     /// Goes by the marks of earlier terms, or does not.
     pub fn trust(&mut self, trusted: bool) {
         self.trusted = trusted;
--- a/crates/gannethub-core/src/memory/mod.rs
+++ b/crates/gannethub-core/src/memory/mod.rs
@@ -12,4 +12,5 @@
 pub mod records;
 pub mod room;
 pub mod shadow;
+pub mod share;
 pub mod writes;
--- a/crates/gannethub-core/src/memory/records.rs
+++ b/crates/gannethub-core/src/memory/records.rs
@@ -199,6 +199,8 @@
     pub unsure: bool,
     /// All that its team may run of it at once has been placed.
     pub placed: bool,
+    /// The block that it is to go to.
+    pub home: Option<u32>,
     /// It lay within its team's guarantee when the queue was last put in order.
     pub within: bool,
     /// Room has been gathered for it: from then on it is gathered with all others.
@@ -221,6 +223,11 @@
         self.pending.len().saturating_sub(self.doubted.len()) as usize
     }
 
+    /// None of its tasks has been launched, and none may be: any holder can take it.
+    pub fn untouched(&self) -> bool {
+        self.opened == 0 && self.opening == 0 && self.live.is_empty() && self.done.is_empty()
+    }
+
     /// Its mark is to cover all tasks below `to`.
     pub fn open_to(&mut self, to: u32) {
         let to = if self.spec.shape == Shape::Gang { self.spec.tasks } else { to };
--- /dev/null
+++ b/crates/gannethub-core/src/memory/share.rs
@@ -0,0 +1,41 @@
+//! What holders of blocks tell each other, and where a new job goes by that.
+
+use super::fleet::Offer;
+use crate::model::Resources;
+use crate::wire::store::MoveRecord;
+
+/// A new machine on its way to another block.
+#[derive(Clone, Debug)]
+pub struct Giving {
+    pub to: u32,
+    pub record: MoveRecord,
+    /// The transaction that says so is under way.
+    pub writing: bool,
+}
+
+/// How a block stands, as its holder last told.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Load {
+    pub block: u32,
+    pub term: u64,
+    /// Its holder, as a sibling's number; `None`: this controller.
+    pub holder: Option<usize>,
+    /// CPU that its unfinished jobs ask for, in thousandths; the part of it that waits for a machine; and what is
+    /// free on its machines.
+    pub backlog: i64,
+    pub waiting: i64,
+    pub free: i64,
+    /// What each team may have on its machines now, and what it waits for, in the settings' order of teams.
+    pub teams: Vec<(Resources, Resources)>,
+    /// Machines that its plan asks for.
+    pub wants: Vec<(Offer, u32)>,
+}
+
+/// The block that a new job goes to: the one with the least work before it. Block 0 as long as its holder is not known
+/// to share out machines and limits.
+pub fn home(loads: &[Load]) -> u32 {
+    if loads.iter().all(|l| l.block != 0) {
+        return 0;
+    }
+    loads.iter().min_by_key(|l| (l.backlog, l.block)).map_or(0, |l| l.block)
+}
--- a/crates/gannethub-core/src/memory/writes.rs
+++ b/crates/gannethub-core/src/memory/writes.rs
@@ -37,6 +37,15 @@
     Ledger,
     /// That marks cover all launches.
     Marked,
+    /// A job goes to another block.
+    Home {
+        id: JobId,
+        record: Box<JobRecord>,
+    },
+    /// A machine was given to another block.
+    Gave {
+        machine: String,
+    },
     Drop,
 }
 
--- a/crates/gannethub-core/src/policy.rs
+++ b/crates/gannethub-core/src/policy.rs
@@ -117,6 +117,7 @@
     BlockChunk,
     DecideSteps,
     QueueShare,
+    Blocks,
 }
 
 struct Rule {
@@ -140,7 +141,7 @@
 }
 
 /// Every setting, in the order of [`Setting`].
-const RULES: [Rule; 9] = [
+const RULES: [Rule; 10] = [
     rule(Setting::QueueWeight, "queue_weight", Scope::Job, Type::Number, -1e9, 1e9),
     rule(Setting::PlanSlack, "plan_slack", Scope::Job, Type::Number, 0.0, 1.0),
     rule(Setting::Patience, "patience_s", Scope::Job, Type::Number, 0.0, 3600.0),
@@ -150,6 +151,7 @@
     rule(Setting::BlockChunk, "block_chunk", Scope::Cluster, Type::Number, 4.0, 200.0),
     rule(Setting::DecideSteps, "decide_steps", Scope::Cluster, Type::Number, 1e3, 1e7),
     rule(Setting::QueueShare, "queue_share", Scope::Job, Type::Number, 0.0, 1e6),
+    rule(Setting::Blocks, "blocks", Scope::Cluster, Type::Number, 1.0, 64.0),
 ];
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -51,9 +51,60 @@
     /// The sender leads, or can pass reports on to the leader.
     #[prost(bool, tag = "3")]
     pub takes_reports: bool,
-    /// From the leader: tasks running now, by job.
+    /// From holders: tasks running now, by job.
     #[prost(message, repeated, tag = "4")]
     pub running: Vec<Running>,
+    /// The blocks that the sender holds, where there are several.
+    #[prost(message, repeated, tag = "5")]
+    pub blocks: Vec<BlockTold>,
+    /// From block 0's holder: offers that the cloud refuses, and for how many milliseconds they are left alone.
+    #[prost(message, repeated, tag = "6")]
+    pub refused: Vec<OfferTold>,
+}
+
+/// How a block stands.
+#[derive(Clone, PartialEq, Message)]
+pub struct BlockTold {
+    #[prost(uint32, tag = "1")]
+    pub block: u32,
+    #[prost(uint64, tag = "2")]
+    pub term: u64,
+    /// Thousandths of a CPU, as are all amounts here.
+    #[prost(int64, tag = "3")]
+    pub backlog: i64,
+    #[prost(int64, tag = "4")]
+    pub waiting: i64,
+    #[prost(int64, tag = "5")]
+    pub free: i64,
+    /// In the settings' order of teams.
+    #[prost(message, repeated, tag = "6")]
+    pub teams: Vec<TeamTold>,
+    #[prost(message, repeated, tag = "7")]
+    pub wants: Vec<OfferTold>,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct TeamTold {
+    #[prost(int64, tag = "1")]
+    pub used_cpu: i64,
+    #[prost(int64, tag = "2")]
+    pub used_gpu: i64,
+    #[prost(int64, tag = "3")]
+    pub waits_cpu: i64,
+    #[prost(int64, tag = "4")]
+    pub waits_gpu: i64,
+}
+
+#[derive(Clone, PartialEq, Message)]
+pub struct OfferTold {
+    #[prost(string, tag = "1")]
+    pub flavor: String,
+    #[prost(string, tag = "2")]
+    pub zone: String,
+    #[prost(bool, tag = "3")]
+    pub spot: bool,
+    #[prost(uint64, tag = "4")]
+    pub number: u64,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -95,6 +146,9 @@
     pub term: u64,
     #[prost(uint64, tag = "3")]
     pub micros: u64,
+    /// The block that the lease is for.
+    #[prost(uint32, tag = "4")]
+    pub block: u32,
 }
 
 /// The sender will not take over from `term` for as long as was asked.
@@ -104,6 +158,9 @@
     pub round: u64,
     #[prost(uint64, tag = "2")]
     pub term: u64,
+    /// The block that the lease is for.
+    #[prost(uint32, tag = "3")]
+    pub block: u32,
 }
 
 /// A process that began within a term asks, and whoever knows answers, whether nothing was launched without
@@ -115,6 +172,9 @@
     /// The asking process's own number: answers to another life of it count for nothing.
     #[prost(uint64, tag = "2")]
     pub life: u64,
+    /// The block that the lease is for.
+    #[prost(uint32, tag = "3")]
+    pub block: u32,
 }
 
 /// A job was accepted or cancelled here. The leader looks at it if its watch does not tell it soon.
--- a/crates/gannethub-core/src/wire/store.rs
+++ b/crates/gannethub-core/src/wire/store.rs
@@ -8,6 +8,10 @@
 //! | `gh/part/<job>/<n>` | finished tasks that the job's own value has no room for |
 //! | `gh/over/<job>` | a job that is done, or was cancelled and has no task left |
 //! | `gh/block/<block>/<chunk>` | machines of a block, written before the first launch on them |
+//! | `gh/lead/count` | the highest term of any block, where there are several |
+//! | `gh/seat/<block>/holder`, `gh/seat/<block>/term` | the same as the leader's keys, of every other block |
+//! | `gh/move/<block>/<machine>` | a machine that was given to that block and is in no block's record yet |
+//! | `gh/allot/<block>` | what teams may use in that block: [`AllotRecord`]. What is left of their limits is block 0's |
 //! | `gh/ledger/head` | where the ledger stands |
 //! | `gh/ledger/page/<n>` | a page of the ledger |
 
@@ -27,6 +31,10 @@
 pub const PART: &str = "gh/part/";
 pub const OVER: &str = "gh/over/";
 pub const BLOCK: &str = "gh/block/";
+pub const COUNT: &str = "gh/lead/count";
+pub const SEAT: &str = "gh/seat/";
+pub const MOVE: &str = "gh/move/";
+pub const ALLOT: &str = "gh/allot/";
 pub const LEDGER_HEAD: &str = "gh/ledger/head";
 pub const LEDGER_PAGE: &str = "gh/ledger/page/";
 
@@ -35,6 +43,29 @@
     format!("{LEDGER_PAGE}{page:012}")
 }
 
+/// The keys of a block's holder and of the last term that it was held in. Block 0 is the leader's.
+pub fn seat_keys(block: u32) -> (String, String) {
+    match block {
+        0 => (HOLDER.into(), TERM.into()),
+        b => (format!("{SEAT}{b}/holder"), format!("{SEAT}{b}/term")),
+    }
+}
+
+/// A machine on its way to a block: [`MOVE`].
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+pub struct MoveRecord {
+    pub flavor: String,
+    pub zone: String,
+    pub spot: bool,
+}
+
+/// What each team may use in a block at most. Its holder lowers it, and keeps to that from before it is written on;
+/// only the holder of block 0 raises it, out of what no other block has.
+#[derive(Serialize, Deserialize, Clone, Debug, Default, PartialEq)]
+pub struct AllotRecord {
+    pub teams: BTreeMap<String, Resources>,
+}
+
 /// The value of both keys under [`LEAD`].
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct LeadRecord {
@@ -66,13 +97,37 @@
     /// `None`: any may be.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub open: Option<u32>,
+    /// The block that its tasks run in. Only [`JobRecord::value`] writes it.
+    #[serde(skip)]
+    pub block: u32,
 }
 
 impl JobRecord {
+    /// The value as it is written: that of a job of another block than 0 as a [`HomedRecord`].
+    pub fn value(&self) -> Box<RawValue> {
+        if self.block == 0 {
+            return raw(self);
+        }
+        let r = self.clone();
+        raw(&HomedRecord {
+            spec: Size { tasks: r.spec.tasks },
+            at: r.at,
+            done: r.done,
+            cancelled: r.cancelled,
+            homed: Homed {
+                block: r.block,
+                job: r.spec,
+                ready: r.ready,
+                failing: r.failing,
+                open: r.open,
+            },
+        })
+    }
+
     /// Of a job that is accepted at `at`, none of whose tasks has been launched.
     pub fn new(spec: JobSpec, at: u64) -> JobRecord {
         let (done, ready, open) = (String::new(), None, Some(0));
-        JobRecord { spec, at, ready, done, cancelled: false, failing: false, open }
+        JobRecord { spec, at, ready, done, cancelled: false, failing: false, open, block: 0 }
     }
 
     /// The mark: tasks with this number or a higher one are on no machine.
@@ -98,6 +153,39 @@
     tasks: u32,
 }
 
+/// The value of a job whose tasks run in another block than 0. A controller of the version before blocks answers
+/// queries from it, and cannot start the job: it would do so beside the block's holder.
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+struct HomedRecord {
+    spec: Size,
+    at: u64,
+    #[serde(default)]
+    done: String,
+    #[serde(default)]
+    cancelled: bool,
+    homed: Homed,
+}
+
+#[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
+struct Homed {
+    block: u32,
+    job: JobSpec,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    ready: Option<u64>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    failing: bool,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    open: Option<u32>,
+}
+
+impl From<HomedRecord> for JobRecord {
+    fn from(r: HomedRecord) -> JobRecord {
+        let Homed { block, job, ready, failing, open } = r.homed;
+        let (at, done, cancelled) = (r.at, r.done, r.cancelled);
+        JobRecord { spec: job, at, ready, done, cancelled, failing, open, block }
+    }
+}
+
 /// What a waiting job is, and which jobs it waits for ([`encode_ids`]).
 #[derive(Serialize, Deserialize, Clone, Debug, PartialEq)]
 pub struct Held {
@@ -123,7 +211,9 @@
     pub fn parse(text: &str) -> Result<LiveRecord, serde_json::Error> {
         serde_json::from_str(text).map(LiveRecord::Job).or_else(|e| {
             // What is neither is explained as what it is most likely meant to be.
-            serde_json::from_str(text).map(LiveRecord::Waiting).map_err(|_| e)
+            let homed = || serde_json::from_str::<HomedRecord>(text);
+            let waiting = serde_json::from_str(text).map(LiveRecord::Waiting);
+            waiting.or_else(|_| homed().map(|r| LiveRecord::Job(r.into()))).map_err(|_| e)
         })
     }
 
@@ -140,12 +230,12 @@
         match self {
             LiveRecord::Job(mut r) => {
                 r.cancelled = true;
-                let whole = raw(&r);
+                let whole = r.value();
                 if whole.get().len() + SLACK <= limit {
                     return whole;
                 }
                 r.done.clear();
-                raw(&r)
+                r.value()
             }
             LiveRecord::Waiting(mut r) => {
                 r.cancelled = true;
