--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -303,6 +303,7 @@
 
     fn report(&mut self, conn: u64, body: Bytes) {
         let (to, machine) = match self.report_here(&body) {
+            Reported::Now(421, _) => return self.send_on(conn),
             Reported::Now(status, body) => {
                 let response = Response { status, body, retry_after: None };
                 return self.port.reply(conn, response);
@@ -315,17 +316,20 @@
         match to.or(known).or_else(|| self.standing.leader(port)) {
             // Passed on rather than sent away: the worker may not reach its holder itself.
             Some(i) => self.relay(conn, i, body),
-            None => {
-                // A sibling that still hears the leader is told by name, which spares the worker
-                // the wait before it would try that one itself.
-                let other = self.standing.helper(port);
-                let report_to = other.map(|i| port.settings.siblings[i].name.as_str());
-                let response = Response::json(421, &ReportElsewhere { report_to });
-                port.reply(conn, response);
-            }
+            None => self.send_on(conn),
         }
     }
 
+    /// Nobody who could answer a worker is known. A sibling that still hears the leader is told by name, which spares
+    /// the worker the wait before it would try that one itself, and another that may be dead.
+    fn send_on(&mut self, conn: u64) {
+        let port = &mut self.port;
+        let other = self.standing.helper(port);
+        let report_to = other.map(|i| port.settings.siblings[i].name.as_str());
+        let response = Response::json(421, &ReportElsewhere { report_to });
+        port.reply(conn, response);
+    }
+
     fn relay(&mut self, conn: u64, to: usize, report: Bytes) {
         let port = &mut self.port;
         let id = port.next_id;
@@ -360,7 +364,10 @@
                 match holds.map(|l| l.holder) {
                     Some(Some(i)) => Reported::Elsewhere(Some(i), machine),
                     // Its holder is not known, or does not know of the machine yet.
-                    _ => Reported::Now(503, Response::error(503, "its block is not held").body),
+                    _ => Reported::Now(
+                        421,
+                        Response::json(421, &ReportElsewhere { report_to: None }).body,
+                    ),
                 }
             }
             _ => Reported::Elsewhere(None, machine),
@@ -407,8 +414,8 @@
                         self.routes.insert(machine, i);
                         self.relay(conn, i, report);
                     }
-                    // This controller held it a moment ago, or holds it now.
-                    _ => self.port.unavailable(conn),
+                    // Nobody holds it, or this controller does since a moment ago.
+                    _ => self.send_on(conn),
                 }
             }
             _ => {
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -10,7 +10,6 @@
 use crate::http::Response;
 use crate::memory::mirror::Mirror;
 use crate::memory::pipeline::Fate;
-use crate::memory::share;
 use crate::model::{JobId, Micros, SECOND};
 use crate::wire::api::{self, JobView, Refusal, Status, Submission};
 use crate::wire::store::{
@@ -218,7 +217,7 @@
             cancelled |= fate == Fate::Cancelled;
         }
         if open.is_empty() {
-            let block = share::home(&port.homes());
+            let block = port.home(&spec);
             (JobRecord { block, ..JobRecord::new(spec, at) }.value(), 0)
         } else {
             (store::raw(&WaitingRecord::new(spec, at, cancelled, &open)), open.len())
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -8,9 +8,9 @@
 
 use crate::http::{Request, Response};
 use crate::memory::fleet::CloudCall;
-use crate::memory::share::Load;
+use crate::memory::share::{self, Load};
 use crate::memory::writes::Batch;
-use crate::model::{Flavor, JobId, Micros, SECOND, micros};
+use crate::model::{Flavor, JobId, JobSpec, Micros, SECOND, micros};
 use crate::policy::Setting;
 use crate::settings::{Rates, Settings};
 use crate::wire::api::{JobView, Refusal};
@@ -254,10 +254,10 @@
         if self.settings.ledger.is_some() { 1 } else { blocks }
     }
 
-    /// Blocks that new jobs may go to: those that are one too many get no more work.
-    pub fn homes(&self) -> Vec<Load> {
+    /// The block that a job accepted now goes to.
+    pub fn home(&mut self, spec: &JobSpec) -> u32 {
         let most = self.blocks();
-        self.loads.iter().filter(|l| l.block < most).cloned().collect()
+        share::home(&mut self.loads, most, spec.work())
     }
 
     /// How long this controller's grants last without renewal.
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 
-use super::holder::Holders;
+use super::holder::{Holder, Holders};
 use super::leadership::Candidacy;
 use super::port::{PROBE_EVERY, Port, Purpose};
 use super::standing::Standing;
@@ -49,17 +49,20 @@
         self.seats.entry(block).or_insert_with(new)
     }
 
-    /// Controllers in the order in which they take a block: this one's place among those that are heard, and who
-    /// comes first of all.
-    fn turn(port: &Port, standing: &Standing, block: u32) -> (usize, Option<usize>) {
-        let mut all: Vec<(&str, Option<usize>)> = vec![(&port.settings.name, None)];
-        all.extend(port.settings.siblings.iter().enumerate().map(|(i, s)| (&*s.name, Some(i))));
-        all.sort_unstable();
+    /// This controller's place among those that are heard, in the order in which they take a block: those that hold
+    /// the fewest first, and among them each block begins with another.
+    fn place(port: &Port, standing: &Standing, holders: &Holders, block: u32) -> usize {
+        let siblings = port.settings.siblings.iter().enumerate();
+        let heard = siblings.filter(|(i, _)| standing.heard(port, *i));
+        let mut all: Vec<(usize, &str)> =
+            heard.map(|(i, s)| (standing.siblings[i].loads.len(), &*s.name)).collect();
+        let own = (holders.len(), &*port.settings.name);
+        all.push(own);
+        all.sort_unstable_by_key(|c| c.1);
         let first = block as usize % all.len();
         all.rotate_left(first);
-        let heard = |i: &Option<usize>| i.is_none_or(|i| standing.heard(port, i));
-        let place = all.iter().filter(|(_, i)| heard(i)).position(|(_, i)| i.is_none());
-        (place.unwrap_or(0), all[0].1)
+        all.sort_by_key(|c| c.0);
+        all.iter().position(|c| *c == own).unwrap_or(0)
     }
 
     /// Looks for blocks that nobody holds, and takes those whose turn it is.
@@ -96,7 +99,7 @@
                 continue;
             }
             let since = *seat.free_since.get_or_insert(now);
-            let (place, _) = Seats::turn(port, standing, *block);
+            let place = Seats::place(port, standing, holders, *block);
             if now >= since + TURN * place as Micros {
                 seat.candidacy.trying = true;
                 let purpose = Purpose::SeatGrant { block: *block, sent: now };
@@ -105,20 +108,21 @@
         }
     }
 
-    /// A block to hand to a sibling that is up again: what comes first in its turn, while this controller holds others.
+    /// A block to hand on: while this controller holds several, and one that is up for a while and reaches the state
+    /// service holds none. That one takes it, since its turn is first.
     pub fn hands_over(&self, port: &Port, standing: &Standing, holders: &Holders) -> Option<u32> {
         let now = port.clock.now;
-        let held = holders.iter().filter(|(b, h)| **b > 0 && h.loaded() && h.cluster.settled);
-        let mut held = held.map(|(b, _)| *b).filter(|_| holders.len() > 1);
-        held.find(|b| {
-            let Some(i) = Seats::turn(port, standing, *b).1 else { return false };
+        let idle = (0..standing.siblings.len()).any(|i| {
             let steady = self.steady.get(i).copied().flatten();
             let sibling = &standing.siblings[i];
             steady.is_some_and(|t| now > t + SETTLED_IN)
                 && sibling.state_ok
                 && sibling.leading == 0
                 && sibling.loads.is_empty()
-        })
+        });
+        let ready = |h: &Holder| h.loaded() && h.cluster.settled;
+        let mut held = holders.iter().filter(|(b, h)| **b > 0 && ready(h)).map(|(b, _)| *b);
+        held.next().filter(|_| idle && holders.len() > 1)
     }
 
     /// This controller does not hold the block any more. `by_turn`: it was handed on.
--- a/crates/gannethub-core/src/memory/share.rs
+++ b/crates/gannethub-core/src/memory/share.rs
@@ -31,11 +31,14 @@
     pub wants: Vec<(Offer, u32)>,
 }
 
-/// The block that a new job goes to: the one with the least work before it. Block 0 as long as its holder is not known
-/// to share out machines and limits.
-pub fn home(loads: &[Load]) -> u32 {
+/// The block, of those below `most`, that a new job of so much CPU goes to: the one with the least work before it,
+/// which from then on has more. Block 0 as long as its holder is not known to share out machines and limits.
+pub fn home(loads: &mut [Load], most: u32, work: i64) -> u32 {
     if loads.iter().all(|l| l.block != 0) {
         return 0;
     }
-    loads.iter().min_by_key(|l| (l.backlog, l.block)).map_or(0, |l| l.block)
+    let open = loads.iter_mut().filter(|l| l.block < most);
+    let Some(load) = open.min_by_key(|l| (l.backlog, l.block)) else { return 0 };
+    load.backlog += work;
+    load.block
 }
--- a/crates/gannethub-core/tests/stories/ledger.rs
+++ b/crates/gannethub-core/tests/stories/ledger.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use crate::sim::{LEASE, SECOND, World, job};
-use crate::troubles;
+use crate::{Kind, troubles};
 
 /// Time of day when a story begins.
 const WALL: u64 = 1_700_000_000 * SECOND;
@@ -148,7 +148,7 @@
 fn every_attempt_is_charged_once_through_random_troubles() {
     let (mut all, mut excused, mut leaders) = (0, 0, 0);
     for seed in 100..112 {
-        let mut w = troubles(seed, true);
+        let mut w = troubles(seed, Kind::Ledger);
         w.run(20);
         let audit = audit(&w);
         let day = compare(&w, &audit);
--- a/crates/gannethub-core/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -6,6 +6,7 @@
 mod ops;
 mod pipelines;
 mod scale;
+mod shares;
 mod sim;
 mod takeover;
 mod upgrade;
@@ -332,18 +333,27 @@
 #[test]
 fn random_troubles_break_no_rule() {
     for seed in 100..112 {
-        troubles(seed, false).finish();
+        troubles(seed, Kind::Plain).finish();
     }
 }
 
+/// What is switched on in a story.
+#[derive(Clone, Copy)]
+enum Kind {
+    Plain,
+    Ledger,
+    Blocks(u32),
+}
+
 /// A day of troubles drawn from `seed`, played until all jobs are over.
-fn troubles(seed: u64, ledger: bool) -> World {
+fn troubles(seed: u64, kind: Kind) -> World {
     let limits = "[cluster.state.next]\nvalue_kb = 2.0\ntxn_ops = 4\nwrite_rps = 60.0\n\
             [cluster.cloud]";
     let next_limits = |text: String| text.replace("[cluster.cloud]", limits);
-    let mut w = match ledger {
-        true => World::with_ledger(3, seed, &next_limits),
-        false => World::with_settings(3, seed, LEASE as f64 / SECOND as f64, &next_limits),
+    let mut w = match kind {
+        Kind::Ledger => World::with_ledger(3, seed, &next_limits),
+        Kind::Plain => World::with_settings(3, seed, LEASE as f64 / SECOND as f64, &next_limits),
+        Kind::Blocks(blocks) => World::with_blocks(3, seed, blocks, &next_limits),
     };
     w.run(2);
     let mut next = 1;
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -8,9 +8,11 @@
 use bytes::Bytes;
 use gannethub_core::control::controller::{Clock, Command, Controller, Effect};
 use gannethub_core::http::{Method, Request, Response};
+use gannethub_core::memory::cluster::Cluster;
+use gannethub_core::policy::Policy;
 use gannethub_core::settings::{LedgerSetup, Settings};
 use gannethub_core::wire::peer::Envelope;
-use gannethub_core::wire::store::StoreRequest;
+use gannethub_core::wire::store::{StoreRequest, seat_keys};
 use gannethub_ledger::KeyRing;
 use gannethub_ledger::audit::Page;
 use rand::rngs::StdRng;
@@ -210,6 +212,41 @@
         world
     }
 
+    /// The same with the machines divided into so many blocks.
+    pub fn with_blocks(
+        nodes: usize,
+        seed: u64,
+        blocks: u32,
+        change: &dyn Fn(String) -> String,
+    ) -> World {
+        let mut world = World::with_settings(nodes, seed, LEASE as f64 / SECOND as f64, change);
+        world.set_blocks(blocks);
+        (0..nodes).for_each(|i| world.restart(i));
+        world
+    }
+
+    /// Controllers that start from here on divide the machines into so many blocks.
+    pub fn set_blocks(&mut self, blocks: u32) {
+        for settings in &mut self.settings {
+            let mut own = (**settings).clone();
+            let text = format!("blocks = {blocks}");
+            own.policy = Policy::parse(&text).expect("the story's policy is fine");
+            *settings = Arc::new(own);
+        }
+    }
+
+    /// Who holds a block, as the state service has it.
+    pub fn holds(&self, block: u32) -> Option<String> {
+        let key = seat_keys(block).0;
+        Some(self.state.value(&key)?["holder"].as_str()?.to_string())
+    }
+
+    /// What the holder of a block sees, whoever that is.
+    pub fn block(&self, block: u32) -> Option<&Cluster> {
+        let all = self.nodes.iter().filter_map(|n| n.controller.as_ref());
+        all.flat_map(|c| c.clusters()).filter(|c| c.block.id == block).max_by_key(|c| c.term)
+    }
+
     /// Notes what a worker has and no longer has.
     fn log(&mut self, w: &Worker) {
         if self.settings[0].ledger.is_none() {
@@ -732,6 +769,36 @@
     fn check_index(&mut self) {
         let leading = self.nodes.iter().filter_map(|n| n.controller.as_ref()?.cluster());
         self.broken.extend(leading.flat_map(|c| c.misplaced()));
+        self.check_blocks();
+    }
+
+    /// No machine is in two blocks' records, and parts of a limit add up to no more than it, as is stored.
+    fn check_blocks(&mut self) {
+        let mut seen: HashMap<String, String> = HashMap::new();
+        let block_of = |key: &str| key.split('/').nth(2).unwrap_or("").to_string();
+        for key in self.state.keys("gh/block/") {
+            let machines = self.state.value(&key).map(|v| v["machines"].clone());
+            let machines = machines.as_ref().and_then(Value::as_object).cloned();
+            for name in machines.into_iter().flatten().map(|m| m.0) {
+                let other = seen.insert(name.clone(), block_of(&key));
+                if other.as_ref().is_some_and(|o| *o != block_of(&key)) {
+                    self.broken.push(format!("held twice: {name} in {other:?} and {key}"));
+                }
+            }
+        }
+        let mut sums: HashMap<String, i64> = HashMap::new();
+        for key in self.state.keys("gh/allot/") {
+            let teams = self.state.value(&key).map(|v| v["teams"].clone());
+            for (team, part) in teams.as_ref().and_then(Value::as_object).into_iter().flatten() {
+                *sums.entry(team.clone()).or_default() += part["cpu"].as_i64().unwrap_or(0);
+            }
+        }
+        for team in &self.settings[0].teams {
+            let sum = sums.get(&team.name).copied().unwrap_or(0);
+            if sum > team.limit.cpu {
+                self.broken.push(format!("allotted: {sum} of {}", team.name));
+            }
+        }
     }
 
     pub fn check_cancelled(&mut self) {
--- a/crates/gannethub-standin/src/state.rs
+++ b/crates/gannethub-standin/src/state.rs
@@ -229,6 +229,12 @@
         self.change(key, Some((value, None)));
     }
 
+    /// Takes a key out, as an operator might.
+    pub fn remove(&mut self, key: &str) {
+        self.revision += 1;
+        self.change(key, None);
+    }
+
     /// A key's value, for the tests to look at.
     pub fn value(&self, key: &str) -> Option<&Value> {
         self.entries.get(key).map(|e| &e.value)
