--- a/crates/gannethub-core/src/apply/pipelines.rs
+++ b/crates/gannethub-core/src/apply/pipelines.rs
@@ -135,7 +135,7 @@
                     record.ready = Some(self.wall.max(w.at));
                     // It is most likely to start at once.
                     record.open = Some(w.spec.tasks.min(RELEASED_OPEN));
-                    record.block = share::home(&mut self.loads, u32::MAX, w.spec.work());
+                    record.block = share::home(&mut self.loads, u32::MAX, &w.spec);
                     if record.block != 0 {
                         // Whoever holds that block may know of others to go first.
                         record.open = Some(0);
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -257,7 +257,7 @@
     /// The block that a job accepted now goes to.
     pub fn home(&mut self, spec: &JobSpec) -> u32 {
         let most = self.blocks();
-        share::home(&mut self.loads, most, spec.work())
+        share::home(&mut self.loads, most, spec)
     }
 
     /// How long this controller's grants last without renewal.
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -247,10 +247,8 @@
         sibling.leading = beat.leading;
         sibling.state_ok = beat.state_ok;
         sibling.takes_reports = beat.takes_reports;
-        if beat.leading > 0 || !beat.running.is_empty() {
-            sibling.running =
-                beat.running.into_iter().map(|r| (r.job, (r.tasks, r.done))).collect();
-        }
+        let running = beat.running.into_iter();
+        sibling.running = running.map(|r| (r.job, (r.tasks, r.done))).collect();
     }
 
     /// A sibling asks not to be replaced for a while. Only an outage that this controller sees too is a reason.
--- a/crates/gannethub-core/src/decide/allot.rs
+++ b/crates/gannethub-core/src/decide/allot.rs
@@ -12,7 +12,7 @@
 use crate::memory::fleet::{CloudCall, Offer};
 use crate::memory::records::Job;
 use crate::memory::share::Load;
-use crate::model::{JobId, Micros, Resources, SECOND};
+use crate::model::{JobId, Micros, Resources, SECOND, Shape};
 
 /// What a block keeps beyond what it uses and waits for, as a part of that.
 const SPARE: f64 = 0.1;
@@ -177,7 +177,8 @@
         };
         let waits = |j: &&Job| {
             let waited = self.wall.saturating_sub(j.ready) > WAITED + self.settings.report;
-            j.untouched() && !j.cancelled && !j.writing && !j.unsure && (waited || give_up)
+            let moves = give_up || (waited && j.spec.shape != Shape::Gang);
+            j.untouched() && !j.cancelled && !j.writing && !j.unsure && moves
         };
         let mut leave: Vec<(JobId, u32)> = Vec::new();
         let queue = self.order.iter().filter_map(|id| self.jobs.get(id));
--- a/crates/gannethub-core/src/memory/share.rs
+++ b/crates/gannethub-core/src/memory/share.rs
@@ -1,7 +1,7 @@
 //! What holders of blocks tell each other, and where a new job goes by that.
 
 use super::fleet::Offer;
-use crate::model::Resources;
+use crate::model::{JobSpec, Resources, Shape};
 use crate::wire::store::MoveRecord;
 
 /// A new machine on its way to another block.
@@ -31,12 +31,18 @@
     pub wants: Vec<(Offer, u32)>,
 }
 
-/// The block, of those below `most`, that a new job of so much CPU goes to: the one with the least work before it,
-/// which from then on has more. Block 0 as long as its holder is not known to share out machines and limits.
-pub fn home(loads: &mut [Load], most: u32, work: i64) -> u32 {
+/// The block, of those below `most`, that a new job goes to: the one with the least work before it, which from then
+/// on has more. Gangs all go to block 0: what they need at once, several blocks would each have a part of. So does
+/// everything as long as block 0's holder is not known to share out machines and limits.
+pub fn home(loads: &mut [Load], most: u32, spec: &JobSpec) -> u32 {
+    let work = spec.need.cpu.saturating_mul(i64::from(spec.tasks));
     if loads.iter().all(|l| l.block != 0) {
         return 0;
     }
+    if spec.shape == Shape::Gang {
+        loads.iter_mut().filter(|l| l.block == 0).for_each(|l| l.backlog += work);
+        return 0;
+    }
     let open = loads.iter_mut().filter(|l| l.block < most);
     let Some(load) = open.min_by_key(|l| (l.backlog, l.block)) else { return 0 };
     load.backlog += work;
--- a/crates/gannethub-core/src/model.rs
+++ b/crates/gannethub-core/src/model.rs
@@ -195,11 +195,6 @@
             && self.types.as_ref().is_none_or(|t| t.iter().any(|x| x == flavor))
     }
 
-    /// CPU that all its tasks ask for together, in thousandths.
-    pub fn work(&self) -> i64 {
-        self.need.cpu.saturating_mul(i64::from(self.tasks))
-    }
-
     /// Whether where its tasks are matters to where its others may go.
     pub fn zoned(&self) -> bool {
         self.one_zone || self.spread
