--- a/crates/gannethub-core/src/control/allotter.rs
+++ b/crates/gannethub-core/src/control/allotter.rs
@@ -39,6 +39,7 @@
     idle_since: Option<Micros>,
     /// Values that made no sense: nothing is raised while there are any.
     damaged: bool,
+    damaged_before: bool,
     /// What it has read, before teams are known.
     records: Vec<(u32, AllotRecord, u64)>,
 }
@@ -50,7 +51,9 @@
         match (block.filter(|b| *b > 0), item.record::<AllotRecord>()) {
             (Some(block), Some(record)) => self.records.push((block, record, item.stamp)),
             _ => {
-                tracing::error!(key = %item.k, "what a block may use cannot be read; nothing is given out");
+                if !self.damaged_before {
+                    tracing::error!(key = %item.k, "what a block may use cannot be read; nothing is given out");
+                }
                 self.damaged = true;
             }
         }
@@ -137,7 +140,7 @@
         else {
             return;
         };
-        self.damaged = false;
+        self.damaged_before = std::mem::replace(&mut self.damaged, false);
         listing.items.iter().for_each(|item| self.read(item));
         self.take_in(&cluster.whole);
         self.obey(cluster);
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -7,15 +7,15 @@
 //! | [`standing`](super::standing) | siblings: who is heard, who leads, and this controller's own chances |
 //! | [`seats`](super::seats), [`allotter`](super::allotter) | where there are several blocks: who holds which, and what teams may use in each |
 //! | [`holder`](super::holder) | under a [`lease`](super::lease): the machines, what runs on them, and what is written of it |
+//! | [`routing`](super::routing) | workers' reports: answered here, or passed on to whoever holds the machine |
 //! | [`port`](super::port) | no role: what all of them ask of the outside |
 
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
-use serde::Deserialize;
 
-use super::holder::{Answer, Holder, Holders};
+use super::holder::{Holder, Holders};
 use super::intake::{Intake, POLL_PATIENCE, SUBMIT_PATIENCE, Waiter};
 use super::leadership::Candidacy;
 use super::lease::Lease;
@@ -31,17 +31,11 @@
 use crate::settings::Settings;
 use crate::wire::api::{self, Route};
 use crate::wire::cloud::{self, CloudRequest};
-use crate::wire::peer::{
-    Body, Changed, Envelope, OfferTold, OpenTabs, Promise, Relay, Relayed, TabsAsk,
-};
+use crate::wire::peer::{Body, Changed, Envelope, OfferTold, OpenTabs, Promise, TabsAsk};
 use crate::wire::store::{Committed, LeadRecord};
-use crate::wire::worker::ReportElsewhere;
 
-const RELAY_PATIENCE: Micros = 1_500_000;
 const TICK: Micros = 50_000;
 
-/// Machines whose holders are remembered.
-const MOST_ROUTES: usize = 20_000;
 /// Why a block is given up that a sibling is to take.
 const HANDED_ON: &str = "it is handed on";
 
@@ -50,40 +44,19 @@
     holders.values_mut().find(|h| h.lease.term == term).map(|h| &mut **h)
 }
 
-/// What becomes of a report.
-enum Reported {
-    Now(u16, Bytes),
-    /// Its machine's block is not held here; perhaps by that sibling.
-    Elsewhere(Option<usize>, String),
-}
-
-/// Of a report, whose it is.
-#[derive(Deserialize)]
-struct Named {
-    #[serde(rename = "host")]
-    machine: String,
-}
-
-/// Where a report is to be sent, as a sibling's answer says.
-#[derive(Deserialize)]
-struct ReportTo {
-    #[serde(rename = "foreman")]
-    to: String,
-}
-
 pub struct Controller {
-    port: Port,
-    standing: Standing,
+    pub(super) port: Port,
+    pub(super) standing: Standing,
     intake: Intake,
     seats: Seats,
     /// The blocks that it holds. Whoever holds block 0 is the leader.
-    holders: Holders,
+    pub(super) holders: Holders,
     /// Siblings that hold the blocks of machines that have reported here.
-    routes: HashMap<String, usize>,
+    pub(super) routes: HashMap<String, usize>,
     /// What the leader has not charged yet.
     shadow: Shadow,
     /// Reports passed on to a holder: whose they are, until when it may answer, and what to ask another if it is not its.
-    relays: HashMap<u64, (u64, Micros, Bytes)>,
+    pub(super) relays: HashMap<u64, (u64, Micros, Bytes)>,
     flavors_at: Micros,
     next_tick: Micros,
 }
@@ -171,7 +144,8 @@
         let (term, grant) = (holder.lease.term, holder.lease.grant);
         if block > 0 {
             tracing::info!(block, term, why, "gives up a block");
-            return self.seats.left(&mut self.port, block, grant, why == HANDED_ON);
+            let handed = why == HANDED_ON;
+            return self.seats.left(&mut self.port, block, grant, handed, holder.deaf);
         }
         tracing::info!(term, why, "no longer leading");
         if holder.cluster.ledger.is_some() {
@@ -249,8 +223,14 @@
             .map(|l| (l.block, l.wants.iter().cloned().collect()))
             .collect();
         self.port.loads.clone_from(&loads);
+        let mut refused = Vec::new();
         if let Some(holder) = self.holders.get_mut(&0) {
             holder.cluster.orders = orders;
+            refused = holder.cluster.refused_offers();
+        }
+        let now = self.port.clock.now;
+        for holder in self.holders.values_mut().filter(|h| h.lease.block > 0) {
+            holder.cluster.told_refused(refused.clone(), now);
         }
         // A block that is one too many gets no more work.
         loads.retain(|l| l.block < most);
@@ -301,130 +281,6 @@
         }
     }
 
-    fn report(&mut self, conn: u64, body: Bytes) {
-        let (to, machine) = match self.report_here(&body) {
-            Reported::Now(421, _) => return self.send_on(conn),
-            Reported::Now(status, body) => {
-                let response = Response { status, body, retry_after: None };
-                return self.port.reply(conn, response);
-            }
-            Reported::Elsewhere(to, machine) => (to, machine),
-        };
-        let port = &mut self.port;
-        let known = self.routes.get(&machine).copied();
-        let known = known.filter(|i| self.standing.heard(port, *i));
-        match to.or(known).or_else(|| self.standing.leader(port)) {
-            // Passed on rather than sent away: the worker may not reach its holder itself.
-            Some(i) => self.relay(conn, i, body),
-            None => self.send_on(conn),
-        }
-    }
-
-    /// Nobody who could answer a worker is known. A sibling that still hears the leader is told by name, which spares
-    /// the worker the wait before it would try that one itself, and another that may be dead.
-    fn send_on(&mut self, conn: u64) {
-        let port = &mut self.port;
-        let other = self.standing.helper(port);
-        let report_to = other.map(|i| port.settings.siblings[i].name.as_str());
-        let response = Response::json(421, &ReportElsewhere { report_to });
-        port.reply(conn, response);
-    }
-
-    fn relay(&mut self, conn: u64, to: usize, report: Bytes) {
-        let port = &mut self.port;
-        let id = port.next_id;
-        port.next_id += 1;
-        let until = port.clock.now + RELAY_PATIENCE;
-        port.deadlines.insert(conn, until);
-        self.relays.insert(id, (conn, until, report.clone()));
-        port.say(to, Body::Relay(Relay { id, report }));
-    }
-
-    /// Answers a report of a machine whose block is held here.
-    fn report_here(&mut self, body: &Bytes) -> Reported {
-        if !self.port.several {
-            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body)) {
-                Some(Answer::Now(status, body)) => Reported::Now(status, body),
-                _ => Reported::Elsewhere(None, String::new()),
-            };
-        }
-        let Ok(Named { machine }) = serde_json::from_slice::<Named>(body) else {
-            return Reported::Now(400, Response::error(400, "not a report").body);
-        };
-        let other = self.holders.values_mut().find(|h| h.lease.block > 0 && h.has(&machine));
-        let holder = match other {
-            Some(holder) => Some(holder),
-            None => self.holders.get_mut(&0),
-        };
-        let answer = holder.map(|h| h.report(&self.port, body));
-        match answer {
-            Some(Answer::Now(status, body)) => Reported::Now(status, body),
-            Some(Answer::Elsewhere(Some(block))) => {
-                let holds = self.port.loads.iter().find(|l| l.block == block);
-                match holds.map(|l| l.holder) {
-                    Some(Some(i)) => Reported::Elsewhere(Some(i), machine),
-                    // Its holder is not known, or does not know of the machine yet.
-                    _ => Reported::Now(
-                        421,
-                        Response::json(421, &ReportElsewhere { report_to: None }).body,
-                    ),
-                }
-            }
-            _ => Reported::Elsewhere(None, machine),
-        }
-    }
-
-    /// A sibling passes on a report.
-    fn relayed_here(&mut self, from: usize, relay: Relay) {
-        let (status, body) = match self.report_here(&relay.report) {
-            Reported::Now(status, body) => (status, body),
-            Reported::Elsewhere(Some(i), _) => {
-                let report_to = Some(self.port.settings.siblings[i].name.as_str());
-                (421, Response::json(421, &ReportElsewhere { report_to }).body)
-            }
-            Reported::Elsewhere(None, _) => (404, Response::error(404, "not held here").body),
-        };
-        let reply = Relayed { id: relay.id, status: u32::from(status), body };
-        self.port.say(from, Body::Relayed(reply));
-    }
-
-    /// A sibling has answered a report that was passed on to it.
-    fn relay_answered(&mut self, from: usize, reply: Relayed) {
-        let Some((conn, _, report)) = self.relays.remove(&reply.id) else { return };
-        let status = u16::try_from(reply.status).unwrap_or(503);
-        let machine = || serde_json::from_slice::<Named>(&report).ok().map(|n| n.machine);
-        match status {
-            404 => {
-                machine().map(|m| self.routes.remove(&m));
-                // Whoever leads knows where it is.
-                match self.standing.leader(&self.port).filter(|l| *l != from) {
-                    Some(leader) => self.relay(conn, leader, report),
-                    None => self.port.unavailable(conn),
-                }
-            }
-            421 if self.port.several => {
-                let to = serde_json::from_slice::<ReportTo>(&reply.body).ok().map(|t| t.to);
-                let siblings = &self.port.settings.siblings;
-                let to = to.and_then(|to| siblings.iter().position(|s| *s.name == *to));
-                match (to.filter(|i| *i != from), machine()) {
-                    (Some(i), Some(machine)) => {
-                        if self.routes.len() >= MOST_ROUTES {
-                            self.routes.clear();
-                        }
-                        self.routes.insert(machine, i);
-                        self.relay(conn, i, report);
-                    }
-                    // Nobody holds it, or this controller does since a moment ago.
-                    _ => self.send_on(conn),
-                }
-            }
-            _ => {
-                let response = Response { status, body: reply.body, retry_after: None };
-                self.port.reply(conn, response);
-            }
-        }
-    }
-
     // ---- Siblings ----
 
     fn peer(&mut self, message: Envelope) {
@@ -444,7 +300,7 @@
                         |o: &OfferTold| Some((offer_of(&port.flavors, o)?, o.number * 1000));
                     let refused: Vec<(Offer, Micros)> =
                         beat.refused.iter().filter_map(offer).collect();
-                    for holder in self.holders.values_mut() {
+                    for holder in self.holders.values_mut().filter(|h| h.lease.block > 0) {
                         holder.cluster.told_refused(refused.clone(), now);
                     }
                 }
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -1,7 +1,7 @@
 //! Who holds the blocks other than 0: looking for those that nobody holds, taking them in turn, and handing back what
 //! a sibling was lost with.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use bytes::Bytes;
 
@@ -22,6 +22,8 @@
 const TURN: Micros = 700_000;
 /// A block is handed to the sibling whose turn is first once that has been heard for so long.
 const SETTLED_IN: Micros = 8 * SECOND;
+/// Not more than one block is handed on in this time: a sibling may not be able to take it.
+const HAND_EVERY: Micros = 30 * SECOND;
 /// Who handed a block on does not take it back for so long.
 const ABSTAIN: Micros = 6 * SECOND;
 
@@ -38,6 +40,10 @@
     probe_at: Micros,
     /// Since when each sibling has been heard without a pause.
     steady: Vec<Option<Micros>>,
+    /// When a block was last handed on.
+    handed_at: Option<Micros>,
+    /// Keys that make no sense, told of once.
+    odd: BTreeSet<String>,
 }
 
 impl Seats {
@@ -112,6 +118,9 @@
     /// service holds none. That one takes it, since its turn is first.
     pub fn hands_over(&self, port: &Port, standing: &Standing, holders: &Holders) -> Option<u32> {
         let now = port.clock.now;
+        if self.handed_at.is_some_and(|t| now < t + HAND_EVERY) {
+            return None;
+        }
         let idle = (0..standing.siblings.len()).any(|i| {
             let steady = self.steady.get(i).copied().flatten();
             let sibling = &standing.siblings[i];
@@ -125,11 +134,14 @@
         held.next().filter(|_| idle && holders.len() > 1)
     }
 
-    /// This controller does not hold the block any more. `by_turn`: it was handed on.
-    pub fn left(&mut self, port: &mut Port, block: u32, grant: u64, by_turn: bool) {
+    /// This controller does not hold the block any more. `handed`: a sibling is to take it; `deaf`: it heard nobody.
+    pub fn left(&mut self, port: &mut Port, block: u32, grant: u64, handed: bool, deaf: bool) {
         let now = port.clock.now;
+        if handed {
+            self.handed_at = Some(now);
+        }
         let seat = self.seat(port, block);
-        if by_turn {
+        if handed || deaf {
             seat.candidacy.abstain(now + ABSTAIN);
         }
         self.probe_at = now;
@@ -149,7 +161,9 @@
             let key = item.k.strip_prefix(SEAT).and_then(|k| k.split_once('/'));
             let Some((block, what)) = key.and_then(|(b, w)| Some((b.parse::<u32>().ok()?, w)))
             else {
-                tracing::error!(key = %item.k, "no block's");
+                if self.odd.insert(item.k.clone()) {
+                    tracing::error!(key = %item.k, "no block's");
+                }
                 continue;
             };
             let Some(record) = item.record::<LeadRecord>().filter(|_| block > 0) else { continue };
--- a/crates/gannethub-core/src/decide/gather.rs
+++ b/crates/gannethub-core/src/decide/gather.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::Arc;
 
-use crate::decide::scheduler::{Zones, zone_ok, zone_room};
+use crate::decide::zones::{Zones, zone_ok, zone_room};
 use crate::memory::cluster::Cluster;
 use crate::memory::records::{Job, Kept, Machine, MachineId, Phase};
 use crate::model::{JobId, JobSpec, Micros, Priority, Resources, SECOND, Shape, TaskId, Team};
--- a/crates/gannethub-core/src/decide/mod.rs
+++ b/crates/gannethub-core/src/decide/mod.rs
@@ -9,3 +9,4 @@
 pub mod renting;
 pub mod scheduler;
 pub mod takeover;
+pub mod zones;
--- a/crates/gannethub-core/src/decide/plan.rs
+++ b/crates/gannethub-core/src/decide/plan.rs
@@ -10,7 +10,7 @@
 use std::sync::Arc;
 
 use crate::decide::renting::patience;
-use crate::decide::scheduler::{Zones, zone_ok};
+use crate::decide::zones::{Zones, zone_ok};
 use crate::memory::cluster::Cluster;
 use crate::memory::fleet::Offer;
 use crate::memory::records::MachineId;
--- a/crates/gannethub-core/src/decide/renting.rs
+++ b/crates/gannethub-core/src/decide/renting.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
-use crate::decide::scheduler::Zones;
+use crate::decide::zones::Zones;
 use crate::memory::boots::LATE_AFTER;
 use crate::memory::cluster::{Cluster, Spent};
 use crate::memory::fleet::{CloudCall, Offer};
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 
 use crate::decide::gather::Gathering;
+use crate::decide::zones::{Zones, zone_ok, zone_room};
 use crate::memory::cluster::Cluster;
 use crate::memory::records::{Attempt, Gang, Job, Kept, Machine, MachineId, Phase, Pull};
 use crate::memory::room::Kind;
@@ -36,22 +37,6 @@
 /// Room held for a stage of a pipeline lapses unless a pass holds it again.
 const HELD: Micros = 2 * SECOND;
 
-/// How many of a job's tasks are on machines in each zone.
-pub type Zones = HashMap<Arc<str>, u32>;
-
-/// Whether the job's zone rules let another task into `zone`.
-pub fn zone_ok(spec: &JobSpec, zones: &Zones, zone: &str) -> bool {
-    zone_room(spec, zones, zone) > 0
-}
-
-/// How many more tasks the job's zone rules let into `zone`.
-pub fn zone_room(spec: &JobSpec, zones: &Zones, zone: &str) -> u32 {
-    if spec.one_zone && zones.keys().any(|z| **z != *zone) {
-        return 0;
-    }
-    spec.zone_cap().saturating_sub(zones.get(zone).copied().unwrap_or(0))
-}
-
 /// Machines and how many tasks each is to take.
 type Seats = Vec<(MachineId, usize)>;
 
--- /dev/null
+++ b/crates/gannethub-core/src/decide/zones.rs
@@ -0,0 +1,22 @@
+//! Where a job's zone rules let its tasks go.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::model::JobSpec;
+
+/// How many of a job's tasks are on machines in each zone.
+pub type Zones = HashMap<Arc<str>, u32>;
+
+/// Whether the job's zone rules let another task into `zone`.
+pub fn zone_ok(spec: &JobSpec, zones: &Zones, zone: &str) -> bool {
+    zone_room(spec, zones, zone) > 0
+}
+
+/// How many more tasks the job's zone rules let into `zone`.
+pub fn zone_room(spec: &JobSpec, zones: &Zones, zone: &str) -> u32 {
+    if spec.one_zone && zones.keys().any(|z| **z != *zone) {
+        return 0;
+    }
+    spec.zone_cap().saturating_sub(zones.get(zone).copied().unwrap_or(0))
+}
