--- a/crates/gannethub-core/tests/stories/shares.rs
+++ b/crates/gannethub-core/tests/stories/shares.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 
-use crate::sim::{SECOND, World, job};
+use crate::sim::{LEASE, SECOND, World, job};
 use crate::{Kind, troubles};
 
 fn three(seed: u64) -> World {
@@ -197,6 +197,64 @@
     w.finish();
 }
 
+#[test]
+fn a_holder_that_stood_still_over_its_lease_acts_on_nothing_that_waited_for_it() {
+    for (seed, block) in [(18, 0), (19, 1), (20, 1), (21, 0)] {
+        let mut w = shared(seed, 3);
+        for i in 30..34 {
+            w.submit(job(i, 40, json!({"rigs": ["small"]})));
+        }
+        w.run_until(60, "the arrays run", |w| w.starts >= 40);
+        let old = node(&w.holds(block).expect("held"));
+        w.frozen.insert(old, w.now + 9 * SECOND);
+        w.run_until(9, "another holds it", |w| w.holds(block).is_some_and(|h| node(&h) != old));
+        // Reports, answers and cancellations have come for it in the meantime.
+        (30..32).for_each(|i| w.cancel(i));
+        w.run(12);
+        let claims = w.nodes[old].controller.iter().flat_map(|c| c.clusters());
+        assert!(claims.filter(|c| c.block.id == block).all(|c| c.term > 3), "its old term is over");
+        w.run_until(200, "the arrays are over", |w| {
+            (30..34).all(|i| {
+                let j = &w.jobs[&format!("j-{i:06}")];
+                j.told_done.is_some() || j.told_cancelled.is_some()
+            })
+        });
+        w.finish();
+    }
+}
+
+#[test]
+fn the_checker_sees_a_task_run_twice_when_a_job_goes_to_another_block_with_tasks_on_machines() {
+    let mut w = shared(22, 5);
+    let from = (0..3).find(|b| placed(&w, *b) > 0).expect("one has work");
+    let to = (from + 1) % 3;
+    let id = w.block(from).and_then(|c| c.jobs.keys().next().cloned()).expect("a job");
+    // What `untouched` guards against: the holder gives a job away though it has launched it, and the other has room.
+    let key = format!("gh/live/{id}");
+    let mut value = w.state.value(&key).cloned().expect("alive");
+    match value.get_mut("homed") {
+        Some(homed) => (homed["block"], homed["open"]) = (json!(to), json!(0)),
+        None => {
+            let (spec, at) = (value["spec"].clone(), value["at"].clone());
+            value = json!({"spec": {"tasks": spec["tasks"]}, "at": at,
+                "homed": {"block": to, "job": spec, "open": 0}});
+        }
+    }
+    w.state.put(&key, &value.to_string());
+    // Its machines do not hear yet that it is not theirs any more.
+    let until = w.now + LEASE - SECOND / 2;
+    let on = |t: &String| t.starts_with(&*id);
+    let with = w.workers.values_mut().filter(|m| m.tasks.keys().any(on));
+    with.for_each(|m| m.hung_until = until);
+    for _ in 0..9 {
+        w.run(1);
+        if w.broken.iter().any(|b| b.starts_with("ran_twice")) {
+            return;
+        }
+    }
+    panic!("the broken guard was not noticed: {:?}", w.broken);
+}
+
 /// The same drawn days as with one block.
 #[test]
 fn random_troubles_break_no_rule_with_several_blocks() {
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -71,6 +71,8 @@
     pub state: State,
     /// Nodes that the state service refuses.
     pub refused: HashSet<usize>,
+    /// Nodes that stand still until then; their clocks run on, and what comes meanwhile waits for them.
+    pub frozen: HashMap<usize, u64>,
     /// Pairs of siblings that cannot reach one another; messages are held and come late.
     pub cut: HashSet<(usize, usize)>,
     held: Vec<(usize, usize, Envelope)>,
@@ -166,6 +168,7 @@
             settings: (0..nodes).map(|i| settings(i, nodes, believed_s, change)).collect(),
             state: State::new(16 * 1024, 8),
             refused: HashSet::new(),
+            frozen: HashMap::new(),
             cut: HashSet::new(),
             held: Vec::new(),
             deaf: HashSet::new(),
@@ -450,6 +453,12 @@
         if self.nodes[node].life != life {
             return;
         }
+        if let Some(until) = self.frozen.get(&node).copied().filter(|t| self.now < *t) {
+            if !matches!(command, Command::Tick) {
+                self.at(until - self.now, Event::Command { node, life, command });
+            }
+            return;
+        }
         let clock = self.clock(node);
         let Some(controller) = self.nodes[node].controller.as_mut() else { return };
         let effects = controller.step(clock, [command]);
--- a/crates/gannethub-core/tests/stories/takeover.rs
+++ b/crates/gannethub-core/tests/stories/takeover.rs
@@ -226,7 +226,12 @@
                 let back = w.rng.random_range(SECOND..9 * SECOND);
                 w.crash(leader, back);
             }
-            match w.rng.random_range(0..6) {
+            match w.rng.random_range(0..7) {
+                6 => {
+                    let (node, long) =
+                        (w.rng.random_range(0..3), w.rng.random_range(SECOND..8 * SECOND));
+                    w.frozen.insert(node, w.now + long);
+                }
                 0 => w.state.down = !w.state.down,
                 1 => w.late_commits = if w.late_commits > 0.0 { 0.0 } else { 0.1 },
                 2 => {
--- a/crates/gannethub-core/tests/stories/upgrade.rs
+++ b/crates/gannethub-core/tests/stories/upgrade.rs
@@ -119,6 +119,31 @@
     assert!(!old.cancelled && !old.failing);
 }
 
+#[test]
+fn the_version_before_answers_for_a_job_of_another_block_and_cannot_start_it() {
+    let LiveRecord::Job(mut r) = LiveRecord::parse(&record(TAIL)).expect("a job") else { panic!() };
+    r.open = Some(40);
+    // Its leader runs a job of block 0, and a mark is nothing to it; in turn it loses that, and we take all for
+    // launched.
+    let old: OldJob = serde_json::from_str(r.value().get()).expect("a job to it too");
+    assert_eq!(old.done, r.done);
+    let LiveRecord::Job(lost) = LiveRecord::parse(&record(TAIL)).expect("a job") else { panic!() };
+    assert_eq!((r.mark(), lost.mark()), (40, 70));
+    r.block = 2;
+    r.ready = Some(r.at + 5);
+    for cancelled in [false, true] {
+        r.cancelled = cancelled;
+        let text = r.value().get().to_string();
+        assert!(serde_json::from_str::<OldJob>(&text).is_err(), "its leader finds nothing to run");
+        let brief: OldBrief = serde_json::from_str(&text).expect("its copy has an answer");
+        assert_eq!((brief.spec.tasks, brief.cancelled), (70, cancelled));
+        assert_eq!(LiveRecord::parse(&text).expect("ours"), LiveRecord::Job(r.clone()));
+    }
+    let cancelled = LiveRecord::Job(r.clone()).cancel(16 * 1024);
+    let LiveRecord::Job(back) = LiveRecord::parse(cancelled.get()).expect("ours") else { panic!() };
+    assert_eq!((back.block, back.open, back.cancelled), (2, Some(40), true));
+}
+
 /// A job record as the version before keeps it, with these tasks done.
 fn old_record(tasks: u32, done: &str) -> String {
     let mut record: Value = serde_json::from_str(&record(TAIL)).expect("JSON");
