The ledger: what is lost with a session went on until its lease ran out

A worker that shows its next session is alive, and killed what it had when its lease was over; the ledger charged that only until the machine was last heard.

--- a/crates/gannethub-core/src/memory/ledger.rs
+++ b/crates/gannethub-core/src/memory/ledger.rs
@@ -298,6 +298,7 @@
         id: &MachineId,
         reason: Reason,
         now: Micros,
+        likely: Micros,
         gone: impl Fn(&(TaskId, u64), &Ghost) -> bool,
     ) {
         let Some(ledger) = &mut self.ledger else { return };
@@ -307,7 +308,7 @@
         if !left.is_empty() {
             ledger.ghosts.insert(id.clone(), left);
         }
-        let (end, likely) = (self.time_of_day(now), self.settings.report / 2);
+        let end = self.time_of_day(now);
         for (key, ghost) in over {
             // Whenever it ended, that was not seen.
             let news = News::Silence { heard: Some(ghost.told_at), likely };
@@ -324,13 +325,16 @@
         if !known {
             return;
         }
-        self.settle_ghosts(id, Reason::Lease, now, |_, g| g.session != session);
-        self.settle_ghosts(id, Reason::Missing, now, |_, _| true);
+        // The machine is alive: what it had was lost when the lease ran out.
+        let (lease, report) = (self.settings.lease, self.settings.report);
+        self.settle_ghosts(id, Reason::Lease, now, lease, |_, g| g.session != session);
+        self.settle_ghosts(id, Reason::Missing, now, report / 2, |_, _| true);
     }
 
     /// A machine is gone, or its worker's lease is over.
     pub(crate) fn ghosts_gone(&mut self, id: &MachineId, reason: Reason, now: Micros) {
-        self.settle_ghosts(id, reason, now, |_, _| true);
+        let likely = self.settings.report / 2;
+        self.settle_ghosts(id, reason, now, likely, |_, _| true);
     }
 
     /// Ghosts of machines that are not there any more, once nothing of an earlier term can be left.
@@ -601,11 +605,14 @@
         let Some(tab) = tab.filter(|t| t.charged == Charged::Open) else { return };
         let kind = self.kind(machine);
         let news = match reason {
-            // The report that shows a new session did not show what was lost with the one before.
-            Reason::Lease | Reason::Machine => {
-                let heard = machine.heard_at.filter(|t| *t < now).or(machine.heard_before);
-                News::Silence { heard, likely: self.settings.report / 2 }
-            }
+            // A report that shows a new session shows that the lease of the one before ran out, after the last answer
+            // in it; of a machine that is silent nobody knows.
+            Reason::Lease | Reason::Machine => match machine.heard_at {
+                Some(t) if t == now => {
+                    News::Silence { heard: machine.heard_before, likely: self.settings.lease }
+                }
+                heard => News::Silence { heard, likely: self.settings.report / 2 },
+            },
             _ => News::Reported { before: machine.heard_before, missed: machine.missed },
         };
         let reading = tab.meter.end(now, news);
--- a/crates/gannethub-ledger/src/meter.rs
+++ b/crates/gannethub-ledger/src/meter.rs
@@ -70,7 +70,7 @@
     /// `missed`: it has sent others in between.
     Reported { before: Option<Micros>, missed: bool },
     /// Its machine fell silent and is given up. When it was last heard with it, if ever, and how long it went on
-    /// after that, most likely: half the time between two reports.
+    /// after that, most likely: half the time between two reports, or its lease if that is known to have run out.
     Silence { heard: Option<Micros>, likely: Micros },
 }
 
