--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -231,6 +231,8 @@
         self.doubt.loading = false;
         self.block.loaded();
         self.machines.values_mut().for_each(|m| m.answered_at = now);
+        // A report may come before the next tick: limits count what is in doubt from here on.
+        self.weigh_doubts(now);
     }
 
     /// The next transaction, if anything needs to be written. `holder` is the leader key's version.
--- a/crates/gannethub-core/tests/stories/takeover.rs
+++ b/crates/gannethub-core/tests/stories/takeover.rs
@@ -1,9 +1,13 @@
 //! Deciding machine by machine after a loss: what marks, promises and limits allow, and what they forbid.
 
+use gannethub_core::memory::block::{ChunkRecord, Member};
 use gannethub_core::memory::cluster::Cluster;
+use gannethub_core::model::Shape;
+use gannethub_core::wire::store::JobRecord;
 use rand::Rng;
 use serde_json::{Value, json};
 
+use crate::floor::{Floor, spec};
 use crate::sim::{LEASE, SECOND, World, job};
 
 fn cluster(w: &World) -> Option<&Cluster> {
@@ -193,6 +197,34 @@
     w.finish();
 }
 
+#[test]
+fn limits_count_what_is_in_doubt_from_the_moment_that_everything_is_read() {
+    let mut f = Floor::unread(&[("red", 8.0, 8.0)], None);
+    f.c.trust(true);
+    let member = |_| Member { flavor: "small".into(), zone: "a".into(), spot: false };
+    let machines = ["up-1", "up-2"].map(|m| (m.to_string(), member(m))).into();
+    let chunk = ChunkRecord { term: 1, holder: "n9".into(), machines };
+    let mut record = JobRecord::new(spec(Shape::Array, "red", 20, 1.0), 1);
+    record.open = Some(6);
+    f.c.job_record("j-1", record, 5);
+    f.c.chunk_record("gh/block/0/0", chunk, 6);
+    f.c.loaded(f.now);
+    assert_eq!(f.c.doubt.held[0].cpu, 6_000, "six tasks may be on them");
+    // The first machine shows two of them, before any tick: two more CPUs are left, and tasks from the mark on.
+    f.report("up-1", "small", "a", &[("j-1/0", 1, false), ("j-1/1", 1, false)]);
+    f.c.schedule(f.now);
+    let placed: Vec<u32> = f.c.machines["up-1"].attempts.keys().map(|k| k.0.index).collect();
+    assert_eq!(
+        placed,
+        [0, 1],
+        "what is shown counts beside what was in doubt until that is weighed again"
+    );
+    f.pass(0);
+    f.c.schedule(f.now);
+    let placed: Vec<u32> = f.c.machines["up-1"].attempts.keys().map(|k| k.0.index).collect();
+    assert_eq!(placed, [0, 1, 6, 7]);
+}
+
 /// Losses of leaders, machines, messages and the state service, thick enough that most takeovers begin in the middle
 /// of the one before.
 #[test]
