--- a/crates/gannethub-core/src/control/allotter.rs
+++ b/crates/gannethub-core/src/control/allotter.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 
 use super::lease::Lease;
-use super::port::{Port, Purpose};
+use super::port::{Port, Purpose, read};
 use crate::decide::allot::{self, Parts};
 use crate::memory::cluster::Cluster;
 use crate::model::{Micros, Resources, SECOND, Team};
@@ -135,9 +135,7 @@
         let now = port.clock.now;
         self.reading = false;
         self.read_at = now + READ_EVERY;
-        let listing = answer.filter(|a| a.0 == 200);
-        let Some(listing) = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok())
-        else {
+        let Some(listing) = read::<Listing>(answer) else {
             return;
         };
         self.damaged_before = std::mem::replace(&mut self.damaged, false);
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -232,9 +232,13 @@
         self.abstain_until = until;
     }
 
-    pub fn unsure(&mut self) {
-        self.unsure = true;
-        self.seen = false;
+    /// A takeover was not carried out, or nothing is known of it. It may then still be carried out; until the grant is
+    /// known to be gone, nobody gets a promise from here.
+    pub fn not_taken(&mut self, status: Option<u16>) {
+        if !matches!(status, Some(400 | 409 | 429 | 503)) {
+            self.unsure = true;
+            self.seen = false;
+        }
     }
 
     pub fn grant_dropped(&mut self) {
@@ -298,7 +302,7 @@
         c.trying = true;
         assert!(!c.promise(3, late, PROMISE), "a takeover is under way");
         c.trying = false;
-        c.unsure();
+        c.not_taken(None);
         assert!(!c.promise(3, late, PROMISE), "a takeover may still be carried out");
     }
 
--- a/crates/gannethub-core/src/control/loading.rs
+++ b/crates/gannethub-core/src/control/loading.rs
@@ -5,7 +5,7 @@
 use gannethub_ledger::book::Head;
 
 use super::holder::Holder;
-use super::port::{Port, Purpose};
+use super::port::{Port, Purpose, read};
 use crate::memory::block::ChunkRecord;
 use crate::memory::shadow::Shadow;
 use crate::model::{Micros, SECOND};
@@ -40,8 +40,7 @@
 
     /// Machines on their way here have been looked for.
     pub fn moves_read(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
-        let listing = answer.filter(|a| a.0 == 200);
-        let listing = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let listing = read::<Listing>(answer);
         for item in listing.iter().flat_map(|l| &l.items) {
             self.on_the_way(item, port.clock.now);
         }
@@ -132,9 +131,7 @@
         stage: usize,
         answer: Option<(u16, Bytes)>,
     ) {
-        let listing = answer
-            .filter(|a| a.0 == 200)
-            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let listing = read::<Listing>(answer);
         let Some(listing) = listing else {
             // Reading a stage again is harmless.
             self.load_at = Some(port.clock.now + 300_000);
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use serde::de::DeserializeOwned;
 
 use crate::http::{Request, Response};
 use crate::memory::fleet::CloudCall;
@@ -168,6 +169,12 @@
     Changed(JobId, u64),
 }
 
+/// What an answer holds, if it is there and is one.
+pub(super) fn read<T: DeserializeOwned>(answer: Option<(u16, Bytes)>) -> Option<T> {
+    let (_, body) = answer.filter(|a| a.0 == 200)?;
+    serde_json::from_slice(&body).ok()
+}
+
 pub(super) struct Port {
     pub settings: Arc<Settings>,
     pub clock: Clock,
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -7,7 +7,7 @@
 
 use super::holder::Holder;
 use super::intake::{Asker, Intake, MAX_ASKING, POLL_PATIENCE, Waiter, committed};
-use super::port::{News, Port, Purpose};
+use super::port::{News, Port, Purpose, read};
 use crate::http::Response;
 use crate::memory::mirror::Found;
 use crate::model::{JobId, Micros, Ranges, SECOND};
@@ -196,9 +196,7 @@
     }
 
     pub(super) fn copied(&mut self, port: &mut Port, answer: Option<(u16, Bytes)>) {
-        let listing = answer
-            .filter(|a| a.0 == 200)
-            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let listing = read::<Listing>(answer);
         let Some(listing) = listing else {
             self.refreshing = false;
             return self.mirror.lost();
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -7,7 +7,7 @@
 
 use super::holder::{Holder, Holders};
 use super::leadership::Candidacy;
-use super::port::{PROBE_EVERY, Port, Purpose};
+use super::port::{PROBE_EVERY, Port, Purpose, read};
 use super::standing::Standing;
 use crate::model::{Micros, SECOND};
 use crate::wire::peer::{Body, Marks};
@@ -150,9 +150,7 @@
 
     pub fn probed(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
         self.probing = false;
-        let listing = answer.filter(|a| a.0 == 200);
-        let Some(listing) = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok())
-        else {
+        let Some(listing) = read::<Listing>(answer) else {
             return;
         };
         type Seen = Option<(LeadRecord, u64)>;
@@ -188,8 +186,7 @@
         sent: Micros,
         answer: Option<(u16, Bytes)>,
     ) {
-        let granted = answer.filter(|a| a.0 == 200);
-        let granted = granted.and_then(|a| serde_json::from_slice::<Granted>(&a.1).ok());
+        let granted = read::<Granted>(answer);
         let seat = self.seat(port, block);
         let Some(granted) = granted else {
             seat.candidacy.trying = false;
@@ -207,8 +204,7 @@
         sent: Micros,
         answer: Option<(u16, Bytes)>,
     ) {
-        let listing = answer.filter(|a| a.0 == 200);
-        let listing = listing.and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let listing = read::<Listing>(answer);
         let now = port.clock.now;
         let name = port.settings.name.clone();
         let candidacy = &mut self.seat(port, block).candidacy;
@@ -241,10 +237,7 @@
 
     /// A block was not taken, or nothing is known of it.
     pub fn not_taken(&mut self, port: &mut Port, block: u32, grant: u64, answer: Option<u16>) {
-        let seat = self.seat(port, block);
-        if !matches!(answer, Some(400 | 409 | 429 | 503)) {
-            seat.candidacy.unsure();
-        }
+        self.seat(port, block).candidacy.not_taken(answer);
         self.probe_at = port.clock.now;
         port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropSeat { block });
     }
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -6,7 +6,7 @@
 
 use super::holder::{Holder, Holders};
 use super::leadership::{Candidacy, PROMISE};
-use super::port::{PROBE_EVERY, Port, Purpose};
+use super::port::{PROBE_EVERY, Port, Purpose, read};
 use crate::memory::fleet::Offer;
 use crate::memory::share::Load;
 use crate::model::{Flavor, Resources};
@@ -87,9 +87,7 @@
 
     pub(super) fn probed(&mut self, port: &mut Port, answer: Option<(u16, Bytes)>) {
         self.probing = false;
-        let listing = answer
-            .filter(|a| a.0 == 200)
-            .and_then(|a| serde_json::from_slice::<Listing>(&a.1).ok());
+        let listing = read::<Listing>(answer);
         let Some(listing) = listing else { return };
         let mut holder = None;
         let (mut term, mut count) = (None, None);
@@ -108,9 +106,7 @@
     }
 
     pub(super) fn granted(&mut self, port: &mut Port, sent: Micros, answer: Option<(u16, Bytes)>) {
-        let granted = answer
-            .filter(|a| a.0 == 200)
-            .and_then(|a| serde_json::from_slice::<Granted>(&a.1).ok());
+        let granted = read::<Granted>(answer);
         let Some(granted) = granted else {
             self.candidacy.trying = false;
             return;
@@ -221,11 +217,7 @@
 
     /// A takeover was not carried out, or nothing is known of it.
     pub fn not_taken(&mut self, port: &mut Port, grant: u64, answer: Option<u16>) {
-        if !matches!(answer, Some(400 | 409 | 429 | 503)) {
-            // It may still be carried out; until the grant is known to be gone, nobody gets
-            // a promise from here.
-            self.candidacy.unsure();
-        }
+        self.candidacy.not_taken(answer);
         self.probe_at = port.clock.now;
         port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropGrant);
     }
