--- a/crates/gannethub-core/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -5,6 +5,7 @@
 mod growth;
 mod lean;
 mod ledger;
+mod meetings;
 mod ops;
 mod pipelines;
 mod scale;
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -150,6 +150,8 @@
     pub record: Record,
     /// Tasks that have completed somewhere.
     done: HashSet<String>,
+    /// How long tasks run, at least and at most.
+    pub runs: (u64, u64),
 }
 
 pub fn settings(
@@ -243,6 +245,7 @@
             copied: 0,
             record: Record::default(),
             done: HashSet::new(),
+            runs: (2 * SECOND, 8 * SECOND),
         };
         for i in 0..nodes {
             world.nodes.push(Node { controller: None, life: 0, born: 0, stepped_at: 0, ticks: 0 });
@@ -388,6 +391,7 @@
     fn step(&mut self) {
         if self.now.is_multiple_of(SECOND) {
             self.check_index();
+            self.check_cancelled();
         }
         self.now += STEP;
         self.state.tick(self.now);
@@ -656,9 +660,23 @@
         self.ask(&id, "cancel");
     }
 
+    /// A user cancels a job at this controller, and goes on asking anywhere until that is answered.
+    pub fn cancel_at(&mut self, id: u32, node: usize) {
+        let id = format!("j-{id:06}");
+        if let Some(j) = self.jobs.get_mut(&id) {
+            j.cancel_asked = true;
+        }
+        self.ask_at(&id, "cancel", node);
+    }
+
     /// Sends a user's request to some node.
     pub fn ask(&mut self, id: &str, what: &'static str) {
         let node = self.rng.random_range(0..self.nodes.len());
+        self.ask_at(id, what, node);
+    }
+
+    /// Sends a user's request to this node.
+    pub fn ask_at(&mut self, id: &str, what: &'static str, node: usize) {
         let origin = Origin::User { job: id.into(), what, asked: self.now };
         let body = match what {
             "submit" => Bytes::from(self.jobs[id].body.to_string()),
@@ -901,7 +919,9 @@
 
     pub fn check_cancelled(&mut self) {
         let mut broken = Vec::new();
-        for w in self.workers.values().filter(|w| !w.dead) {
+        // What hangs past its lease kills all it has before it does anything else.
+        let gone = |w: &Worker| w.dead || w.hung(self.now) && w.lease_over(self.now);
+        for w in self.workers.values().filter(|w| !gone(w)) {
             for t in w.tasks.values().filter(|t| t.on_machine()) {
                 let id = t.name.split('/').next().unwrap_or("");
                 let told = self.jobs.get(id).and_then(|j| j.told_cancelled);
@@ -961,7 +981,7 @@
     }
 
     fn run_time(&mut self, _: &JobFacts) -> u64 {
-        self.rng.random_range(2 * SECOND..8 * SECOND)
+        self.rng.random_range(self.runs.0..self.runs.1)
     }
 
     fn is_done(&self, task: &str) -> bool {
