Authority beyond the grant only for a leader that knows what is cancelled

Change: - A holder acts only while it provably knew what is cancelled no longer ago than cancel_s less a lease, drift and margin. That needs nobody's word: whoever is told of a cancellation later than that, the last answer that could renew a lease in ignorance is at most so much later, and with a lease from there every task is gone in time. - Promises carry the cancellations that their sender knows of and the asker may not. Once all siblings have told in one round, what any of them had told its users when the round began is known, and the bound counts from there.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -32,7 +32,7 @@
 use crate::wire::api::{self, Route};
 use crate::wire::cloud::{self, CloudRequest};
 use crate::wire::peer::{Body, Changed, Envelope, OfferTold, OpenTabs, Promise, TabsAsk};
-use crate::wire::store::{Committed, LeadRecord};
+use crate::wire::store::{self, Committed, LeadRecord};
 
 const TICK: Micros = 50_000;
 /// A controller that waits for nothing but the next heartbeat looks at its clock at least this often.
@@ -49,7 +49,7 @@
 pub struct Controller {
     pub(super) port: Port,
     pub(super) standing: Standing,
-    intake: Intake,
+    pub(super) intake: Intake,
     seats: Seats,
     /// The blocks that it holds. Whoever holds block 0 is the leader.
     pub(super) holders: Holders,
@@ -149,10 +149,9 @@
     }
 
     fn check_authority(&mut self) {
+        let now = self.port.clock.now;
         for holder in self.holders.values_mut() {
-            if !holder.lease.valid(&self.port) {
-                holder.ended = Some("its authority ran out");
-            }
+            holder.ended = holder.ended.or(holder.lease.ended(now));
         }
         self.check_ended();
     }
@@ -186,17 +185,18 @@
     fn spread_news(&mut self) {
         for news in std::mem::take(&mut self.port.news) {
             match news {
-                News::Changed(id, stamp) => self.changed(&id, stamp),
+                News::Changed { job, stamp, cancelled } => {
+                    self.changed(Changed { job: job.to_string(), stamp, cancelled });
+                }
             }
         }
     }
 
     /// Lets the leader know, in case its watch does not: that may hang in a cut.
-    fn changed(&mut self, id: &JobId, stamp: u64) {
+    fn changed(&mut self, told: Changed) {
         for holder in self.holders.values_mut() {
-            holder.expect(&self.port, id, stamp);
+            holder.told(&self.port, &told);
         }
-        let told = Changed { job: id.to_string(), stamp };
         if self.port.several {
             let all = 0..self.standing.siblings.len();
             all.for_each(|i| self.port.say(i, Body::Changed(told.clone())));
@@ -342,13 +342,14 @@
                 };
                 let free = !self.holders.contains_key(&ask.block);
                 if let Some(candidacy) = candidacy.filter(|_| free) {
-                    Standing::promise_asked(port, candidacy, i, &ask);
+                    let copy = &self.intake.mirror;
+                    Standing::promise_asked(port, candidacy, copy, i, &ask);
                 }
             }
             Some(Body::Promise(promise)) => self.promised(i, &promise),
             Some(Body::Changed(changed)) if valid_job_id(&changed.job) => {
                 for holder in self.holders.values_mut() {
-                    holder.expect(port, &changed.job, changed.stamp);
+                    holder.told(port, &changed);
                 }
             }
             Some(Body::OpenTabs(tabs)) if port.settings.ledger.is_some() => {
@@ -391,6 +392,19 @@
         let block = promise.block;
         let asked = self.holders.get_mut(&block).filter(|h| h.lease.term == promise.term);
         let Some(holder) = asked else { return };
+        let ids = store::decode_ids(&promise.cancelled);
+        for id in &ids {
+            holder.cluster.cancelled_elsewhere(id, promise.upto);
+        }
+        // What cannot be read in full tells nothing for certain.
+        let knows = promise.knows && ids.len() == promise.count as usize;
+        if knows && let Some(at) = holder.lease.authority.informed(promise.round, i) {
+            // Its own users' cancellations are among those that its copy knows of.
+            for (id, stamp) in self.intake.mirror.cancelled_since(holder.watched) {
+                holder.cluster.cancelled_elsewhere(id, stamp);
+            }
+            holder.lease.knew(at);
+        }
         holder.lease.authority.promised(promise.round, i, self.port.clock.now);
         if holder.lease.authority.bridged() {
             holder.cluster.unmarked = true;
@@ -492,6 +506,11 @@
                     h.followed(port, answer);
                 }
             }
+            Purpose::CatchUp { term, sent } => {
+                if let Some(h) = of_term(holders, term) {
+                    h.caught_up(port, sent, answer);
+                }
+            }
             Purpose::Write { term, batch } => {
                 if let Some(h) = of_term(holders, term) {
                     h.written(port, batch, answer);
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -9,18 +9,20 @@
 use super::allotter::Allotter;
 use super::lease::Lease;
 use super::loading::LOADED;
-use super::port::{Port, Purpose};
+use super::port::{Port, Purpose, read};
 use crate::apply::reports::Outcome;
 use crate::http::Response;
 use crate::memory::cluster::Cluster;
 use crate::memory::fleet::CloudCall;
+use crate::memory::mirror::Mirror;
+use crate::memory::pipeline::Fate;
 use crate::memory::writes::Batch;
-use crate::model::{JobId, Micros, SECOND};
-use crate::wire::peer::Running;
+use crate::model::{JobId, Micros, SECOND, TaskId};
+use crate::wire::peer::{Changed, Running};
 use crate::wire::store::{
     self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest, Urgency,
 };
-use crate::wire::worker::{Report, ReportAnswer};
+use crate::wire::worker::{Report, ReportAnswer, TaskState};
 
 /// A leader that hears neither workers nor siblings for this long makes way.
 const DEAF: Micros = 3 * SECOND;
@@ -49,7 +51,13 @@
     pub(super) ledger_pages: Vec<(Page, u64)>,
     pub(super) load_at: Option<Micros>,
     pub(super) watched: u64,
+    /// When reading everything began.
+    pub(super) read_from: Micros,
     following: bool,
+    follow_sent: Micros,
+    /// Looking what has changed beside the watch.
+    catching: bool,
+    catch_at: Micros,
     follow_at: Micros,
     writing: bool,
     write_at: Micros,
@@ -70,6 +78,24 @@
 /// What this controller holds, by block.
 pub(super) type Holders = BTreeMap<u32, Box<Holder>>;
 
+/// What this controller's own copy of the live jobs is good for while a holder still reads them.
+pub(super) struct Copy<'a> {
+    pub mirror: &'a Mirror,
+    /// It was true to the state service then, and may be so much behind.
+    pub fresh_at: Micros,
+    pub patience: Micros,
+}
+
+impl Copy<'_> {
+    /// The job of a task was alive and not cancelled, as far as has to be known.
+    fn runs_on(&self, task: &str, now: Micros) -> bool {
+        let job = TaskId::parse(task).map(|t| t.job);
+        now < self.fresh_at + self.patience
+            && self.mirror.at().is_some()
+            && job.is_some_and(|job| self.mirror.fate(&job) == Fate::Alive)
+    }
+}
+
 /// What a report is answered with.
 pub(super) enum Answer {
     Now(u16, Bytes),
@@ -93,7 +119,11 @@
             ledger_pages: Vec::new(),
             load_at: None,
             watched: 0,
+            read_from: 0,
             following: false,
+            follow_sent: 0,
+            catching: false,
+            catch_at: 0,
             follow_at: 0,
             writing: false,
             write_at: 0,
@@ -207,6 +237,7 @@
             return;
         }
         self.following = true;
+        self.follow_sent = now;
         // Bounds how often the watch is opened when much is written.
         self.follow_at = now + 100_000;
         let (term, from) = (self.lease.term, self.watched);
@@ -251,15 +282,44 @@
         }
     }
 
-    pub(super) fn expect(&mut self, port: &Port, id: &str, stamp: u64) {
+    /// A controller told of a change. What is cancelled ends at once: whether it can be read here is not certain.
+    pub(super) fn told(&mut self, port: &Port, changed: &Changed) {
         let due = port.clock.now + WATCH_PATIENCE;
-        if self.watched < stamp {
-            self.expected.push_back((due, stamp, format!("{}{id}", store::LIVE)));
+        if self.watched >= changed.stamp {
+            return;
+        }
+        self.expected.push_back((due, changed.stamp, format!("{}{}", store::LIVE, changed.job)));
+        if changed.cancelled {
+            self.cluster.cancelled_elsewhere(&changed.job, changed.stamp);
+        }
+    }
+
+    /// Looks what has changed, when that has not been known for a while: a watch may hang, and where nothing changes its
+    /// answer is as old as its question.
+    fn catch_up(&mut self, port: &mut Port) {
+        let now = port.clock.now;
+        if self.catching || now < self.catch_at || !self.lease.looks(now) {
+            return;
+        }
+        self.catching = true;
+        self.catch_at = now + SECOND;
+        let request = StoreRequest::changes(store::LIVE, self.watched);
+        let purpose = Purpose::CatchUp { term: self.lease.term, sent: now };
+        port.send(Urgency::Renewal, request, purpose);
+    }
+
+    pub(super) fn caught_up(&mut self, port: &Port, sent: Micros, answer: Option<(u16, Bytes)>) {
+        self.catching = false;
+        // The watch finds out if it is too far behind.
+        if self.loaded()
+            && let Some(followed) = read::<Followed>(answer)
+        {
+            self.take_changes(followed, sent, port.clock.now);
         }
     }
 
     /// The leader's answer to a report.
-    pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> Answer {
+    pub(super) fn report(&mut self, port: &Port, body: &Bytes, copy: &Copy<'_>) -> Answer {
         let now = port.clock.now;
         let error = |status: u16, why: &str| Answer::Now(status, Response::error(status, why).body);
         self.heard_at = Some(now);
@@ -276,8 +336,13 @@
             return error(503, "the state is being read");
         }
         if !self.loaded() && report.token <= self.lease.term {
-            // Renews the worker's lease and shows it the new token while the state is read.
-            return Answer::Now(200, self.nothing.clone());
+            // Renews the worker's lease and shows it the new token while the state is read: if none of its tasks is
+            // known to be cancelled, by a copy that is not too old to know.
+            let runs = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
+            if runs.into_iter().all(|t| copy.runs_on(&t.task, now)) {
+                return Answer::Now(200, self.nothing.clone());
+            }
+            return error(503, "the state is being read");
         }
         match self.cluster.report(now, &report) {
             Outcome::Orders(orders) if orders.is_empty() => Answer::Now(200, self.nothing.clone()),
@@ -315,7 +380,12 @@
             self.follow_at = now + 500_000;
             return;
         };
-        for change in followed.log {
+        self.take_changes(followed, self.follow_sent, now);
+    }
+
+    /// Takes in what has changed, as was asked for then. The watch and what is read beside it may overtake each other.
+    fn take_changes(&mut self, followed: Followed, sent: Micros, now: Micros) {
+        for change in followed.log.into_iter().filter(|c| c.stamp > self.watched) {
             if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(store::LIVE)) {
                 self.cluster.job_gone(id, change.stamp, None);
             }
@@ -334,8 +404,9 @@
             }
             self.cluster.stirred = true;
         }
-        self.watched = followed.ledger_no;
-        self.cluster.watched(followed.ledger_no);
+        self.watched = self.watched.max(followed.ledger_no);
+        self.cluster.watched(self.watched);
+        self.lease.knew(sent);
     }
 
     pub(super) fn written(&mut self, port: &Port, batch: Batch, answer: Option<(u16, Bytes)>) {
@@ -440,7 +511,7 @@
             self.ended = Some("it hears neither workers nor siblings");
             return;
         }
-        self.lease.keep(port);
+        self.lease.keep(port, if self.loaded() { self.watched } else { 0 });
         if !self.loaded() {
             if self.load_at.is_some_and(|t| t <= now) {
                 self.load_at = None;
@@ -459,6 +530,7 @@
         }
         self.plan(port);
         self.follow(port);
+        self.catch_up(port);
         self.write(port);
         self.read_back(port);
         self.read_owners(port);
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -84,6 +84,9 @@
     /// Reading what the mirror lacks is under way.
     pub refreshing: bool,
     pub refresh_at: Micros,
+    /// When the read under way was asked for, and the last one that the copy has taken in.
+    pub read_at: Micros,
+    pub fresh_at: Micros,
     /// Queries that the read under way answers, and those that the next one will.
     pub answering: Vec<Asker>,
     pub asking: Vec<Asker>,
@@ -278,7 +281,7 @@
                     tracing::info!(job = %id, %class, tasks, waits_on, "accepted");
                     let view = JobView::new(Status::Pending, 0);
                     port.reply(conn, api::answer(201, &id, &view));
-                    port.news.push(News::Changed(id.clone(), stamp));
+                    port.news.push(News::Changed { job: id.clone(), stamp, cancelled: false });
                 }
                 // One of them was known already: the others are tried again without it.
                 Some(409) if !failed.is_empty() && !failed.iter().any(|k| k.ends_with(&*id)) => {
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -42,6 +42,8 @@
     asked_at: Micros,
     needed: usize,
     promised: HashSet<usize>,
+    /// Those whose promise told all that they know of cancellations.
+    informed: HashSet<usize>,
     bridged: bool,
 }
 
@@ -56,6 +58,7 @@
             asked_at: 0,
             needed: 0,
             promised: HashSet::new(),
+            informed: HashSet::new(),
             bridged: false,
         }
     }
@@ -79,9 +82,20 @@
         self.asked_at = now;
         self.needed = siblings;
         self.promised.clear();
+        self.informed.clear();
         self.round
     }
 
+    /// A sibling has told with its promise all that it knows of cancellations. Once all have in one round, nothing that
+    /// any of them had told its users by the time that the round began is unknown here: that time.
+    pub fn informed(&mut self, round: u64, sibling: usize) -> Option<Micros> {
+        if round != self.round {
+            return None;
+        }
+        self.informed.insert(sibling);
+        (self.needed > 0 && self.informed.len() >= self.needed).then_some(self.asked_at)
+    }
+
     /// A sibling promised. Only all of them together extend the authority.
     pub fn promised(&mut self, round: u64, sibling: usize, now: Micros) {
         if round != self.round || now > self.asked_at + PROMISE_FRESH {
--- a/crates/gannethub-core/src/control/loading.rs
+++ b/crates/gannethub-core/src/control/loading.rs
@@ -65,6 +65,9 @@
                 self.load(port, "");
             }
             Some(prefix) => {
+                if stage == 0 && after.is_empty() {
+                    self.read_from = now;
+                }
                 let request = StoreRequest::list(prefix, after);
                 port.send(Urgency::Renewal, request, Purpose::Load { term, stage });
             }
@@ -89,6 +92,7 @@
                     self.allotter.obey(&mut self.cluster);
                 }
                 self.loaded_once = true;
+                self.lease.read_from(self.read_from);
                 self.cluster.loaded(now);
             }
         }
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -76,6 +76,11 @@
     Follow {
         term: u64,
     },
+    /// What has changed, beside the watch.
+    CatchUp {
+        term: u64,
+        sent: Micros,
+    },
     Write {
         term: u64,
         batch: Batch,
@@ -166,7 +171,7 @@
 #[derive(Debug)]
 pub(super) enum News {
     /// A job was accepted or cancelled here, at this version.
-    Changed(JobId, u64),
+    Changed { job: JobId, stamp: u64, cancelled: bool },
 }
 
 /// What an answer holds, if it is there and is one.
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -180,6 +180,7 @@
         match self.mirror.at() {
             Some(at) if !self.asking.is_empty() || now >= self.refresh_at + REFRESH_AT_LEAST => {
                 self.refreshing = true;
+                self.read_at = now;
                 self.refresh_at = now + pause;
                 self.answering = std::mem::take(&mut self.asking);
                 let request = StoreRequest::changes(store::LIVE, at);
@@ -187,6 +188,7 @@
             }
             None if port.state_ok() => {
                 self.refreshing = true;
+                self.read_at = now;
                 self.refresh_at = now + SECOND;
                 let request = StoreRequest::list(store::LIVE, "");
                 port.send(Urgency::User, request, Purpose::Copy);
@@ -208,6 +210,7 @@
             }
             None => {
                 self.refreshing = false;
+                self.fresh_at = self.read_at;
                 self.refresh_at = port.clock.now;
             }
         }
@@ -234,6 +237,7 @@
             return self.refresh(port);
         };
         self.mirror.followed(&followed);
+        self.fresh_at = self.read_at;
         for asker in waiting {
             let (conn, id) = match asker {
                 Asker::Query(conn, id) => (conn, id),
@@ -334,6 +338,11 @@
         if matches!(view.status, Status::Done | Status::Cancelled) {
             self.mirror.end(job.clone(), view.clone());
         }
+        if let Some((record, stamp)) = &live
+            && record.cancelled()
+        {
+            self.mirror.cancelled(job.clone(), *stamp);
+        }
         let mut cancels = Vec::new();
         for w in self.take_waiters(port, &job) {
             match (w, &live) {
@@ -370,11 +379,14 @@
     ) {
         let status = answer.as_ref().map(|a| a.0);
         if status == Some(200) {
+            let stamp = committed(answer.as_ref());
             self.mirror.end(job.clone(), view.clone());
+            self.mirror.cancelled(job.clone(), stamp);
             for c in conns {
                 port.reply(c, api::answer(200, &job, &view));
             }
-            return port.news.push(News::Changed(job, committed(answer.as_ref())));
+            let cancelled = true;
+            return port.news.push(News::Changed { job, stamp, cancelled });
         }
         for c in conns {
             match status {
--- a/crates/gannethub-core/src/control/routing.rs
+++ b/crates/gannethub-core/src/control/routing.rs
@@ -4,7 +4,8 @@
 use serde::Deserialize;
 
 use super::controller::Controller;
-use super::holder::Answer;
+use super::holder::{Answer, Copy};
+use super::lease::patience;
 use crate::http::Response;
 use crate::model::Micros;
 use crate::wire::peer::{Body, Relay, Relayed};
@@ -77,8 +78,13 @@
 
     /// Answers a report of a machine whose block is held here.
     fn report_here(&mut self, body: &Bytes) -> Reported {
+        let copy = Copy {
+            mirror: &self.intake.mirror,
+            fresh_at: self.intake.fresh_at,
+            patience: patience(&self.port.settings, self.port.ttl()),
+        };
         if !self.port.several {
-            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body)) {
+            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body, &copy)) {
                 Some(Answer::Now(status, body)) => Reported::Now(status, body),
                 _ => Reported::Elsewhere(None, String::new()),
             };
@@ -91,7 +97,7 @@
             Some(holder) => Some(holder),
             None => self.holders.get_mut(&0),
         };
-        let answer = holder.map(|h| h.report(&self.port, body));
+        let answer = holder.map(|h| h.report(&self.port, body, &copy));
         match answer {
             Some(Answer::Now(status, body)) => Reported::Now(status, body),
             Some(Answer::Elsewhere(Some(block))) => {
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -8,9 +8,9 @@
 use super::leadership::{Candidacy, PROMISE};
 use super::port::{PROBE_EVERY, Port, Purpose, read};
 use crate::memory::fleet::Offer;
+use crate::memory::mirror::Mirror;
 use crate::memory::share::Load;
-use crate::model::{Flavor, Resources};
-use crate::model::{Micros, SECOND};
+use crate::model::{Flavor, JobId, Micros, Resources, SECOND};
 use crate::wire::peer::{
     BlockTold, Body, Heartbeat, Marks, OfferTold, Promise, PromiseAsk, TeamTold,
 };
@@ -23,6 +23,8 @@
 const HEARD: Micros = 1_800_000;
 /// One that heard nobody does not lead for this long.
 const ABSTAIN: Micros = 12 * SECOND;
+/// Cancellations that one promise tells of: so many fit into a message. With more, it does not claim to tell all.
+const MOST_TOLD: usize = 10_000;
 
 #[derive(Debug, Default, Clone)]
 pub(super) struct SiblingView {
@@ -249,11 +251,34 @@
     }
 
     /// A sibling asks not to be replaced for a while. Only an outage that this controller sees too is a reason.
-    pub fn promise_asked(port: &mut Port, candidacy: &mut Candidacy, i: usize, ask: &PromiseAsk) {
+    /// With the promise goes every cancellation that this controller knows of and the sibling may not: whom it carries
+    /// through an outage has to act on them.
+    pub fn promise_asked(
+        port: &mut Port,
+        candidacy: &mut Candidacy,
+        copy: &Mirror,
+        i: usize,
+        ask: &PromiseAsk,
+    ) {
         let micros = ask.micros.min(PROMISE);
         if !port.state_ok() && candidacy.promise(ask.term, port.clock.now, micros) {
             let (round, term, block) = (ask.round, ask.term, ask.block);
-            port.say(i, Body::Promise(Promise { round, term, block }));
+            let asked = Some(ask.known).filter(|known| *known > 0);
+            let since = asked.into_iter().flat_map(|known| copy.cancelled_since(known));
+            let mut ids: Vec<JobId> = Vec::new();
+            let mut upto = 0;
+            for (id, stamp) in since.take(MOST_TOLD + 1) {
+                upto = upto.max(stamp);
+                ids.push(id.clone());
+            }
+            ids.sort_unstable();
+            ids.dedup();
+            // A process that has not read the state does not know what an earlier one of its name has confirmed.
+            let knows = asked.is_some() && copy.at().is_some() && ids.len() <= MOST_TOLD;
+            ids.truncate(MOST_TOLD);
+            let (count, cancelled) = (ids.len() as u32, store::encode_ids(&ids));
+            let promise = Promise { round, term, block, knows, cancelled, count, upto };
+            port.say(i, Body::Promise(promise));
         }
     }
 
--- a/crates/gannethub-core/src/memory/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -7,7 +7,7 @@
 //! controller has said already, in a takeover or after a cut as well. Of what is over only the
 //! answers given or seen lately are kept: an end never changes.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 
 use serde::Deserialize;
 
@@ -42,6 +42,8 @@
 
 #[derive(Debug)]
 struct Live {
+    /// The version of its last change.
+    stamp: u64,
     tasks: u32,
     done: u32,
     cancelled: bool,
@@ -73,6 +75,8 @@
     pub links: Links,
     over: HashMap<JobId, JobView>,
     absent: HashSet<JobId>,
+    /// Cancellations that were stored or read here and that the copy does not show yet, with their versions.
+    told: BTreeMap<JobId, u64>,
 }
 
 impl Mirror {
@@ -98,6 +102,20 @@
         self.over.insert(id, view);
     }
 
+    /// The cancellation of a live job was stored or read here, at this version, and its user is told.
+    pub fn cancelled(&mut self, id: JobId, stamp: u64) {
+        if self.at.is_none_or(|at| at < stamp) {
+            self.told.insert(id, stamp);
+        }
+    }
+
+    /// Cancellations of live jobs that are known here and were stored after that version, with their versions.
+    pub fn cancelled_since(&self, version: u64) -> impl Iterator<Item = (&JobId, u64)> {
+        let live = self.live.iter().filter(|(_, l)| l.cancelled).map(|(id, l)| (id, l.stamp));
+        let told = self.told.iter().map(|(id, stamp)| (id, *stamp));
+        live.chain(told).filter(move |(_, stamp)| *stamp > version)
+    }
+
     /// The job was neither alive nor over at this version. That holds until a change shows it, if
     /// all later changes are still to come.
     pub fn miss(&mut self, id: JobId, stamp: u64) {
@@ -170,12 +188,12 @@
 
     fn read(&mut self, item: &Item) {
         if let (Some(id), Some(brief)) = (item.k.strip_prefix(LIVE), item.record::<Brief>()) {
-            self.alive(id.into(), &brief);
+            self.alive(id.into(), &brief, item.stamp);
         }
     }
 
     /// Takes in what a live job's record says.
-    fn alive(&mut self, id: JobId, brief: &Brief) {
+    fn alive(&mut self, id: JobId, brief: &Brief, stamp: u64) {
         self.links.alive(&id);
         if let Some(w) = &brief.waiting {
             let upstream = decode_ids(&w.on);
@@ -187,7 +205,7 @@
                 self.links.cancel(&id);
             }
         }
-        self.live.insert(id, Live::new(brief));
+        self.live.insert(id, Live::new(brief, stamp));
     }
 
     /// Takes in all changes since [`Mirror::at`].
@@ -196,6 +214,7 @@
             self.change(change);
         }
         self.at = Some(followed.ledger_no);
+        self.told.retain(|_, stamp| *stamp > followed.ledger_no);
     }
 
     fn change(&mut self, change: &Change) {
@@ -204,7 +223,7 @@
             match serde_json::from_str::<Brief>(text) {
                 Ok(brief) => {
                     self.absent.remove(id);
-                    self.alive(id.into(), &brief);
+                    self.alive(id.into(), &brief, change.stamp);
                 }
                 Err(e) => tracing::error!(job = id, error = %e, "a job's value is not ours"),
             }
@@ -233,11 +252,11 @@
 }
 
 impl Live {
-    fn new(brief: &Brief) -> Live {
+    fn new(brief: &Brief, stamp: u64) -> Live {
         let mut done = Ranges::default();
         decode_done(&brief.done, 0, &mut done);
         let (tasks, waiting) = (brief.spec.tasks, brief.waiting.is_some());
-        Live { tasks, done: done.len(), cancelled: brief.cancelled, waiting }
+        Live { stamp, tasks, done: done.len(), cancelled: brief.cancelled, waiting }
     }
 
     fn view(&self) -> JobView {
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -149,6 +149,9 @@
     /// The block that the lease is for.
     #[prost(uint32, tag = "4")]
     pub block: u32,
+    /// The asker has seen all changes of jobs up to this version. 0: it does not say.
+    #[prost(uint64, tag = "5")]
+    pub known: u64,
 }
 
 /// The sender will not take over from `term` for as long as was asked.
@@ -161,6 +164,16 @@
     /// The block that the lease is for.
     #[prost(uint32, tag = "3")]
     pub block: u32,
+    /// All cancellations that the sender has told anybody of, and that came after what the asker has seen, are here.
+    #[prost(bool, tag = "4")]
+    pub knows: bool,
+    /// Those, as numbers and ranges, how many they are, and the version by which the last of them was stored.
+    #[prost(string, tag = "5")]
+    pub cancelled: String,
+    #[prost(uint32, tag = "6")]
+    pub count: u32,
+    #[prost(uint64, tag = "7")]
+    pub upto: u64,
 }
 
 /// A process that began within a term asks, and whoever knows answers, whether nothing was launched without
@@ -185,6 +198,9 @@
     /// The version at which it changed.
     #[prost(uint64, tag = "2")]
     pub stamp: u64,
+    /// Its cancellation is stored, and its user is told.
+    #[prost(bool, tag = "3")]
+    pub cancelled: bool,
 }
 
 /// From a leader that keeps a ledger: attempts that are not charged yet, or not in writing.
