--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -11,7 +11,7 @@
 use gannethub_core::memory::cluster::Cluster;
 use gannethub_core::policy::Policy;
 use gannethub_core::settings::{LedgerSetup, Settings};
-use gannethub_core::wire::peer::Envelope;
+use gannethub_core::wire::peer::{Body, Envelope, Promise};
 use gannethub_core::wire::store::{StoreRequest, TERM, seat_keys};
 use gannethub_ledger::KeyRing;
 use gannethub_ledger::audit::Page;
@@ -150,6 +150,10 @@
     pub record: Record,
     /// Tasks that have completed somewhere.
     done: HashSet<String>,
+    /// Nodes to which the state service's answers to transactions come later by so much.
+    pub slow_commits: HashMap<usize, u64>,
+    /// Nodes of the version before, whose messages say nothing of cancellations.
+    pub silent: HashSet<usize>,
     /// How long tasks run, at least and at most.
     pub runs: (u64, u64),
 }
@@ -180,6 +184,19 @@
     Arc::new(Settings::parse(&change(text), "story").expect("the story's settings are fine").0)
 }
 
+/// What the version before writes of a message.
+fn forget_cancellations(message: &mut Envelope) {
+    match &mut message.body {
+        Some(Body::Promise(p)) => {
+            let (round, term, block) = (p.round, p.term, p.block);
+            *p = Promise { round, term, block, ..Promise::default() };
+        }
+        Some(Body::PromiseAsk(ask)) => ask.known = 0,
+        Some(Body::Changed(changed)) => changed.cancelled = false,
+        _ => {}
+    }
+}
+
 /// A submission's body. `more` overrides fields.
 pub fn job(id: u32, tasks: u32, more: Value) -> Value {
     let mut body = json!({
@@ -245,6 +262,8 @@
             copied: 0,
             record: Record::default(),
             done: HashSet::new(),
+            slow_commits: HashMap::new(),
+            silent: HashSet::new(),
             runs: (2 * SECOND, 8 * SECOND),
         };
         for i in 0..nodes {
@@ -452,7 +471,15 @@
                     Outcome::Answer(status, body) => {
                         let lost = self.now > asked + request.patience;
                         let answer = (!lost).then_some((status, body));
-                        self.store_answer(node, life, id, answer);
+                        let late = self.slow_commits.get(&node).copied();
+                        match late.filter(|_| request.path == "/commit") {
+                            Some(late) => {
+                                let answer = answer.map(|(s, b)| (s, Bytes::from(b.to_string())));
+                                let command = Command::Store { id, answer };
+                                self.at(late, Event::Command { node, life, command });
+                            }
+                            None => self.store_answer(node, life, id, answer),
+                        }
                     }
                     Outcome::Wait { prefix, after, until } => {
                         self.watches.push((node, life, id, prefix, after, until));
@@ -511,6 +538,11 @@
             return;
         }
         for (node, life, id, prefix, after, until) in std::mem::take(&mut self.watches) {
+            if self.refused.contains(&node) && self.nodes[node].life == life {
+                // Its open watches wait, as they would in an outage.
+                self.watches.push((node, life, id, prefix, after, until));
+                continue;
+            }
             match self.state.changes(&prefix, after) {
                 Some(changes) => self.store_answer(node, life, id, Some((200, changes))),
                 None if until <= self.now => {
@@ -581,7 +613,10 @@
                     let (path, body) = (request.path, request.body);
                     self.at(delay, Event::Cloud { node, life, id, path, body });
                 }
-                Effect::Peer { to, message } => {
+                Effect::Peer { to, mut message } => {
+                    if self.silent.contains(&node) {
+                        forget_cancellations(&mut message);
+                    }
                     let name = self.settings[node].siblings[to].name.clone();
                     let to = self.settings.iter().position(|s| s.name == name).expect("known");
                     self.at(delay, Event::Peer { from: node, to, message });
