Questions about jobs do not wait behind changes that may not be made yet

Cause: a question was put off by how long a change would wait, and stood in one queue with changes, behind the first that could not be made. So as long as a submission waited, every question was refused, for minutes.

A question is refused only if requests themselves are short.

By the protocol a hanging machine may go on within its lease; past it, it kills before anything else.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -301,6 +301,10 @@
             Route::Query(id) => intake.query(port, conn, id.into()),
             Route::Cancel(id) => {
                 port.deadlines.insert(conn, now + SUBMIT_PATIENCE);
+                let wait = port.budget.wait();
+                if wait > POLL_PATIENCE {
+                    return port.too_much(conn, wait);
+                }
                 intake.look(port, id.into(), Waiter::Cancel(conn));
             }
         }
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -41,7 +41,7 @@
             let why = format!("team: there is no team {team:?}");
             return port.reply(conn, Response::error(400, why));
         }
-        let wait = port.budget.wait();
+        let wait = port.budget.wait_to_ask();
         if wait > POLL_PATIENCE {
             return port.too_much(conn, wait);
         }
@@ -131,7 +131,7 @@
             let response = api::answer(200, &id, view);
             return port.reply(waiter.conn(), response);
         }
-        let wait = port.budget.wait();
+        let wait = port.budget.wait_to_ask();
         if wait > POLL_PATIENCE && !self.lookups.contains_key(&id) {
             // The answer would come too late, and reads that nobody waits for any more would keep
             // submissions out.
@@ -160,7 +160,7 @@
             let response = api::answer(200, &id, view);
             return port.reply(conn, response);
         }
-        let wait = port.budget.wait();
+        let wait = port.budget.wait_to_ask();
         if wait > POLL_PATIENCE || self.asking.len() >= MAX_ASKING {
             return port.too_much(conn, wait);
         }
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -148,6 +148,12 @@
         now > self.lease_from.saturating_add(self.lease)
     }
 
+    /// Nothing that was on it runs any more. One that hangs may go on within its lease; past it, it kills all it has
+    /// before it does anything else.
+    pub fn gone(&self, now: u64) -> bool {
+        self.dead || self.hung(now) && now >= self.boots_at && self.lease_over(now)
+    }
+
     pub fn hung(&self, now: u64) -> bool {
         self.dead || now < self.hung_until || now < self.boots_at
     }
