--- a/crates/gannethub-core/tests/stories/meetings.rs
+++ b/crates/gannethub-core/tests/stories/meetings.rs
@@ -236,6 +236,33 @@
     }
 }
 
+/// After an outage more is submitted and cancelled than the state service may write. What was accepted is answered for all
+/// the same: questions do not wait behind changes that may not be made yet.
+#[test]
+fn questions_are_answered_while_more_is_submitted_than_may_be_written() {
+    for seed in 1..=3 {
+        let few = |text: String| text.replace("write_rps = 100.0", "write_rps = 6.0");
+        let mut w = World::with_settings(3, seed, LEASE as f64 / SECOND as f64, &few);
+        w.run(2);
+        (1..=10).for_each(|i| w.submit(job(i, 1, json!({}))));
+        w.run(10);
+        w.state.down = true;
+        w.run(4);
+        w.all_well();
+        (11..=400).for_each(|i| w.submit(job(i, 1, json!({}))));
+        for i in 1..=30 {
+            w.cancel(10 * i);
+            w.run(2);
+        }
+        assert!(
+            w.jobs.values().filter(|j| j.accepted.is_some()).count() < 400,
+            "too few to matter"
+        );
+        assert!(w.unanswered < 15 * SECOND, "not answered for {} s", w.unanswered / SECOND);
+        assert_eq!(w.broken, Vec::<String>::new());
+    }
+}
+
 /// All of it at once, drawn by the seed: two troubles or more at any time, long tasks, cancellations throughout.
 fn met(seed: u64) -> World {
     let nodes = if seed % 4 == 3 { 5 } else { 3 };
