Promises that say too much, too little or nonsense

A story with promises that are damaged on the way: no authority from what cannot be read, logged once with its source.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -400,7 +400,13 @@
             holder.cluster.cancelled_elsewhere(id, promise.upto);
         }
         // What cannot be read in full tells nothing for certain.
-        let knows = promise.knows && ids.len() == promise.count as usize;
+        let whole = ids.len() == promise.count as usize;
+        let sibling = &mut self.standing.siblings[i];
+        if !whole && !std::mem::replace(&mut sibling.odd, true) {
+            let (from, told) = (&self.port.settings.siblings[i].name, promise.count);
+            tracing::warn!(%from, told, read = ids.len(), "a promise makes no sense in part");
+        }
+        let knows = promise.knows && whole;
         if knows && let Some(at) = holder.lease.authority.informed(promise.round, i) {
             // Its own users' cancellations are among those that its copy knows of.
             for (id, stamp) in self.intake.mirror.cancelled_since(holder.watched) {
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -302,6 +302,20 @@
         assert!(!a.valid(2 * SECOND + PROMISE));
     }
 
+    #[test]
+    fn only_what_all_siblings_tell_in_one_round_counts_and_from_its_beginning() {
+        let mut a = Authority::new(0, TTL);
+        let first = a.ask(SECOND, 2);
+        assert_eq!(a.informed(first, 0), None);
+        let second = a.ask(2 * SECOND, 2);
+        assert_eq!(a.informed(first, 1), None, "an earlier round");
+        assert_eq!(a.informed(second, 1), None);
+        assert_eq!(a.informed(second, 1), None, "the same once more");
+        assert_eq!(a.informed(second + 1, 0), None, "a round that was not asked for");
+        assert_eq!(a.informed(second, 0), Some(2 * SECOND));
+        assert_eq!(Authority::new(0, TTL).informed(0, 0), None, "nobody was asked");
+    }
+
     #[test]
     fn a_takeover_needs_the_key_gone_and_no_promise_alive() {
         let mut c = Candidacy::new("n1", 0);
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -167,6 +167,8 @@
     pub asked_since: u64,
     /// Nodes to which the state service's answers to transactions come later by so much.
     pub slow_commits: HashMap<usize, u64>,
+    /// Nodes whose promises are damaged on the way.
+    pub garbled: HashSet<usize>,
     /// Nodes of the version before, whose messages say nothing of cancellations.
     pub silent: HashSet<usize>,
     /// How long tasks run, at least and at most.
@@ -285,6 +287,7 @@
             asked_since: 0,
             slow_commits: HashMap::new(),
             silent: HashSet::new(),
+            garbled: HashSet::new(),
             runs: (2 * SECOND, 8 * SECOND),
         };
         for i in 0..nodes {
@@ -658,6 +661,11 @@
                     if self.silent.contains(&node) {
                         forget_cancellations(&mut message);
                     }
+                    if let (true, Some(Body::Promise(p))) =
+                        (self.garbled.contains(&node), &mut message.body)
+                    {
+                        p.cancelled = "6:1-;zz:4;x".into();
+                    }
                     let name = self.settings[node].siblings[to].name.clone();
                     let to = self.settings.iter().position(|s| s.name == name).expect("known");
                     self.at(delay, Event::Peer { from: node, to, message });
--- a/crates/gannethub-core/tests/stories/unheard_of.rs
+++ b/crates/gannethub-core/tests/stories/unheard_of.rs
@@ -93,6 +93,21 @@
     }
 }
 
+/// Nor is anything built on promises that cannot be read in full.
+#[test]
+fn promises_that_make_no_sense_carry_a_leader_only_so_far() {
+    for seed in 1..=3 {
+        let mut w = long(3, seed);
+        let (old, others) = roles(&w, seed);
+        w.garbled.insert(others[0]);
+        refused_and_cancelled(&mut w, old, others[0], &[1, 2, 3, 4]);
+        w.state.down = true;
+        w.run(27);
+        assert_eq!(w.leader(), None);
+        outlast(w, seed);
+    }
+}
+
 /// What is asked by a leader of the version before is answered by a new sibling as ever.
 #[test]
 fn a_leader_that_does_not_say_what_it_knows_gets_its_promises() {
