--- a/crates/gannethub-core/src/apply/pipelines.rs
+++ b/crates/gannethub-core/src/apply/pipelines.rs
@@ -46,8 +46,7 @@
             None if waiting.contains_key(u) => Fate::Alive,
             None => Fate::Unknown,
         };
-        let cancelled = record.cancelled || self.told.contains_key(&id);
-        let consequences = lines.links.add(&id, &upstream, cancelled, fate);
+        let consequences = lines.links.add(&id, &upstream, record.cancelled, fate);
         lines.todo.insert(id.clone());
         lines.changed = true;
         if !known {
--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -121,7 +121,7 @@
         self.queue.arrived(job.id.clone());
         self.jobs.insert(job.id.clone(), job);
         self.stirred = true;
-        if record.cancelled || self.told.contains_key(id) {
+        if record.cancelled {
             self.cancel(id);
         }
     }
@@ -138,7 +138,7 @@
         if !known {
             self.upstream_released(&id.into());
         }
-        if record.cancelled || self.told.contains_key(id) {
+        if record.cancelled {
             self.upstream_cancelled(id);
         }
     }
@@ -188,13 +188,8 @@
         self.block.load(index, record, stamp);
     }
 
-    /// Another controller has told its users that the job is cancelled. What is stored of it is read all the same; until
-    /// then an older record, come late, does not bring it back.
-    pub fn cancelled_elsewhere(&mut self, id: &str, stamp: u64) {
-        if self.buried(id, stamp) {
-            return;
-        }
-        self.told.insert(id.into(), stamp);
+    /// Another controller has told its users that the job is cancelled. What is stored of it is read all the same.
+    pub fn cancelled_elsewhere(&mut self, id: &str) {
         if self.jobs.get(id).is_some_and(|j| !j.cancelled) {
             self.cancel(id);
         } else if self.pipelines.waiting.contains_key(id) || self.foreign.contains_key(id) {
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -397,7 +397,7 @@
         let Some(holder) = asked else { return };
         let ids = store::decode_ids(&promise.cancelled);
         for id in &ids {
-            holder.cluster.cancelled_elsewhere(id, promise.upto);
+            holder.cluster.cancelled_elsewhere(id);
         }
         // What cannot be read in full tells nothing for certain.
         let whole = ids.len() == promise.count as usize;
@@ -409,8 +409,8 @@
         let knows = promise.knows && whole;
         if knows && let Some(at) = holder.lease.authority.informed(promise.round, i) {
             // Its own users' cancellations are among those that its copy knows of.
-            for (id, stamp) in self.intake.mirror.cancelled_since(holder.watched) {
-                holder.cluster.cancelled_elsewhere(id, stamp);
+            for id in self.intake.mirror.cancelled_since(holder.watched) {
+                holder.cluster.cancelled_elsewhere(id);
             }
             holder.lease.knew(at);
         }
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -267,19 +267,15 @@
             let (round, term, block) = (ask.round, ask.term, ask.block);
             let asked = Some(ask.known).filter(|known| *known > 0);
             let since = asked.into_iter().flat_map(|known| copy.cancelled_since(known));
-            let mut ids: Vec<JobId> = Vec::new();
-            let mut upto = 0;
-            for (id, stamp) in since.take(MOST_TOLD + 1) {
-                upto = upto.max(stamp);
-                ids.push(id.clone());
-            }
+            let mut ids: Vec<JobId> = since.take(MOST_TOLD + 1).cloned().collect();
+            let all = ids.len() <= MOST_TOLD;
+            ids.truncate(MOST_TOLD);
             ids.sort_unstable();
             ids.dedup();
             // A process that has not read the state does not know what an earlier one of its name has confirmed.
-            let knows = asked.is_some() && copy.at().is_some() && ids.len() <= MOST_TOLD;
-            ids.truncate(MOST_TOLD);
+            let knows = asked.is_some() && copy.at().is_some() && all;
             let (count, cancelled) = (ids.len() as u32, store::encode_ids(&ids));
-            let promise = Promise { round, term, block, knows, cancelled, count, upto };
+            let promise = Promise { round, term, block, knows, cancelled, count };
             port.say(i, Body::Promise(promise));
         }
     }
@@ -400,13 +396,13 @@
     fn a_promise_tells_what_the_asker_may_not_know() {
         let (p, _) = promise(&copy(20), 15);
         assert!(p.knows && p.round == 3 && p.term == 2);
-        assert_eq!((p.count, p.upto), (14, 29));
+        assert_eq!(p.count, 14);
         assert_eq!(store::decode_ids(&p.cancelled).len(), 14);
         // A cancellation that was stored here since the copy was last brought up to the present.
         let mut copy = copy(2);
         copy.cancelled("j-000777".into(), 90_001);
         let (p, _) = promise(&copy, 90_000);
-        assert!(p.knows && p.cancelled == "6:777" && p.count == 1 && p.upto == 90_001);
+        assert!(p.knows && p.cancelled == "6:777" && p.count == 1);
         assert_eq!(promise(&copy, 90_001).0.count, 0, "the asker has read that one");
     }
 
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -99,8 +99,6 @@
     pub wall: u64,
     /// Jobs that are over, and the version at which they ended: a watch may still bring older news.
     pub(crate) buried: HashMap<JobId, u64>,
-    /// Jobs that siblings say are cancelled, with the versions by which that is stored, until those have been read.
-    pub(crate) told: HashMap<JobId, u64>,
     /// Room came free since the last report was answered.
     pub(crate) freed: bool,
     /// Something changed that a pass over the whole queue should see.
@@ -183,7 +181,6 @@
             pace: HashMap::new(),
             wall,
             buried: HashMap::new(),
-            told: HashMap::new(),
             freed: false,
             stirred: true,
             queue: Queue::default(),
@@ -252,7 +249,6 @@
     /// The watch has reached this version: nothing older can come.
     pub fn watched(&mut self, stamp: u64) {
         self.buried.retain(|_, over| *over > stamp);
-        self.told.retain(|_, at| *at > stamp);
     }
 
     /// Looks for zones that are cut off: machines rented there would not be heard either.
--- a/crates/gannethub-core/src/memory/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -109,11 +109,11 @@
         }
     }
 
-    /// Cancellations of live jobs that are known here and were stored after that version, with their versions.
-    pub fn cancelled_since(&self, version: u64) -> impl Iterator<Item = (&JobId, u64)> {
+    /// Live jobs whose cancellation is known here and was stored after that version, some of them twice.
+    pub fn cancelled_since(&self, version: u64) -> impl Iterator<Item = &JobId> {
         let live = self.live.iter().filter(|(_, l)| l.cancelled).map(|(id, l)| (id, l.stamp));
         let told = self.told.iter().map(|(id, stamp)| (id, *stamp));
-        live.chain(told).filter(move |(_, stamp)| *stamp > version)
+        live.chain(told).filter(move |(_, stamp)| *stamp > version).map(|(id, _)| id)
     }
 
     /// The job was neither alive nor over at this version. That holds until a change shows it, if
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -167,13 +167,11 @@
     /// All cancellations that the sender has told anybody of, and that came after what the asker has seen, are here.
     #[prost(bool, tag = "4")]
     pub knows: bool,
-    /// Those, as numbers and ranges, how many they are, and the version by which the last of them was stored.
+    /// Those, as numbers and ranges, and how many they are.
     #[prost(string, tag = "5")]
     pub cancelled: String,
     #[prost(uint32, tag = "6")]
     pub count: u32,
-    #[prost(uint64, tag = "7")]
-    pub upto: u64,
 }
 
 /// A process that began within a term asks, and whoever knows answers, whether nothing was launched without
