Reports that come while the state is read are answered once it is, instead of sent away

After the loss of all controllers leases are nearly over, and the second until the next node cost many of them. Now such a report waits for the reading, a fraction of a second, and is answered in full; after 1.5 s it is sent away. The copy for queries is not asked any more.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -21,6 +21,7 @@
 use super::lease::Lease;
 pub use super::port::{Clock, Command, Effect};
 use super::port::{News, Port, Purpose};
+use super::routing::Early;
 use super::seats::Seats;
 use super::standing::{Standing, offer_of};
 use crate::http::{Request, Response};
@@ -49,7 +50,7 @@
 pub struct Controller {
     pub(super) port: Port,
     pub(super) standing: Standing,
-    pub(super) intake: Intake,
+    intake: Intake,
     seats: Seats,
     /// The blocks that it holds. Whoever holds block 0 is the leader.
     pub(super) holders: Holders,
@@ -59,6 +60,8 @@
     shadow: Shadow,
     /// Reports passed on to a holder: whose they are, until when it may answer, and what to ask another if it is not its.
     pub(super) relays: HashMap<u64, (u64, Micros, Bytes)>,
+    /// Reports that came while the state was being read.
+    pub(super) early: Vec<Early>,
     flavors_at: Micros,
     next_tick: Micros,
     /// The state service has answered since the last tick, and what follows from that has not been done.
@@ -77,6 +80,7 @@
             routes: HashMap::new(),
             shadow: Shadow::default(),
             relays: HashMap::new(),
+            early: Vec::new(),
             flavors_at: 0,
             next_tick: 0,
             told: false,
@@ -104,6 +108,9 @@
             }
             self.spread_news();
             self.check_ended();
+            if !self.early.is_empty() {
+                self.answer_early();
+            }
         }
         if clock.now >= self.next_tick {
             self.next_tick = clock.now + TICK;
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -14,15 +14,13 @@
 use crate::http::Response;
 use crate::memory::cluster::Cluster;
 use crate::memory::fleet::CloudCall;
-use crate::memory::mirror::Mirror;
-use crate::memory::pipeline::Fate;
 use crate::memory::writes::Batch;
-use crate::model::{JobId, Micros, SECOND, TaskId};
+use crate::model::{JobId, Micros, SECOND};
 use crate::wire::peer::Running;
 use crate::wire::store::{
     self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest, Urgency,
 };
-use crate::wire::worker::{Report, ReportAnswer, TaskState};
+use crate::wire::worker::{Report, ReportAnswer};
 
 /// A leader that hears neither workers nor siblings for this long makes way.
 const DEAF: Micros = 3 * SECOND;
@@ -78,29 +76,13 @@
 /// What this controller holds, by block.
 pub(super) type Holders = BTreeMap<u32, Box<Holder>>;
 
-/// What this controller's own copy of the live jobs is good for while a holder still reads them.
-pub(super) struct Copy<'a> {
-    pub mirror: &'a Mirror,
-    /// It was true to the state service then, and may be so much behind.
-    pub fresh_at: Micros,
-    pub patience: Micros,
-}
-
-impl Copy<'_> {
-    /// The job of a task was alive and not cancelled, as far as has to be known.
-    fn runs_on(&self, task: &str, now: Micros) -> bool {
-        let job = TaskId::parse(task).map(|t| t.job);
-        now < self.fresh_at + self.patience
-            && self.mirror.at().is_some()
-            && job.is_some_and(|job| self.mirror.fate(&job) == Fate::Alive)
-    }
-}
-
 /// What a report is answered with.
 pub(super) enum Answer {
     Now(u16, Bytes),
     /// The machine is another block's; which one, block 0's holder knows.
     Elsewhere(Option<u32>),
+    /// Not before the state has been read.
+    Later,
 }
 
 impl Holder {
@@ -314,7 +296,7 @@
     }
 
     /// The leader's answer to a report.
-    pub(super) fn report(&mut self, port: &Port, body: &Bytes, copy: &Copy<'_>) -> Answer {
+    pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> Answer {
         let now = port.clock.now;
         let error = |status: u16, why: &str| Answer::Now(status, Response::error(status, why).body);
         self.heard_at = Some(now);
@@ -331,13 +313,8 @@
             return error(503, "the state is being read");
         }
         if !self.loaded() && report.token <= self.lease.term {
-            // Renews the worker's lease and shows it the new token while the state is read: if none of its tasks is
-            // known to be cancelled, by a copy that is not too old to know.
-            let runs = report.tasks.iter().filter(|t| t.state != TaskState::Exited);
-            if runs.into_iter().all(|t| copy.runs_on(&t.task, now)) {
-                return Answer::Now(200, self.nothing.clone());
-            }
-            return error(503, "the state is being read");
+            // What it runs may be cancelled, and an answer would renew its lease all the same.
+            return Answer::Later;
         }
         match self.cluster.report(now, &report) {
             Outcome::Orders(orders) if orders.is_empty() => Answer::Now(200, self.nothing.clone()),
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -84,9 +84,6 @@
     /// Reading what the mirror lacks is under way.
     pub refreshing: bool,
     pub refresh_at: Micros,
-    /// When the read under way was asked for, and the last one that the copy has taken in.
-    pub read_at: Micros,
-    pub fresh_at: Micros,
     /// Queries that the read under way answers, and those that the next one will.
     pub answering: Vec<Asker>,
     pub asking: Vec<Asker>,
--- a/crates/gannethub-core/src/control/lease.rs
+++ b/crates/gannethub-core/src/control/lease.rs
@@ -37,7 +37,7 @@
 /// How long a holder may go on answering workers since it last knew which jobs are cancelled. Whoever is told of a
 /// cancellation after that is told at most so long before the holder's last answer, and with a lease from there every
 /// task is gone within `cancel_s`. Where the settings leave no room for that, no more than a grant's time.
-pub(super) fn patience(settings: &Settings, ttl: Micros) -> Micros {
+fn patience(settings: &Settings, ttl: Micros) -> Micros {
     let lease = settings.lease + settings.lease / 1000 + SECOND / 2;
     settings.cancel.saturating_sub(lease + settings.cancel / 1000).max(ttl)
 }
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -180,7 +180,6 @@
         match self.mirror.at() {
             Some(at) if !self.asking.is_empty() || now >= self.refresh_at + REFRESH_AT_LEAST => {
                 self.refreshing = true;
-                self.read_at = now;
                 self.refresh_at = now + pause;
                 self.answering = std::mem::take(&mut self.asking);
                 let request = StoreRequest::changes(store::LIVE, at);
@@ -188,7 +187,6 @@
             }
             None if port.state_ok() => {
                 self.refreshing = true;
-                self.read_at = now;
                 self.refresh_at = now + SECOND;
                 let request = StoreRequest::list(store::LIVE, "");
                 port.send(Urgency::User, request, Purpose::Copy);
@@ -210,7 +208,6 @@
             }
             None => {
                 self.refreshing = false;
-                self.fresh_at = self.read_at;
                 self.refresh_at = port.clock.now;
             }
         }
@@ -237,7 +234,6 @@
             return self.refresh(port);
         };
         self.mirror.followed(&followed);
-        self.fresh_at = self.read_at;
         for asker in waiting {
             let (conn, id) = match asker {
                 Asker::Query(conn, id) => (conn, id),
--- a/crates/gannethub-core/src/control/routing.rs
+++ b/crates/gannethub-core/src/control/routing.rs
@@ -4,8 +4,7 @@
 use serde::Deserialize;
 
 use super::controller::Controller;
-use super::holder::{Answer, Copy};
-use super::lease::patience;
+use super::holder::Answer;
 use crate::http::Response;
 use crate::model::Micros;
 use crate::wire::peer::{Body, Relay, Relayed};
@@ -14,12 +13,31 @@
 const RELAY_PATIENCE: Micros = 1_500_000;
 /// Machines whose holders are remembered.
 const MOST_ROUTES: usize = 20_000;
+/// Reports that wait for the state to be read. Further ones are told to come back.
+const MOST_EARLY: usize = 8_000;
 
 /// What becomes of a report.
 enum Reported {
     Now(u16, Bytes),
     /// Its machine's block is not held here; perhaps by that sibling.
     Elsewhere(Option<usize>, String),
+    /// Once the state has been read.
+    Later,
+}
+
+/// Who waits for the answer to a report.
+#[derive(Clone, Copy)]
+pub(super) enum Reporter {
+    Worker(u64),
+    /// A sibling that passed it on under this number.
+    Sibling(usize, u64),
+}
+
+/// A report that came while the state was being read, and until when it is of use to anybody.
+pub(super) struct Early {
+    from: Reporter,
+    until: Micros,
+    report: Bytes,
 }
 
 /// Of a report, whose it is.
@@ -45,6 +63,7 @@
                 return self.port.reply(conn, response);
             }
             Reported::Elsewhere(to, machine) => (to, machine),
+            Reported::Later => return self.came_early(Reporter::Worker(conn), body),
         };
         let port = &mut self.port;
         let known = self.routes.get(&machine).copied();
@@ -78,14 +97,10 @@
 
     /// Answers a report of a machine whose block is held here.
     fn report_here(&mut self, body: &Bytes) -> Reported {
-        let copy = Copy {
-            mirror: &self.intake.mirror,
-            fresh_at: self.intake.fresh_at,
-            patience: patience(&self.port.settings, self.port.ttl()),
-        };
         if !self.port.several {
-            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body, &copy)) {
+            return match self.holders.get_mut(&0).map(|h| h.report(&self.port, body)) {
                 Some(Answer::Now(status, body)) => Reported::Now(status, body),
+                Some(Answer::Later) => Reported::Later,
                 _ => Reported::Elsewhere(None, String::new()),
             };
         }
@@ -97,9 +112,10 @@
             Some(holder) => Some(holder),
             None => self.holders.get_mut(&0),
         };
-        let answer = holder.map(|h| h.report(&self.port, body, &copy));
+        let answer = holder.map(|h| h.report(&self.port, body));
         match answer {
             Some(Answer::Now(status, body)) => Reported::Now(status, body),
+            Some(Answer::Later) => Reported::Later,
             Some(Answer::Elsewhere(Some(block))) => {
                 let holds = self.port.loads.iter().find(|l| l.block == block);
                 match holds.map(|l| l.holder) {
@@ -115,6 +131,42 @@
         }
     }
 
+    /// A report is answered as soon as the state has been read, which mostly takes a fraction of a second. Sent away, a
+    /// worker would try the next node a second later, and after the loss of all controllers leases are nearly over.
+    fn came_early(&mut self, from: Reporter, report: Bytes) {
+        if self.early.len() < MOST_EARLY {
+            let until = self.port.clock.now + RELAY_PATIENCE;
+            return self.early.push(Early { from, until, report });
+        }
+        let busy = Response::error(503, "the state is being read");
+        match from {
+            Reporter::Worker(conn) => self.port.reply(conn, busy),
+            Reporter::Sibling(i, id) => {
+                let reply = Relayed { id, status: 503, body: busy.body };
+                self.port.say(i, Body::Relayed(reply));
+            }
+        }
+    }
+
+    /// The state may have been read, or not in time: those who reported meanwhile are answered.
+    pub(super) fn answer_early(&mut self) {
+        let now = self.port.clock.now;
+        let reading = self.holders.get(&0).is_some_and(|h| !h.loaded());
+        let ready = |e: &mut Early| !reading || now >= e.until;
+        let ready: Vec<Early> = self.early.extract_if(.., ready).collect();
+        for Early { from, until, report } in ready {
+            match from {
+                // Nobody waits for it any more: it is not to count as answered.
+                _ if now >= until => {}
+                Reporter::Worker(conn) if self.port.deadlines.contains_key(&conn) => {
+                    self.report(conn, report);
+                }
+                Reporter::Worker(_) => {}
+                Reporter::Sibling(i, id) => self.relayed_here(i, Relay { id, report }),
+            }
+        }
+    }
+
     /// A sibling passes on a report.
     pub(super) fn relayed_here(&mut self, from: usize, relay: Relay) {
         let (status, body) = match self.report_here(&relay.report) {
@@ -124,6 +176,9 @@
                 (421, Response::json(421, &ReportElsewhere { report_to }).body)
             }
             Reported::Elsewhere(None, _) => (404, Response::error(404, "not held here").body),
+            Reported::Later => {
+                return self.came_early(Reporter::Sibling(from, relay.id), relay.report);
+            }
         };
         let reply = Relayed { id: relay.id, status: u32::from(status), body };
         self.port.say(from, Body::Relayed(reply));
