Stories that no removal could fail are made sharper

Each guard was taken out once. A promise that was forgotten, an end that is forgotten before it is stored, a lease not waited out while answers are held up, and the slow state service that refuses one and then all passed all the same: stories of their own or with the trouble at the right moment now, a check that what a worker forgets is stored, and answers that lie at a machine while it hangs.

--- a/crates/gannethub-core/tests/stories/meetings.rs
+++ b/crates/gannethub-core/tests/stories/meetings.rs
@@ -92,6 +92,27 @@
     }
 }
 
+/// A sibling ends within its promise and is back at once, and the state service serves it again while it still refuses the
+/// leader, which acts by that promise.
+#[test]
+fn a_promise_that_was_forgotten_is_kept() {
+    for seed in 1..=8 {
+        let mut w = long(if seed % 4 == 0 { 5 } else { 3 }, seed);
+        let (old, others) = roles(&w, seed);
+        w.state.down = true;
+        w.run(5);
+        assert_eq!(w.leader(), Some(old), "promises carry it");
+        w.refused.insert(old);
+        w.state.down = false;
+        w.run(seed % 3);
+        others.iter().for_each(|i| w.crash(*i, SECOND / 5));
+        (1..=2).for_each(|i| w.cancel(i));
+        w.run(20);
+        assert_eq!(w.broken, Vec::<String>::new(), "seed {seed}");
+        recover(w, seed);
+    }
+}
+
 /// Answers to workers are held up for up to their patience, with launches and halts in them; machines stop for a while and
 /// go on; leaders change meanwhile.
 #[test]
@@ -103,10 +124,17 @@
             w.submit(job(20 + round, 4, json!({"guess_s": 60.0, "rigs": ["small"]})));
             w.run(3);
             let until = w.now + w.rng.random_range(SECOND..LEASE);
-            w.workers.values_mut().step_by(3).for_each(|x| x.hung_until = until);
+            let busy = w.workers.values_mut().filter(|x| !x.tasks.is_empty());
+            busy.step_by(2).for_each(|x| x.hung_until = until);
             w.cancel(20 + round);
             w.cancel(1 + round);
+            // What a sibling passes on is held up as well, and comes after newer reports.
+            let (leader, others) = (w.leader(), w.rng.random_range(0..3));
+            leader.into_iter().for_each(|l| {
+                w.cut.insert((others, l));
+            });
             w.run(4);
+            w.cut.clear();
             if round % 2 == 0 {
                 let leader = w.leader();
                 leader.into_iter().for_each(|l| w.crash(l, SECOND));
@@ -224,11 +252,12 @@
             w.cancel(i);
             w.run(3);
         }
-        let leader = w.leader();
-        w.refused.extend(leader);
-        w.run(1);
-        (4..=6).for_each(|i| w.cancel(i));
-        w.run(1 + seed % 2);
+        w.slow_state = SECOND / 4;
+        w.run(3);
+        let (old, others) = roles(&w, seed);
+        w.refused.insert(old);
+        (4..=6).for_each(|i| w.cancel_at(i, others[0]));
+        w.run_until(3, "the users are told", |w| told(w, &[4, 5, 6]));
         w.state.down = true;
         w.run(60);
         w.queries = 0;
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -13,7 +13,7 @@
 use gannethub_core::policy::Policy;
 use gannethub_core::settings::{LedgerSetup, Settings};
 use gannethub_core::wire::peer::{Body, Envelope, Promise};
-use gannethub_core::wire::store::{StoreRequest, TERM, decode_done, seat_keys};
+use gannethub_core::wire::store::{PART_TASKS, StoreRequest, TERM, decode_done, seat_keys};
 use gannethub_ledger::KeyRing;
 use gannethub_ledger::audit::Page;
 use rand::rngs::StdRng;
@@ -542,6 +542,16 @@
                     self.user_answer(&job, what, asked, &response);
                 }
                 Origin::Worker { name, .. } if self.unheard.contains(&name) => {}
+                Origin::Worker { name, sent }
+                    if self.workers.get(&name).is_some_and(|w| w.hung(self.now) && !w.dead) =>
+                {
+                    // It lies there until the machine goes on, if it does within its patience.
+                    let until = self.workers[&name].hung_until;
+                    if until > self.now && until < sent + 4 * SECOND {
+                        let origin = Origin::Worker { name, sent };
+                        self.at(until - self.now, Event::Answer { origin, node, response });
+                    }
+                }
                 Origin::Worker { name, sent } => {
                     let mut worker = self.workers.remove(&name);
                     if let Some(w) = worker.as_mut().filter(|w| !w.hung(self.now)) {
@@ -920,15 +930,9 @@
                 broken.push(format!("ran_cancelled: {name}, which needs {u}"));
             }
         }
-        let stored = self.state.value(&format!("gh/live/{id}"));
-        let stored = stored.and_then(|v| v["done"].as_str());
         let index = name.split('/').nth(1).and_then(|n| n.parse::<u32>().ok());
-        if let (Some(text), Some(index)) = (stored, index) {
-            let mut done = Ranges::default();
-            decode_done(text, 0, &mut done);
-            if done.contains(index) {
-                broken.push(format!("began again: {name} is stored as done"));
-            }
+        if index.is_some_and(|index| self.stored(&id, index)) {
+            broken.push(format!("began again: {name} is stored as done"));
         }
         let others = || self.workers.values().filter(|o| !o.gone(self.now) && o.name != w.name);
         if others().any(|o| o.tasks.get(name).is_some_and(|t| t.on_machine())) {
@@ -1015,6 +1019,18 @@
         }
     }
 
+    /// The state service has it that this task of a live job is done.
+    fn stored(&self, id: &str, index: u32) -> bool {
+        let part = index / PART_TASKS;
+        let values = [(format!("gh/live/{id}"), 0), (format!("gh/part/{id}/{part}"), part)];
+        values.iter().any(|(key, part)| {
+            let text = self.state.value(key).and_then(|v| v["done"].as_str());
+            let mut done = Ranges::default();
+            decode_done(text.unwrap_or(""), *part, &mut done);
+            done.contains(index)
+        })
+    }
+
     /// What is stored as done stays so: a part of a job only grows, until it goes with the job.
     fn check_parts(&mut self) {
         let mut parts = HashMap::new();
@@ -1145,6 +1161,18 @@
         self.errors.push((self.now, task.into()));
     }
 
+    fn forgets(&mut self, task: &str) {
+        let (id, index) = task.split_once('/').unwrap_or((task, ""));
+        let index: u32 = index.parse().unwrap_or(0);
+        let over = self.state.value(&format!("gh/over/{id}")).is_some();
+        let live = self.state.value(&format!("gh/live/{id}"));
+        let cancelled = live.is_some_and(|v| v["cancelled"] == json!(true));
+        if over || cancelled || self.stored(id, index) {
+            return;
+        }
+        self.broken.push(format!("lost: the end of {task} is forgotten and not stored"));
+    }
+
     fn reaches(&self, node: usize, zone: &str) -> bool {
         !self.deaf.contains(&(node, zone.to_string()))
     }
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -38,6 +38,8 @@
     /// A task starts to count as on its machine; another has failed.
     fn starts(&mut self, worker: &Worker, task: &str);
     fn failed(&mut self, task: &str);
+    /// The end of a task that is done is forgotten by its worker.
+    fn forgets(&mut self, _task: &str) {}
     /// Whether a worker in this zone and a controller can reach each other.
     fn reaches(&self, node: usize, zone: &str) -> bool;
     /// Sends a worker's report; the answer goes to [`Worker::answered`].
@@ -341,7 +343,10 @@
             }
             _ => {
                 if held.is_some_and(|h| h.0 == attempt && h.1) {
-                    self.tasks.remove(&name);
+                    let ended = self.tasks.remove(&name);
+                    if ended.is_some_and(|t| t.phase == Phase::Ended("done")) {
+                        site.forgets(&name);
+                    }
                 }
             }
         }
