--- a/crates/gannethub-core/src/wire/store.rs
+++ b/crates/gannethub-core/src/wire/store.rs
@@ -18,7 +18,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use serde_json::value::RawValue;
 
 use crate::http::Method;
@@ -556,10 +556,18 @@
 #[derive(Deserialize, Debug)]
 pub struct Followed {
     pub ledger_no: u64,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "in_order")]
     pub log: Vec<Change>,
 }
 
+/// A log's changes in the order of their versions, whatever order they are listed in: the end of a job is told from what its
+/// record said before it went, and a change that is taken in after a newer one would take that back.
+fn in_order<'de, D: Deserializer<'de>>(log: D) -> Result<Vec<Change>, D::Error> {
+    let mut log = Vec::<Change>::deserialize(log)?;
+    log.sort_by_key(|c| c.stamp);
+    Ok(log)
+}
+
 #[derive(Deserialize, Debug)]
 pub struct Change {
     pub write: Option<String>,
