What no choice of zones can hold is refused, and every refusal names its field

A gang or service of which half the tasks at the most may be in a zone, and that is bound to one zone, by yard, by together or because its machine types are in one, was accepted and waited for ever. An array like it runs in turn and is accepted. Refusals of what fits no machine or limit say which field asks for too much.

--- a/crates/gannethub-core/src/wire/api.rs
+++ b/crates/gannethub-core/src/wire/api.rs
@@ -209,6 +209,20 @@
     })
 }
 
+/// The field that asks for more than any of these has; all of them, if only together they do.
+fn beyond(need: &Resources, sizes: &[&Resources]) -> &'static str {
+    let most = |part: fn(&Resources) -> i64| sizes.iter().map(|s| part(s)).max().unwrap_or(0);
+    if need.cpu > most(|s| s.cpu) {
+        "vcpus"
+    } else if need.gpu > most(|s| s.gpu) {
+        "cards"
+    } else if need.mem > most(|s| s.mem) {
+        "mem_gb"
+    } else {
+        "vcpus, cards, mem_gb"
+    }
+}
+
 /// Whether a job can ever run here. Narrows its list of types to those that exist.
 pub fn admit(spec: &mut JobSpec, teams: &[Team], flavors: &[Flavor]) -> Result<(), Refusal> {
     if flavors.is_empty() {
@@ -218,24 +232,46 @@
     let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
         return never("crew: no such team");
     };
-    let fits = |f: &&Flavor| {
-        spec.types.as_ref().is_none_or(|t| t.iter().any(|t| **t == *f.name))
-            && spec.zone.as_ref().is_none_or(|z| f.zones.contains(z))
-            && spec.need.fits(&f.size)
-    };
-    let fitting: Vec<String> = flavors.iter().filter(fits).map(|f| f.name.to_string()).collect();
+    let typed = |f: &&Flavor| spec.types.as_ref().is_none_or(|t| t.iter().any(|t| **t == *f.name));
+    let placed = |f: &&Flavor| spec.zone.as_ref().is_none_or(|z| f.zones.contains(z));
+    let allowed: Vec<&Flavor> = flavors.iter().filter(typed).collect();
+    if allowed.is_empty() {
+        return never("rigs: there is no such machine type");
+    }
+    let allowed: Vec<&Flavor> = allowed.into_iter().filter(placed).collect();
+    if allowed.is_empty() {
+        return never("yard: no allowed machine type is in that zone");
+    }
+    let fitting: Vec<&Flavor> =
+        allowed.iter().copied().filter(|f| spec.need.fits(&f.size)).collect();
     if fitting.is_empty() {
-        return never("a task fits no allowed machine type");
+        let sizes: Vec<&Resources> = allowed.iter().map(|f| &f.size).collect();
+        let field = beyond(&spec.need, &sizes);
+        return never(&format!("{field}: a task fits no allowed machine type"));
+    }
+    let at_once = if spec.shape == Shape::Array { 1 } else { i64::from(spec.tasks) };
+    if !Team::within(&team.limit, &Resources::default(), &spec.need) {
+        let field = beyond(&spec.need, &[&team.limit]);
+        return never(&format!("{field}: a task needs more than its team's limit"));
     }
+    if !Team::within(&team.limit, &Resources::default(), &spec.need.times(at_once)) {
+        return never("pieces: the job needs more than its team's limit");
+    }
+    // Half of the tasks at the most may be in a zone: all of them at once need two. Tasks of an array run in turn.
+    if spec.spread && at_once > 1 {
+        let zones = fitting.iter().flat_map(|f| &f.zones);
+        let zones: BTreeSet<&String> =
+            zones.filter(|z| spec.zone.as_ref().is_none_or(|own| own == *z)).collect();
+        if spec.one_zone || zones.len() < 2 {
+            return never("scatter: the job's tasks cannot all run at the same time in one zone");
+        }
+    }
+    let fitting: Vec<String> = fitting.iter().map(|f| f.name.to_string()).collect();
     if let Some(types) = &mut spec.types {
         types.retain(|t| fitting.contains(t));
         types.sort();
         types.dedup();
     }
-    let at_once = if spec.shape == Shape::Array { 1 } else { i64::from(spec.tasks) };
-    if !Team::within(&team.limit, &Resources::default(), &spec.need.times(at_once)) {
-        return never("the job needs more than its team's limit");
-    }
     Ok(())
 }
 
