Ends are stored in the order in which they came

They went by the jobs' names. Where more ends than may be written (one-task jobs four a second, 25 changes a second) a job of a high number was done and not told so for as long as that went on: the array of the story was done at 40 s and not told so at 120. What is cancelled is tidied up after what is done, since its users know already.

--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -24,7 +24,10 @@
     Mark,
     /// It goes to another block.
     Home,
+    /// It is done, and its users wait to be told.
     Over,
+    /// It is cancelled, as its users know.
+    Tidy,
     Progress,
 }
 
@@ -266,7 +269,12 @@
             }
             let over = job.finished() || (job.cancelled && job.live.is_empty() && self.settled);
             match job.dirty_since {
-                _ if over => due.push((Due::Over, 0, job.id.clone())),
+                // In the order in which they ended: in that of their names one of a high number would wait for as long as
+                // more end than may be written.
+                since if job.finished() => {
+                    due.push((Due::Over, since.unwrap_or(0), job.id.clone()));
+                }
+                _ if over => due.push((Due::Tidy, 0, job.id.clone())),
                 // Launches wait for it.
                 _ if job.opening > job.opened && !self.unmarked => {
                     due.push((Due::Mark, 0, job.id.clone()));
@@ -297,7 +305,7 @@
                 batch.push(Item::Home { id, record: Box::new(r) }, live);
                 continue;
             }
-            if what == Due::Over {
+            if matches!(what, Due::Over | Due::Tidy) {
                 if room < 2 || bytes > 40_000 {
                     break;
                 }
