--- /dev/null
+++ b/crates/gannethub-core/src/apply/halts.rs
@@ -0,0 +1,86 @@
+//! Halts that are sent to workers at once: tasks of a job that was just cancelled are told to end by `POST /commands`, beside
+//! the next answer to their machines' reports.
+//!
+//! It saves what a task would run or start within a report's time, and reaches workers that reach no controller. Nothing
+//! relies on it: it is sent once, its answer is not looked at, and what it does not reach is told by the next answer or ends
+//! with its lease. A halt may be carried out late, minutes after it was sent, and can harm nothing then: it names an attempt
+//! that is not used again, of a job that is cancelled for ever, under this term's token and the worker's session. A launch or
+//! a `forget` could, so they are never sent this way.
+
+use std::net::SocketAddrV4;
+
+use crate::memory::cluster::Cluster;
+use crate::memory::records::{MachineId, Phase};
+use crate::model::{Micros, SECOND, TaskId};
+use crate::policy::Setting;
+use crate::wire::worker::Order;
+
+/// Commands in one message: keeps its body below 64 KiB.
+const MOST_ORDERS: usize = 300;
+
+/// What is to be sent to a worker.
+#[derive(Debug)]
+pub struct Directly {
+    pub addr: SocketAddrV4,
+    pub session: u64,
+    pub orders: Vec<Order>,
+}
+
+impl Cluster {
+    /// An attempt of a cancelled job is to end.
+    pub(crate) fn halt_soon(&mut self, machine: &MachineId, task: TaskId, attempt: u64) {
+        let Some(m) = self.machines.get(machine).filter(|m| m.addr.is_some()) else { return };
+        let key = (task, attempt);
+        let Some(a) = m.attempts.get(&key) else { return };
+        let starts = matches!(a.phase, Phase::Starting | Phase::Fetching | Phase::Waiting);
+        let halt = self.halts.due.entry(machine.clone()).or_default();
+        halt.since = self.now;
+        halt.starting |= starts;
+        if halt.attempts.len() < MOST_ORDERS {
+            halt.attempts.push(key);
+        }
+    }
+
+    /// What is to be sent now: first to machines where something would start. Who has been answered since, or has been lost,
+    /// needs nothing; and more than may be sent within a report's time is left to the answers.
+    pub fn next_halts(&mut self, now: Micros) -> Vec<Directly> {
+        if self.halts.due.is_empty() {
+            return Vec::new();
+        }
+        let halts = &mut self.halts;
+        let rate = self.settings.policy.number(Setting::Halts, &[]);
+        let earned = now.saturating_sub(halts.at) as f64 / SECOND as f64 * rate;
+        (halts.may, halts.at) = ((halts.may + earned).min(rate), now);
+        let (machines, late) = (&self.machines, self.settings.report + self.settings.report / 4);
+        halts.due.retain(|id, halt| {
+            let machine = machines.get(id);
+            now < halt.since + late
+                && machine.is_some_and(|m| m.heard_at.is_none_or(|t| t <= halt.since))
+        });
+        let mut due: Vec<(bool, MachineId)> =
+            halts.due.iter().map(|(id, halt)| (!halt.starting, id.clone())).collect();
+        due.sort();
+        due.truncate(halts.may as usize);
+        let mut sent = Vec::new();
+        for (_, id) in due {
+            let (Some(halt), Some(m)) = (halts.due.remove(&id), machines.get(&id)) else {
+                continue;
+            };
+            let alive = |key: &(TaskId, u64)| {
+                m.attempts.get(key).is_some_and(|a| !matches!(a.phase, Phase::Ended(_)))
+            };
+            let attempts = halt.attempts.into_iter().filter(alive);
+            let stop = |(task, attempt): (TaskId, u64)| Order::Stop {
+                task: task.to_string(),
+                attempt,
+                grace_s: 0.0,
+            };
+            let orders: Vec<Order> = attempts.map(stop).collect();
+            if let (Some(addr), false) = (m.addr, orders.is_empty()) {
+                halts.may -= 1.0;
+                sent.push(Directly { addr, session: m.session, orders });
+            }
+        }
+        sent
+    }
+}
--- a/crates/gannethub-core/src/apply/reports.rs
+++ b/crates/gannethub-core/src/apply/reports.rs
@@ -103,6 +103,9 @@
         machine.heard_before = machine.heard_at.replace(now);
         machine.missed = missed;
         machine.answered_at = now;
+        if news || machine.addr.is_none() {
+            machine.addr = report.addr.parse().ok();
+        }
         let notice = report.notice_s.is_some() && !machine.notice;
         machine.notice |= notice;
         if !machine.recorded && !machine.deleting && !self.block.contains(&id) {
--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -11,7 +11,7 @@
 use crate::memory::ledger::{owner_of, tell_damage};
 use crate::memory::records::{Failing, Job};
 use crate::memory::writes::{Batch, Item};
-use crate::model::{JobId, JobSpec, Micros, Ranges, SECOND, seconds};
+use crate::model::{JobId, JobSpec, Micros, Ranges, SECOND, TaskId, seconds};
 use crate::policy::Setting;
 use crate::saga::{Action, Saga};
 use crate::wire::store::{
@@ -222,6 +222,7 @@
         if actions.contains(&Action::Cancel(0)) {
             for (index, (machine, attempt)) in live {
                 self.stop(id, index, &machine, attempt, 0);
+                self.halt_soon(&machine, TaskId { job: id.into(), index }, attempt);
             }
         }
     }
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -118,6 +118,8 @@
             self.tick();
             self.check_ended();
         }
+        let port = &mut self.port;
+        self.holders.values_mut().filter(|h| h.loaded()).for_each(|h| h.halt(port));
         if self.holders.get(&0).is_some_and(|h| h.cluster.urgent_tabs()) {
             self.tell_tabs();
         }
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -9,7 +9,8 @@
 use super::allotter::Allotter;
 use super::lease::Lease;
 use super::loading::LOADED;
-use super::port::{Port, Purpose, read};
+use super::port::{Effect, Port, Purpose, read};
+use crate::apply::halts::Directly;
 use crate::apply::reports::Outcome;
 use crate::http::Response;
 use crate::memory::cluster::Cluster;
@@ -20,7 +21,7 @@
 use crate::wire::store::{
     self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest, Urgency,
 };
-use crate::wire::worker::{Report, ReportAnswer};
+use crate::wire::worker::{Commands, Report, ReportAnswer};
 
 /// A leader that hears neither workers nor siblings for this long makes way.
 const DEAF: Micros = 3 * SECOND;
@@ -295,6 +296,15 @@
         }
     }
 
+    /// Tells workers of cancelled tasks at once.
+    pub fn halt(&mut self, port: &mut Port) {
+        for Directly { addr, session, orders } in self.cluster.next_halts(port.clock.now) {
+            let commands = Commands { token: self.lease.term, session, orders: &orders };
+            let body = Response::json(200, &commands).body;
+            port.effects.push(Effect::Worker { addr, body });
+        }
+    }
+
     /// The leader's answer to a report.
     pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> Answer {
         let now = port.clock.now;
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -2,6 +2,7 @@
 //! there. It knows no role; answers go back to whoever asked by their [`Purpose`].
 
 use std::collections::HashMap;
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -46,10 +47,27 @@
 /// What it wants done.
 #[derive(Debug)]
 pub enum Effect {
-    Reply { conn: u64, response: Response },
-    Store { id: u64, request: StoreRequest },
-    Cloud { id: u64, request: CloudRequest },
-    Peer { to: usize, message: Envelope },
+    Reply {
+        conn: u64,
+        response: Response,
+    },
+    Store {
+        id: u64,
+        request: StoreRequest,
+    },
+    Cloud {
+        id: u64,
+        request: CloudRequest,
+    },
+    Peer {
+        to: usize,
+        message: Envelope,
+    },
+    /// Commands for a worker, by `POST /commands`. Nobody waits for the answer.
+    Worker {
+        addr: SocketAddrV4,
+        body: Bytes,
+    },
 }
 
 /// What a request to the state service was for.
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -10,6 +10,7 @@
 use super::block::Block;
 use super::doubt::{Doubt, Pace};
 use super::fleet::{Fleet, Offer};
+use super::halt::Halts;
 use super::ledger::Ledger;
 use super::pipeline::Pipelines;
 use super::queue::Queue;
@@ -101,6 +102,8 @@
     pub(crate) buried: HashMap<JobId, u64>,
     /// Jobs that siblings told to be cancelled before the watch brought them, and the version at which they were.
     pub(crate) called_off: HashMap<JobId, u64>,
+    /// Attempts of cancelled jobs that their workers are to be told of at once.
+    pub(crate) halts: Halts,
     /// Room came free since the last report was answered.
     pub(crate) freed: bool,
     /// Something changed that a pass over the whole queue should see.
@@ -184,6 +187,7 @@
             wall,
             buried: HashMap::new(),
             called_off: HashMap::new(),
+            halts: Halts::default(),
             freed: false,
             stirred: true,
             queue: Queue::default(),
@@ -313,6 +317,7 @@
                 heard_before: None,
                 missed: false,
                 answered_at: now,
+                addr: None,
                 attempts: BTreeMap::new(),
                 used: Resources::default(),
                 idle_since: now,
--- a/crates/gannethub-core/src/memory/mod.rs
+++ b/crates/gannethub-core/src/memory/mod.rs
@@ -5,6 +5,7 @@
 pub mod cluster;
 pub mod doubt;
 pub mod fleet;
+pub mod halt;
 pub mod ledger;
 pub mod mirror;
 pub mod pipeline;
--- a/crates/gannethub-core/src/memory/records.rs
+++ b/crates/gannethub-core/src/memory/records.rs
@@ -1,6 +1,7 @@
 //! Machines, attempts, gangs and jobs as the leader remembers them, and nothing that decides.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::net::SocketAddrV4;
 use std::sync::Arc;
 
 use super::ledger::Tab;
@@ -76,6 +77,8 @@
     pub missed: bool,
     /// The last answer that could have renewed the worker's lease.
     pub answered_at: Micros,
+    /// Where its worker takes commands.
+    pub addr: Option<SocketAddrV4>,
     pub attempts: BTreeMap<(TaskId, u64), Attempt>,
     pub used: Resources,
     pub idle_since: Micros,
--- a/crates/gannethub-core/src/policy.rs
+++ b/crates/gannethub-core/src/policy.rs
@@ -118,6 +118,7 @@
     DecideSteps,
     QueueShare,
     Blocks,
+    Halts,
 }
 
 struct Rule {
@@ -141,7 +142,7 @@
 }
 
 /// Every setting, in the order of [`Setting`].
-const RULES: [Rule; 10] = [
+const RULES: [Rule; 11] = [
     rule(Setting::QueueWeight, "queue_weight", Scope::Job, Type::Number, -1e9, 1e9),
     rule(Setting::PlanSlack, "plan_slack", Scope::Job, Type::Number, 0.0, 1.0),
     rule(Setting::Patience, "patience_s", Scope::Job, Type::Number, 0.0, 3600.0),
@@ -152,6 +153,7 @@
     rule(Setting::DecideSteps, "decide_steps", Scope::Cluster, Type::Number, 1e3, 1e7),
     rule(Setting::QueueShare, "queue_share", Scope::Job, Type::Number, 0.0, 1e6),
     rule(Setting::Blocks, "blocks", Scope::Cluster, Type::Number, 1.0, 64.0),
+    rule(Setting::Halts, "halts_per_s", Scope::Cluster, Type::Number, 0.0, 1e4),
 ];
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/gannethub-core/src/wire/worker.rs
+++ b/crates/gannethub-core/src/wire/worker.rs
@@ -106,6 +106,16 @@
     },
 }
 
+/// Commands that are sent to a worker without a report.
+#[derive(Serialize, Debug)]
+pub struct Commands<'a> {
+    #[serde(rename = "baton")]
+    pub token: u64,
+    #[serde(rename = "shift")]
+    pub session: u64,
+    pub orders: &'a [Order],
+}
+
 /// The answer to a report.
 #[derive(Serialize, Debug)]
 pub struct ReportAnswer<'a> {
--- a/crates/gannethub-core/tests/stories/further.rs
+++ b/crates/gannethub-core/tests/stories/further.rs
@@ -567,6 +567,55 @@
     }
 }
 
+/// Jobs are called off while half of their tasks run and the others wait for their images, and a third of the workers reach
+/// nobody. Returns how many tasks started after that, for how many seconds tasks ran on, and how many commands were sent.
+fn called_off_at_once(policy: &str, seed: u64) -> (usize, usize, usize) {
+    let mut w = World::new(3, seed);
+    w.set_policy(policy);
+    (0..3).for_each(|i| w.restart(i));
+    w.cloud.capacity = 20;
+    w.runs = (100 * SECOND, 200 * SECOND);
+    w.run(2);
+    for i in 1..=6 {
+        w.submit(job(i, 4, json!({"guess_s": 150.0, "rigs": ["small"]})));
+    }
+    w.run_until(60, "some of it runs", |w| w.starts >= 24);
+    let names: Vec<String> = w.workers.keys().cloned().collect();
+    w.mute.extend(names.into_iter().step_by(3));
+    w.run(1);
+    (7..=10).for_each(|i| {
+        w.submit(job(i, 4, json!({"guess_s": 150.0, "rigs": ["small"]})));
+    });
+    let fetches = |w: &World| {
+        let tasks = w.workers.values().flat_map(|x| x.tasks.values());
+        tasks.filter(|t| !t.on_machine()).count()
+    };
+    w.run_until(30, "some of it is fetched", |w| fetches(w) >= 6);
+    (1..=10).for_each(|i| w.cancel(i));
+    w.run(LEASE / SECOND + 5);
+    let figures = (w.late_starts, w.ran_on, w.direct);
+    recover(w, seed);
+    figures
+}
+
+/// Workers are told at once what is called off, those too that reach no controller: less starts after its user was told and
+/// less runs on, for no more messages than there are machines. Without that everything is told by answers as ever.
+#[test]
+fn what_is_called_off_is_told_to_workers_at_once() {
+    let mut all = [(0, 0, 0); 2];
+    for seed in 1..=4 {
+        for (sum, policy) in all.iter_mut().zip(["halts_per_s = 0", "halts_per_s = 200"]) {
+            let (starts, ran_on, direct) = called_off_at_once(policy, seed);
+            *sum = (sum.0 + starts, sum.1 + ran_on, sum.2 + direct);
+        }
+    }
+    let [without, with] = all;
+    println!("starts after a confirmation, seconds run on, commands: {without:?}, {with:?}");
+    assert_eq!(without.2, 0);
+    assert!(with.2 > 0 && with.2 <= 4 * 20, "{with:?}");
+    assert!(2 * with.0 < without.0 && 3 * with.1 < without.1, "{without:?} {with:?}");
+}
+
 /// Jobs are called off as their machines hang, for less than a lease or more, with an answer that renews the lease in flight.
 /// What goes on is stopped, and nothing of it is left after `cancel_s`.
 #[test]
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -80,6 +80,12 @@
         node: Option<usize>,
         body: String,
     },
+    /// Commands that come to a worker directly.
+    Direct {
+        node: usize,
+        addr: String,
+        body: Bytes,
+    },
     /// A user asks.
     Ask {
         job: String,
@@ -172,6 +178,10 @@
     /// Tasks that started after their users were told that they are cancelled, by launches made before anybody who
     /// launches knew.
     pub late_starts: usize,
+    /// How many seconds tasks have run on together after their users were told that they are cancelled, looked at once a
+    /// second; and direct commands that were sent.
+    pub ran_on: usize,
+    pub direct: usize,
     /// Answers that were older, when they came, than what a user had been told since they were asked for.
     pub overtaken: usize,
     pub workers: BTreeMap<String, Worker>,
@@ -313,6 +323,8 @@
             odd: BTreeMap::new(),
             told_by: HashSet::new(),
             late_starts: 0,
+            ran_on: 0,
+            direct: 0,
             overtaken: 0,
             workers: BTreeMap::new(),
             cloud: Cloud::default(),
@@ -386,10 +398,14 @@
 
     /// Controllers that start from here on divide the machines into so many blocks.
     pub fn set_blocks(&mut self, blocks: u32) {
+        self.set_policy(&format!("blocks = {blocks}"));
+    }
+
+    /// Controllers that start from here on go by this policy.
+    pub fn set_policy(&mut self, text: &str) {
         for settings in &mut self.settings {
             let mut own = (**settings).clone();
-            let text = format!("blocks = {blocks}");
-            own.policy = Policy::parse(&text).expect("the story's policy is fine");
+            own.policy = Policy::parse(text).expect("the story's policy is fine");
             *settings = Arc::new(own);
         }
     }
@@ -625,6 +641,7 @@
                 }
             },
             Event::Restart { node } => self.restart(node),
+            Event::Direct { node, addr, body } => self.command_worker(node, addr, body),
             Event::Ask { job, what, node } => self.ask_at(&job, what, node),
             Event::Copy { node, body } => {
                 let any = self.rng.random_range(0..self.nodes.len());
@@ -744,6 +761,10 @@
                     let (path, body) = (request.path, request.body);
                     self.at(delay, Event::Cloud { node, life, id, path, body });
                 }
+                Effect::Worker { addr, body } => {
+                    self.direct += 1;
+                    self.at(delay, Event::Direct { node, addr: addr.to_string(), body });
+                }
                 Effect::Peer { to, mut message } => {
                     if self.silent.contains(&node) {
                         forget_cancellations(&mut message);
@@ -803,6 +824,34 @@
         self.workers = workers;
     }
 
+    /// Direct commands reach a worker that reaches no controller, and wait for one that hangs, whoever may lead by then.
+    fn command_worker(&mut self, node: usize, addr: String, body: Bytes) {
+        let text: Value = serde_json::from_slice(&body).unwrap_or_default();
+        let verbs = text["orders"].as_array().into_iter().flatten().map(|o| o["verb"].clone());
+        if verbs.clone().any(|v| v != json!("halt")) {
+            self.broken.push(format!("sent directly: {text}"));
+        }
+        let to = self.workers.values().find(|w| self.addr(&w.name) == addr);
+        let Some(w) = to.filter(|w| !w.dead && !self.unheard.contains(&w.name)) else { return };
+        if !self.reaches(node, &w.zone) {
+            return;
+        }
+        let late = w.hung_until.saturating_sub(self.now);
+        if late > 0 {
+            if late < 60 * SECOND {
+                self.at(late, Event::Direct { node, addr, body });
+            }
+            return;
+        }
+        let name = w.name.clone();
+        let Some(mut w) = self.workers.remove(&name) else { return };
+        if !w.hung(self.now) && !w.lease_over(self.now) {
+            w.commanded(self, &body);
+            self.log(&w);
+        }
+        self.workers.insert(name, w);
+    }
+
     // ---- Users ----
 
     pub fn submit(&mut self, body: Value) {
@@ -1344,15 +1393,18 @@
     /// Cancelled jobs must be gone from all machines in time, those that hung and went on among them.
     pub fn check_cancelled(&mut self) {
         let mut broken = Vec::new();
+        let mut ran_on = 0;
         for w in self.workers.values().filter(|w| !w.gone(self.now)) {
             for t in w.tasks.values().filter(|t| t.on_machine()) {
                 let id = t.name.split('/').next().unwrap_or("");
                 let told = self.jobs.get(id).and_then(|j| j.told_cancelled);
+                ran_on += usize::from(told.is_some());
                 if told.is_some_and(|at| self.now > at + CANCEL) {
                     broken.push(format!("ran_cancelled: {} is still on {}", t.name, w.name));
                 }
             }
         }
+        self.ran_on += ran_on;
         self.broken.extend(broken);
     }
 
--- a/crates/gannethub-standin/src/cloud.rs
+++ b/crates/gannethub-standin/src/cloud.rs
@@ -81,7 +81,7 @@
                             (false, true) => "booting",
                             (false, false) => "running",
                         };
-                        json!({"id": w.name, "addr": "10.9.0.1:9000", "rig": w.flavor,
+                        json!({"id": w.name, "addr": site.addr(&w.name), "rig": w.flavor,
                                "yard": w.zone, "loaners": w.spot, "status": status, "held_s": 5.0})
                     })
                     .collect();
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -42,6 +42,11 @@
     fn forgets(&mut self, _task: &str) {}
     /// Whether a worker in this zone and a controller can reach each other.
     fn reaches(&self, node: usize, zone: &str) -> bool;
+    /// Where a worker takes commands.
+    fn addr(&self, worker: &str) -> String {
+        let n: u32 = worker.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+        format!("10.9.{}.{}:9000", n / 250 % 250, n % 250 + 1)
+    }
     /// Sends a worker's report; the answer goes to [`Worker::answered`].
     fn send(&mut self, worker: &str, node: usize, body: String);
     /// The number of the controller with this name.
@@ -245,7 +250,7 @@
             })
             .collect();
         let body = json!({
-            "host": self.name, "addr": "10.9.0.1:9000", "rig": self.flavor, "yard": self.zone,
+            "host": self.name, "addr": site.addr(&self.name), "rig": self.flavor, "yard": self.zone,
             "loaners": self.spot, "shift": self.session, "tally": self.seq, "baton": self.token,
             "warning_s": if self.notice { json!(15.0) } else { Value::Null }, "pieces": pieces
         });
@@ -297,6 +302,25 @@
         }
     }
 
+    /// Commands that came directly. Returns the status of the answer, whose body would be the worker's report.
+    pub fn commanded(&mut self, site: &mut dyn Site, body: &[u8]) -> u16 {
+        let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
+        let (Some(token), Some(session)) = (body["baton"].as_u64(), body["shift"].as_u64()) else {
+            return 400;
+        };
+        self.seq += 1;
+        if token < self.token || session != self.session {
+            return 409;
+        }
+        if token > self.token {
+            self.token = token;
+        }
+        for order in body["orders"].as_array().into_iter().flatten() {
+            self.execute(site, order);
+        }
+        200
+    }
+
     fn execute(&mut self, site: &mut dyn Site, order: &Value) {
         let name = order["piece"].as_str().unwrap_or("").to_string();
         let attempt = order["try_no"].as_u64().unwrap_or(0);
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -12,7 +12,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
-use crate::http::{Bodies, Client, Connection, Response};
+use crate::http::{Bodies, Client, Connection, Method, Response};
 use crate::peers;
 use gannethub_core::control::controller::{Clock, Command, Controller, Effect};
 use gannethub_core::settings::Settings;
@@ -20,6 +20,9 @@
 
 const BATCH: usize = 64;
 const QUEUE: usize = 4096;
+/// Direct commands under way at once, and how long one may take.
+const MOST_DIRECT: usize = 16;
+const WORKER_PATIENCE: Duration = Duration::from_secs(2);
 const CLOUD_PATIENCE: Duration = Duration::from_secs(8);
 /// One in so many bytes of the memory that a controller may hold is for large requests.
 const BODIES_OF_MEMORY: usize = 8;
@@ -60,6 +63,7 @@
         settings.siblings.iter().map(|s| peers::connect(SocketAddr::V4(s.addr), window)).collect();
     let state = Rc::new(Client::new(settings.state));
     let cloud = Rc::new(Client::new(settings.cloud));
+    let direct = Arc::new(Semaphore::new(MOST_DIRECT));
     let mut controller = Controller::new(settings, clock());
     let mut batch = Vec::with_capacity(BATCH);
     loop {
@@ -89,6 +93,16 @@
                         let _ = queue.send(Command::Cloud { id, answer }).await;
                     });
                 }
+                Effect::Worker { addr, body } => {
+                    // More at once than there are sockets for are left to the next answers.
+                    let Ok(slot) = direct.clone().try_acquire_owned() else { continue };
+                    spawn_local(async move {
+                        let client = Client::new(addr);
+                        let path = "/commands";
+                        let _ = client.call(Method::Post, path, &body, WORKER_PATIENCE).await;
+                        drop(slot);
+                    });
+                }
                 Effect::Peer { to, message } => {
                     if let Some(sibling) = siblings.get(to) {
                         // A full queue means a dead link: messages between siblings may be lost.
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -83,6 +83,11 @@
         body: bytes::Bytes,
         reply: Reply,
     },
+    /// Commands for a worker, from a controller.
+    Direct {
+        body: bytes::Bytes,
+        reply: Reply,
+    },
     Answer {
         worker: String,
         node: usize,
@@ -120,6 +125,8 @@
     facts: HashMap<String, JobFacts>,
     done: HashSet<String>,
     names: Vec<String>,
+    /// Where all workers take commands.
+    workers_at: String,
     nodes: Vec<Rc<Client>>,
     queue: mpsc::Sender<Command>,
 }
@@ -176,6 +183,21 @@
                 }
                 let _ = reply.send((status, answer));
             }
+            Command::Direct { body, reply } => {
+                // All workers are at one address here. An attempt is on one of them.
+                let tasks: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                let piece = tasks["orders"][0]["piece"].as_str().unwrap_or("").to_string();
+                let holds = |w: &&Worker| !w.hung(now) && w.tasks.contains_key(&piece);
+                let name = self.workers.values().find(holds).map(|w| w.name.clone());
+                let worker = name.and_then(|n| self.workers.remove(&n));
+                let status = worker.map_or(409, |mut w| {
+                    let status = w.commanded(self, &body);
+                    self.record.note(&w, now);
+                    self.workers.insert(w.name.clone(), w);
+                    status
+                });
+                let _ = reply.send((status, json!({})));
+            }
             Command::Answer { worker, node, sent, answer } => {
                 let Some(mut w) = self.workers.remove(&worker) else { return };
                 // Nothing came: the worker finds that out by its own clock.
@@ -284,6 +306,10 @@
         });
     }
 
+    fn addr(&self, _: &str) -> String {
+        self.workers_at.clone()
+    }
+
     fn named(&self, name: &str) -> Option<usize> {
         self.names.iter().position(|n| n == name)
     }
@@ -416,6 +442,7 @@
     std::fs::create_dir_all(&dir)?;
     let state = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let cloud = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+    let workers = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
     let (state_port, cloud_port) = (state.local_addr()?.port(), cloud.local_addr()?.port());
     let ports = free_ports(2 * n)?;
     write_settings(&dir, &ports, state_port, cloud_port)?;
@@ -436,9 +463,11 @@
         facts: HashMap::new(),
         done: HashSet::new(),
         names: (0..n).map(|i| format!("n{i}")).collect(),
+        workers_at: workers.local_addr()?.to_string(),
         nodes: addrs.iter().map(|a| Rc::new(Client::new(*a))).collect(),
         queue: queue.clone(),
     };
+    spawn_local(serve(workers, queue.clone(), |_, _, body, reply| Command::Direct { body, reply }));
     spawn_local(serve(state, queue.clone(), |method, path, body, reply| Command::State {
         method,
         path,
