Whatever its users are told is cancelled, a holder acts on, from whichever read that comes

Confirming is one way in which a controller learns of a cancellation; its copy for queries, read for a question at the same controller, is another, and may be ahead of the holder's watch as well. Both go to the holders of the same process before anything else is taken in. Keeping the cancellations of jobs that the leader does not know yet is taken back: no story could fail without it, since a launch waits for a mark that is guarded by the job's version.

--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -124,7 +124,7 @@
         self.queue.arrived(job.id.clone());
         self.jobs.insert(job.id.clone(), job);
         self.stirred = true;
-        if record.cancelled || self.called_off.contains_key(id) {
+        if record.cancelled {
             self.cancel(id);
         }
     }
@@ -201,14 +201,6 @@
         self.stirred = true;
     }
 
-    /// The same, as of this version. A job that is not known here yet is cancelled as soon as the watch brings it.
-    pub fn cancelled_at(&mut self, id: &str, stamp: u64) {
-        if self.stamp_of(id).is_none() && !self.foreign.contains_key(id) && stamp < u64::MAX {
-            self.called_off.insert(id.into(), stamp);
-        }
-        self.cancelled_elsewhere(id);
-    }
-
     /// The user cancelled: the pipeline's saga aborts. Nothing of it starts from here on.
     fn cancel(&mut self, id: &str) {
         let Some(job) = self.jobs.get_mut(id) else { return };
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -198,16 +198,19 @@
                 News::Cancelled(id, stamp) => self.changed(&id, stamp, true),
             }
         }
+        // Its users are told by its copy, which may be ahead of a holder's watch: what they are told is cancelled is not
+        // launched here from then on.
+        for id in self.intake.mirror.fresh() {
+            for holder in self.holders.values_mut() {
+                holder.cluster.cancelled_elsewhere(&id);
+            }
+        }
     }
 
-    /// Lets the leader know, in case its watch does not: that may hang in a cut. A cancellation is acted on at once: when
-    /// the controller that tells its user leads itself, nothing may be launched between that and what its watch brings.
+    /// Lets the leader know, in case its watch does not: that may hang in a cut. A cancellation is acted on at once.
     fn changed(&mut self, id: &JobId, stamp: u64, cancelled: bool) {
         for holder in self.holders.values_mut() {
             holder.expect(&self.port, id, stamp);
-            if cancelled {
-                holder.cluster.cancelled_at(id, stamp);
-            }
         }
         let told = Changed { job: id.to_string(), stamp, cancelled };
         if self.port.several {
@@ -368,7 +371,7 @@
                 for holder in self.holders.values_mut() {
                     holder.expect(port, &changed.job, changed.stamp);
                     if changed.cancelled {
-                        holder.cluster.cancelled_at(&changed.job, changed.stamp);
+                        holder.cluster.cancelled_elsewhere(&changed.job);
                     }
                 }
             }
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -100,8 +100,6 @@
     pub wall: u64,
     /// Jobs that are over, and the version at which they ended: a watch may still bring older news.
     pub(crate) buried: HashMap<JobId, u64>,
-    /// Jobs that siblings told to be cancelled before the watch brought them, and the version at which they were.
-    pub(crate) called_off: HashMap<JobId, u64>,
     /// Attempts of cancelled jobs that their workers are to be told of at once.
     pub(crate) halts: Halts,
     /// Room came free since the last report was answered.
@@ -186,7 +184,6 @@
             pace: HashMap::new(),
             wall,
             buried: HashMap::new(),
-            called_off: HashMap::new(),
             halts: Halts::default(),
             freed: false,
             stirred: true,
@@ -256,7 +253,6 @@
     /// The watch has reached this version: nothing older can come.
     pub fn watched(&mut self, stamp: u64) {
         self.buried.retain(|_, over| *over > stamp);
-        self.called_off.retain(|_, at| *at > stamp);
     }
 
     /// Looks for zones that are cut off: machines rented there would not be heard either.
--- a/crates/gannethub-core/src/memory/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -77,6 +77,8 @@
     absent: HashSet<JobId>,
     /// Cancellations that were stored or read here and that the copy does not show yet, with their versions.
     told: BTreeMap<JobId, u64>,
+    /// Cancellations that became known here and that this controller's own holders have not been told of.
+    fresh: Vec<JobId>,
 }
 
 impl Mirror {
@@ -104,11 +106,18 @@
 
     /// The cancellation of a live job was stored or read here, at this version, and its user is told.
     pub fn cancelled(&mut self, id: JobId, stamp: u64) {
+        self.fresh.push(id.clone());
         if self.at.is_none_or(|at| at < stamp) {
             self.told.insert(id, stamp);
         }
     }
 
+    /// What has become known to be cancelled since this was last asked for. Users are told that from here on, so whoever
+    /// holds machines in this process must not be the last to know.
+    pub fn fresh(&mut self) -> Vec<JobId> {
+        std::mem::take(&mut self.fresh)
+    }
+
     /// Live jobs whose cancellation is known here and was stored after that version, some of them twice.
     pub fn cancelled_since(&self, version: u64) -> impl Iterator<Item = &JobId> {
         let live = self.live.iter().filter(|(_, l)| l.cancelled).map(|(id, l)| (id, l.stamp));
@@ -195,6 +204,9 @@
     /// Takes in what a live job's record says.
     fn alive(&mut self, id: JobId, brief: &Brief, stamp: u64) {
         self.links.alive(&id);
+        if brief.cancelled && self.live.get(&id).is_none_or(|l| !l.cancelled) {
+            self.fresh.push(id.clone());
+        }
         if let Some(w) = &brief.waiting {
             let upstream = decode_ids(&w.on);
             let (over, live) = (&self.over, &self.live);
--- a/crates/gannethub-core/tests/stories/further.rs
+++ b/crates/gannethub-core/tests/stories/further.rs
@@ -567,6 +567,29 @@
     }
 }
 
+/// Jobs are accepted and called off at once at the leader itself, while what its watch brings is slow: the acceptance comes
+/// after the user was told, and without the cancellation.
+#[test]
+fn what_is_called_off_before_the_leader_knows_it_is_not_launched() {
+    for seed in 1..=6 {
+        let mut w = World::new(3, seed);
+        w.cloud.capacity = 20;
+        w.runs = (20 * SECOND, 30 * SECOND);
+        w.run(2);
+        w.submit(job(1, 20, json!({"guess_s": 25.0, "rigs": ["small"]})));
+        w.run_until(60, "it runs", |w| w.starts >= 20);
+        let leader = w.leader().expect("one leads");
+        w.slow_watches = SECOND / 2;
+        for i in 2..=30 {
+            w.submit(job(i, 3, json!({"rigs": ["small"]})));
+            w.run_until(5, "accepted", |w| w.jobs[&id(i)].accepted.is_some());
+            w.cancel_at(i, leader);
+            w.pause(SECOND * 4 / 10);
+        }
+        to_the_end(w, seed);
+    }
+}
+
 /// Jobs are called off while half of their tasks run and the others wait for their images, and a third of the workers reach
 /// nobody. Returns how many tasks started after that, for how many seconds tasks ran on, and how many commands were sent.
 fn called_off_at_once(policy: &str, seed: u64) -> (usize, usize, usize) {
--- a/crates/gannethub-core/tests/stories/sim/mod.rs
+++ b/crates/gannethub-core/tests/stories/sim/mod.rs
@@ -212,6 +212,8 @@
     /// The state service's answers come later by up to so much, and answers to workers too.
     pub slow_state: u64,
     pub slow_answers: u64,
+    /// What watches bring comes later by up to so much.
+    pub slow_watches: u64,
     /// Finished tasks that each part of a job has in the state service.
     parts: HashMap<String, usize>,
     /// The longest that an accepted job went without an answer to its user since `asked_since`.
@@ -350,6 +352,7 @@
             hung_watches: HashSet::new(),
             slow_state: 0,
             slow_answers: 0,
+            slow_watches: 0,
             parts: HashMap::new(),
             unanswered: 0,
             asked_since: 0,
@@ -676,7 +679,14 @@
                 continue;
             }
             match self.state.changes(&prefix, after) {
-                Some(changes) => self.store_answer(node, life, id, Some((200, changes))),
+                Some(changes) => {
+                    let slow = self.slow_watches;
+                    let slow = if slow > 0 { self.rng.random_range(0..slow) } else { 0 };
+                    let answer = Some((200, Bytes::from(changes.to_string())));
+                    let delay = self.jitter() + slow;
+                    let command = Command::Store { id, answer };
+                    self.at(delay, Event::Command { node, life, command });
+                }
                 None if until <= self.now => {
                     let quiet = self.state.quiet();
                     self.store_answer(node, life, id, Some((200, quiet)));
@@ -710,6 +720,7 @@
         let Some(controller) = self.nodes[node].controller.as_mut() else { return };
         let effects = controller.step(clock, [command]);
         let term = controller.cluster().map(|c| c.term);
+        let terms: Vec<u64> = controller.clusters().map(|c| c.term).collect();
         self.nodes[node].stepped_at = self.now;
         for effect in effects {
             let delay = self.jitter();
@@ -723,7 +734,10 @@
                         let late = format!("acted: {term:?} answered a worker under {last:?}");
                         self.broken.push(late);
                     }
-                    self.check_launches(node, life, &body);
+                    // What it passes on was decided by another.
+                    if body["baton"].as_u64().is_some_and(|t| terms.contains(&t)) {
+                        self.check_launches(node, life, &body);
+                    }
                     if let Some((origin, node, _)) = self.conns.remove(&conn) {
                         if let Origin::User { job, .. } = &origin
                             && body["status"] == json!("cancelled")
@@ -1366,6 +1380,7 @@
         self.state.down = false;
         self.slow_state = 0;
         self.slow_answers = 0;
+        self.slow_watches = 0;
         self.late_commits = 0.0;
         self.lost_answers = 0.0;
         self.mute.clear();
