--- a/crates/gannethub-core/tests/stories/further.rs
+++ b/crates/gannethub-core/tests/stories/further.rs
@@ -403,6 +403,24 @@
     }
 }
 
+/// The state service refuses the leader, and up to a second and a half later everybody, for longer than a lease. The grant
+/// has not run out then, and the siblings see the outage in time to promise: no work is lost.
+#[test]
+fn a_refusal_that_becomes_an_outage_loses_no_work() {
+    for seed in 1..=8 {
+        let mut w = long(if seed % 4 == 0 { 5 } else { 3 }, seed);
+        let (old, others) = roles(&w, seed);
+        w.refused.insert(old);
+        (1..=2).for_each(|i| w.cancel_at(i, others[0]));
+        w.pause(seed * SECOND / 5 - SECOND / 10);
+        w.state.down = true;
+        w.run(2 * LEASE / SECOND);
+        assert_eq!(w.leader(), Some(old), "seed {seed}: promises carry it");
+        assert!(w.workers.values().all(|x| x.session == 1), "a lease ran out");
+        recover(w, seed);
+    }
+}
+
 /// A zone with workers and a controller, the leader or another, is cut off from everything for longer than a lease; jobs
 /// that run in it are cancelled outside, and others go on.
 #[test]
