--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -466,6 +466,9 @@
         {
             port.state_ok_at = Some(now);
         }
+        if status == Some(503) {
+            port.refused_at = Some(now);
+        }
         if status == Some(429) {
             port.slow_down();
         }
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -212,6 +212,8 @@
     restraint: f64,
     slowed_at: Micros,
     pub state_ok_at: Option<Micros>,
+    /// When it last refused this controller.
+    pub refused_at: Option<Micros>,
     pub purposes: HashMap<u64, Purpose>,
     pub calls: HashMap<u64, (u64, CloudCall)>,
     pub next_id: u64,
@@ -237,6 +239,7 @@
             clock,
             flavors: Arc::default(),
             state_ok_at: None,
+            refused_at: None,
             purposes: HashMap::new(),
             calls: HashMap::new(),
             next_id: 1,
@@ -301,6 +304,12 @@
         self.state_ok_at.is_some_and(|t| self.clock.now < t + 3 * PROBE_EVERY)
     }
 
+    /// It has not answered for a while, or has refused what was asked last. That is enough for a promise, which binds nobody
+    /// but this controller, and cannot wait: a leader that was refused shortly before an outage has a second left.
+    pub fn state_fails(&self) -> bool {
+        !self.state_ok() || self.refused_at > self.state_ok_at
+    }
+
     /// The state service has had too much: it has gone over to its next rates, or all controllers
     /// together ask for more than it allows.
     pub(super) fn slow_down(&mut self) {
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -263,7 +263,7 @@
         ask: &PromiseAsk,
     ) {
         let micros = ask.micros.min(PROMISE);
-        if !port.state_ok() && candidacy.promise(ask.term, port.clock.now, micros) {
+        if port.state_fails() && candidacy.promise(ask.term, port.clock.now, micros) {
             let (round, term, block) = (ask.round, ask.term, ask.block);
             let asked = Some(ask.known).filter(|known| *known > 0);
             let since = asked.into_iter().flat_map(|known| copy.cancelled_since(known));
