--- a/crates/gannethub-core/tests/stories/further.rs
+++ b/crates/gannethub-core/tests/stories/further.rs
@@ -411,6 +411,31 @@
     }
 }
 
+/// Takeovers are carried out and have no answer, and the state service refuses everybody just when their grants are to be
+/// given back, until none of the controllers knows what became of its own. One leads soon after the last trouble all the same.
+#[test]
+fn controllers_that_do_not_know_of_their_takeovers_find_out() {
+    for seed in 1..=4 {
+        let mut w = long(3, seed);
+        w.lose_leader(2 * SECOND);
+        for _ in 0..9 {
+            w.lost_answers = 1.0;
+            let term = w.state.value(TERM).cloned();
+            let until = w.now + 15 * SECOND;
+            let taken = |w: &World| w.state.value(TERM).cloned() != term || w.now > until;
+            w.run_until(16, "a takeover is carried out", taken);
+            // Its answer is missed after two seconds, and the grant given back at once.
+            w.pause(SECOND * 3 / 2);
+            w.state.down = true;
+            w.run(2);
+            w.state.down = false;
+        }
+        w.all_well();
+        w.run_until(20, "one leads", |w| w.leader().is_some());
+        recover(w, seed);
+    }
+}
+
 /// A zone with workers and a controller, the leader or another, is cut off from everything for longer than a lease; jobs
 /// that run in it are cancelled outside, and others go on.
 #[test]
