A grant whose return was refused is given back again, until it is known to be gone

Each second, for the leader's and for blocks' takeovers; and only the grant of that takeover counts: the return of an older one used to do, after which a promise was given while the takeover could still be carried out.

--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -480,9 +480,9 @@
             Purpose::Takeover { record, grant, sent } => {
                 self.taken_over(record, grant, sent, answer);
             }
-            Purpose::DropGrant => {
+            Purpose::DropGrant { grant } => {
                 if matches!(status, Some(200 | 204 | 404)) {
-                    standing.candidacy.grant_dropped();
+                    standing.candidacy.grant_dropped(grant);
                 }
             }
             Purpose::Renew { sent, term } => {
@@ -514,11 +514,11 @@
             Purpose::SeatTake { block, record, grant, sent } => {
                 self.seat_taken(block, record, grant, sent, answer);
             }
-            Purpose::DropSeat { block } => {
+            Purpose::DropSeat { block, grant } => {
                 if matches!(status, Some(200 | 204 | 404))
                     && let Some(seat) = self.seats.seats.get_mut(&block)
                 {
-                    seat.candidacy.grant_dropped();
+                    seat.candidacy.grant_dropped(grant);
                 }
             }
             Purpose::Load { term, stage } => {
--- a/crates/gannethub-core/src/control/leadership.rs
+++ b/crates/gannethub-core/src/control/leadership.rs
@@ -13,6 +13,8 @@
 
 /// How long a promise lasts.
 pub const PROMISE: Micros = 8 * SECOND;
+/// A grant that may not have been given back is given back again after this time.
+const DROP_AGAIN: Micros = SECOND;
 const MARGIN: Micros = 150_000;
 /// A promise that comes later than this after it was asked for counts for nothing. So what a process promised
 /// before it was restarted is of no use to anyone once it is back for so long.
@@ -122,8 +124,9 @@
     quiet_until: Micros,
     promise_until: Micros,
     abstain_until: Micros,
-    /// A takeover that had no answer may still be carried out.
-    unsure: bool,
+    /// A takeover that had no answer may still be carried out under this grant, and when that is to be given back again.
+    unsure: Option<u64>,
+    drop_at: Micros,
     /// The last term when this process began: what it promised of later ones it knows.
     first: Option<u64>,
     /// The highest term that it has promised anything to, or bridged an outage in.
@@ -146,7 +149,8 @@
             quiet_until: now + PROMISE + PROMISE / 1000 + MARGIN,
             promise_until: 0,
             abstain_until: 0,
-            unsure: false,
+            unsure: None,
+            drop_at: 0,
             first: None,
             promised: 0,
             told: 0,
@@ -209,7 +213,7 @@
     }
 
     pub fn may_try(&self, now: Micros) -> bool {
-        !self.trying && !self.unsure && self.still_may(now)
+        !self.trying && self.unsure.is_none() && self.still_may(now)
     }
 
     /// Whether nothing that is known stands against taking over now.
@@ -234,7 +238,7 @@
     /// Promises not to take over, if that can be kept.
     pub fn promise(&mut self, term: u64, now: Micros, micros: Micros) -> bool {
         let newer = self.term.as_ref().is_some_and(|t| t.0.term > term);
-        if self.trying || self.unsure || newer {
+        if self.trying || self.unsure.is_some() || newer {
             return false;
         }
         self.promise_until = self.promise_until.max(now + micros + micros / 1000);
@@ -246,17 +250,27 @@
         self.abstain_until = until;
     }
 
-    /// A takeover was not carried out, or nothing is known of it. It may then still be carried out; until the grant is
-    /// known to be gone, nobody gets a promise from here.
-    pub fn not_taken(&mut self, status: Option<u16>) {
+    /// A takeover under this grant was not carried out, or nothing is known of it. It may then still be carried out; until
+    /// the grant is known to be gone, nobody gets a promise from here.
+    pub fn not_taken(&mut self, grant: u64, status: Option<u16>, now: Micros) {
         if !matches!(status, Some(400 | 409 | 429 | 503)) {
-            self.unsure = true;
+            self.unsure = Some(grant);
+            self.drop_at = now + DROP_AGAIN;
             self.seen = false;
         }
     }
 
-    pub fn grant_dropped(&mut self) {
-        self.unsure = false;
+    /// A grant that is to be given back once more, since nothing is known of that yet. Asked for but once, a refusal left the
+    /// controller unsure for ever, and where that met all of them nobody led again.
+    pub fn drop_again(&mut self, now: Micros) -> Option<u64> {
+        let grant = self.unsure.filter(|_| now >= self.drop_at)?;
+        self.drop_at = now + DROP_AGAIN;
+        Some(grant)
+    }
+
+    /// This grant is gone, whichever it was.
+    pub fn grant_dropped(&mut self, grant: u64) {
+        self.unsure.take_if(|unsure| *unsure == grant);
     }
 
     /// The takeover succeeded.
@@ -330,8 +344,15 @@
         c.trying = true;
         assert!(!c.promise(3, late, PROMISE), "a takeover is under way");
         c.trying = false;
-        c.not_taken(None);
+        c.not_taken(7, None, late);
         assert!(!c.promise(3, late, PROMISE), "a takeover may still be carried out");
+        c.grant_dropped(6);
+        assert!(!c.promise(3, late, PROMISE), "that was another grant");
+        assert_eq!(c.drop_again(late + DROP_AGAIN - 1), None);
+        assert_eq!(c.drop_again(late + DROP_AGAIN), Some(7));
+        assert_eq!(c.drop_again(late + DROP_AGAIN), None, "it is under way");
+        c.grant_dropped(7);
+        assert!(c.promise(3, late, PROMISE));
     }
 
     #[test]
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -82,7 +82,9 @@
         grant: u64,
         sent: Micros,
     },
-    DropGrant,
+    DropGrant {
+        grant: u64,
+    },
     Renew {
         sent: Micros,
         term: u64,
@@ -143,6 +145,7 @@
     },
     DropSeat {
         block: u32,
+        grant: u64,
     },
     /// Where the ledger stands, for a new leader.
     LoadLedger {
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -97,6 +97,9 @@
                 let all = 0..standing.siblings.len();
                 all.for_each(|i| port.say(i, Body::MarksAsk(ask.clone())));
             }
+            if let Some(grant) = seat.candidacy.drop_again(now) {
+                give_back(port, *block, grant);
+            }
             // Only what its settings or its record speak of is taken, and only where somebody gives out machines.
             let exists = *block < port.blocks() || seat.candidacy.known();
             let free = exists && led && !holders.contains_key(block);
@@ -145,7 +148,7 @@
             seat.candidacy.abstain(now + ABSTAIN);
         }
         self.probe_at = now;
-        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropSeat { block });
+        give_back(port, block, grant);
     }
 
     pub fn probed(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
@@ -210,8 +213,7 @@
         let candidacy = &mut self.seat(port, block).candidacy;
         let Some(listing) = listing.filter(|_| candidacy.still_may(now)) else {
             candidacy.trying = false;
-            let purpose = Purpose::DropSeat { block };
-            return port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
+            return give_back(port, block, grant);
         };
         let find = |key: &str| {
             let item = listing.items.iter().find(|i| i.k == key);
@@ -237,8 +239,15 @@
 
     /// A block was not taken, or nothing is known of it.
     pub fn not_taken(&mut self, port: &mut Port, block: u32, grant: u64, answer: Option<u16>) {
-        self.seat(port, block).candidacy.not_taken(answer);
-        self.probe_at = port.clock.now;
-        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropSeat { block });
+        let now = port.clock.now;
+        self.seat(port, block).candidacy.not_taken(grant, answer, now);
+        self.probe_at = now;
+        give_back(port, block, grant);
     }
 }
+
+/// A grant to hold a block with is not needed any more.
+fn give_back(port: &mut Port, block: u32, grant: u64) {
+    let purpose = Purpose::DropSeat { block, grant };
+    port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
+}
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -117,8 +117,7 @@
         };
         if !self.candidacy.still_may(port.clock.now) {
             self.candidacy.trying = false;
-            let request = StoreRequest::drop_grant(granted.permit);
-            return port.send(Urgency::Renewal, request, Purpose::DropGrant);
+            return self.drop_grant(port, granted.permit);
         }
         let (holder, term, last) = self.candidacy.versions();
         // What this leader knows of marks, its own successor will: if it does not go by them, nobody is to until
@@ -217,6 +216,9 @@
             self.probe_at = now + PROBE_EVERY;
             port.send(Urgency::Renewal, StoreRequest::list(LEAD, ""), Purpose::Probe);
         }
+        if let Some(grant) = self.candidacy.drop_again(now) {
+            self.drop_grant(port, grant);
+        }
         if !port.flavors.is_empty() && self.candidacy.may_try(now) {
             self.candidacy.trying = true;
             let request = StoreRequest::grant(port.ttl());
@@ -226,9 +228,14 @@
 
     /// A takeover was not carried out, or nothing is known of it.
     pub fn not_taken(&mut self, port: &mut Port, grant: u64, answer: Option<u16>) {
-        self.candidacy.not_taken(answer);
+        self.candidacy.not_taken(grant, answer, port.clock.now);
         self.probe_at = port.clock.now;
-        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropGrant);
+        self.drop_grant(port, grant);
+    }
+
+    fn drop_grant(&self, port: &mut Port, grant: u64) {
+        let purpose = Purpose::DropGrant { grant };
+        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
     }
 
     /// It led, and gives its grant back. `deaf`: since it heard nobody.
@@ -237,7 +244,7 @@
         if deaf {
             self.candidacy.abstain(now + ABSTAIN);
         }
-        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), Purpose::DropGrant);
+        self.drop_grant(port, grant);
         self.probe_at = now;
     }
 
