--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -194,8 +194,7 @@
     fn spread_news(&mut self) {
         for news in std::mem::take(&mut self.port.news) {
             match news {
-                News::Accepted(id, stamp) => self.changed(&id, stamp, false),
-                News::Cancelled(id, stamp) => self.changed(&id, stamp, true),
+                News::Changed(id, stamp) => self.changed(&id, stamp),
             }
         }
         // Its users are told by its copy, which may be ahead of a holder's watch: what they are told is cancelled is not
@@ -207,12 +206,12 @@
         }
     }
 
-    /// Lets the leader know, in case its watch does not: that may hang in a cut. A cancellation is acted on at once.
-    fn changed(&mut self, id: &JobId, stamp: u64, cancelled: bool) {
+    /// Lets the leader know, in case its watch does not: that may hang in a cut.
+    fn changed(&mut self, id: &JobId, stamp: u64) {
         for holder in self.holders.values_mut() {
             holder.expect(&self.port, id, stamp);
         }
-        let told = Changed { job: id.to_string(), stamp, cancelled };
+        let told = Changed { job: id.to_string(), stamp };
         if self.port.several {
             let all = 0..self.standing.siblings.len();
             all.for_each(|i| self.port.say(i, Body::Changed(told.clone())));
@@ -370,9 +369,6 @@
             Some(Body::Changed(changed)) if valid_job_id(&changed.job) => {
                 for holder in self.holders.values_mut() {
                     holder.expect(port, &changed.job, changed.stamp);
-                    if changed.cancelled {
-                        holder.cluster.cancelled_elsewhere(&changed.job);
-                    }
                 }
             }
             Some(Body::OpenTabs(tabs)) if port.settings.ledger.is_some() => {
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -278,7 +278,7 @@
                     tracing::info!(job = %id, %class, tasks, waits_on, "accepted");
                     let view = JobView::new(Status::Pending, 0);
                     port.reply(conn, api::answer(201, &id, &view));
-                    port.news.push(News::Accepted(id.clone(), stamp));
+                    port.news.push(News::Changed(id.clone(), stamp));
                 }
                 // One of them was known already: the others are tried again without it.
                 Some(409) if !failed.is_empty() && !failed.iter().any(|k| k.ends_with(&*id)) => {
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -191,10 +191,8 @@
 /// What one role tells the others, through the owner of all.
 #[derive(Debug)]
 pub(super) enum News {
-    /// A job was accepted here, at this version.
-    Accepted(JobId, u64),
-    /// A job was cancelled here, at this version, and its users are being told.
-    Cancelled(JobId, u64),
+    /// A job was accepted or cancelled here, at this version.
+    Changed(JobId, u64),
 }
 
 /// What an answer holds, if it is there and is one.
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -381,7 +381,7 @@
             for c in conns {
                 port.reply(c, api::answer(200, &job, &view));
             }
-            return port.news.push(News::Cancelled(job, stamp));
+            return port.news.push(News::Changed(job, stamp));
         }
         for c in conns {
             match status {
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -196,9 +196,6 @@
     /// The version at which it changed.
     #[prost(uint64, tag = "2")]
     pub stamp: u64,
-    /// It is cancelled, and a user is told so: nothing of it is to be launched from here on.
-    #[prost(bool, tag = "3")]
-    pub cancelled: bool,
 }
 
 /// From a leader that keeps a ledger: attempts that are not charged yet, or not in writing.
