--- a/crates/gannethub-core/src/control/lease.rs
+++ b/crates/gannethub-core/src/control/lease.rs
@@ -27,8 +27,6 @@
     pub stamp: u64,
     pub authority: Authority,
     renew_at: Micros,
-    /// The last renewal that was answered was refused.
-    refused: bool,
     ask_at: Micros,
     /// All cancellations that any controller had confirmed by then are known here.
     known_at: Micros,
@@ -53,19 +51,7 @@
         // Until the state has been read, nothing is answered that needs this knowledge.
         let known_at = now;
         let renew_at = now;
-        let refused = false;
-        Lease {
-            block,
-            term,
-            grant,
-            stamp,
-            authority,
-            renew_at,
-            refused,
-            ask_at: 0,
-            known_at,
-            patience,
-        }
+        Lease { block, term, grant, stamp, authority, renew_at, ask_at: 0, known_at, patience }
     }
 
     /// Why it is no more to be acted on, if it is not.
@@ -105,8 +91,7 @@
             port.send(Urgency::Renewal, StoreRequest::renew(self.grant), purpose);
         }
         let siblings = port.settings.siblings.len();
-        let low = self.refused || self.authority.low(now);
-        if low && now >= self.ask_at && siblings > 0 {
+        if self.authority.low(now) && now >= self.ask_at && siblings > 0 {
             self.ask_at = now + ASK_EVERY;
             let (round, term) = (self.authority.ask(now, siblings), self.term);
             let ask = PromiseAsk { round, term, micros: PROMISE, block: self.block, known };
@@ -116,7 +101,6 @@
 
     /// Takes in the answer to a renewal that was sent then. False: the grant has ended.
     pub fn renewed(&mut self, sent: Micros, status: Option<u16>, now: Micros) -> bool {
-        self.refused = status == Some(503);
         match status {
             Some(200) => self.authority.renewed(sent),
             Some(404) => return false,
