--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -10,7 +10,7 @@
 //! | [`routing`](super::routing) | workers' reports: answered here, or passed on to whoever holds the machine |
 //! | [`port`](super::port) | no role: what all of them ask of the outside |
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use bytes::Bytes;
@@ -224,7 +224,7 @@
     fn tick(&mut self) {
         let now = self.port.clock.now;
         let late = self.port.deadlines.iter().filter(|(_, t)| **t <= now);
-        for conn in late.map(|(c, _)| *c).collect::<Vec<_>>() {
+        for conn in late.map(|(c, _)| *c).collect::<BTreeSet<_>>() {
             self.intake.give_up(conn);
             self.port.unavailable(conn);
         }
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a worker, by the published protocol.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
 use serde_json::{Value, json};
 
@@ -381,7 +381,7 @@
 /// Gangs start, complete and fail together.
 pub fn step_gangs(workers: &mut BTreeMap<String, Worker>, gang_peer: u64, site: &mut dyn Site) {
     let now = site.now();
-    let mut gangs: HashMap<(String, u64), Vec<(String, String)>> = HashMap::new();
+    let mut gangs: BTreeMap<(String, u64), Vec<(String, String)>> = BTreeMap::new();
     for w in workers.values().filter(|w| !w.dead) {
         for t in w.tasks.values().filter(|t| t.gang && !t.ended()) {
             let job = job_of(&t.name).to_string();
