Reread: one token bucket, one bound of orders, one way to give a grant back

Halts counted their rate by a bucket of their own beside the budget's, and went through and sorted all that is due at every step, also when nothing may be sent; now not before something may. (A rate below one a second, which used to send nothing, sends.) The grants of the leader and of blocks are given back by one request and one answer. A cancellation that changes nothing here calls for no pass over the queue.

--- a/crates/gannethub-core/src/apply/halts.rs
+++ b/crates/gannethub-core/src/apply/halts.rs
@@ -9,15 +9,13 @@
 
 use std::net::SocketAddrV4;
 
+use super::reports::MAX_ORDERS;
 use crate::memory::cluster::Cluster;
 use crate::memory::records::{MachineId, Phase};
-use crate::model::{Micros, SECOND, TaskId};
+use crate::model::{Micros, TaskId};
 use crate::policy::Setting;
 use crate::wire::worker::Order;
 
-/// Commands in one message: keeps its body below 64 KiB.
-const MOST_ORDERS: usize = 300;
-
 /// What is to be sent to a worker.
 #[derive(Debug)]
 pub struct Directly {
@@ -36,7 +34,7 @@
         let halt = self.halts.due.entry(machine.clone()).or_default();
         halt.since = self.now;
         halt.starting |= starts;
-        if halt.attempts.len() < MOST_ORDERS {
+        if halt.attempts.len() < MAX_ORDERS {
             halt.attempts.push(key);
         }
     }
@@ -48,9 +46,15 @@
             return Vec::new();
         }
         let halts = &mut self.halts;
-        let rate = self.settings.policy.number(Setting::Halts, &[]);
-        let earned = now.saturating_sub(halts.at) as f64 / SECOND as f64 * rate;
-        (halts.may, halts.at) = ((halts.may + earned).min(rate), now);
+        if self.settings.policy.number(Setting::Halts, &[]) <= 0.0 {
+            halts.due.clear();
+            return Vec::new();
+        }
+        halts.may.refill(now);
+        if halts.may.level < 1.0 {
+            // Nothing is gone through at each step for what may not be sent yet.
+            return Vec::new();
+        }
         let (machines, late) = (&self.machines, self.settings.report + self.settings.report / 4);
         halts.due.retain(|id, halt| {
             let machine = machines.get(id);
@@ -60,7 +64,7 @@
         let mut due: Vec<(bool, MachineId)> =
             halts.due.iter().map(|(id, halt)| (!halt.starting, id.clone())).collect();
         due.sort();
-        due.truncate(halts.may as usize);
+        due.truncate(halts.may.level as usize);
         let mut sent = Vec::new();
         for (_, id) in due {
             let (Some(halt), Some(m)) = (halts.due.remove(&id), machines.get(&id)) else {
@@ -77,7 +81,7 @@
             };
             let orders: Vec<Order> = attempts.map(stop).collect();
             if let (Some(addr), false) = (m.addr, orders.is_empty()) {
-                halts.may -= 1.0;
+                halts.may.level -= 1.0;
                 sent.push(Directly { addr, session: m.session, orders });
             }
         }
--- a/crates/gannethub-core/src/apply/reports.rs
+++ b/crates/gannethub-core/src/apply/reports.rs
@@ -13,8 +13,8 @@
 use crate::wire::store::PART_TASKS;
 use crate::wire::worker::{ExitReason, Order, Report, TaskState};
 
-/// Orders in one answer: keeps its line below 64 KiB.
-const MAX_ORDERS: usize = 300;
+/// Orders in one answer, or sent directly: keeps its line below 64 KiB.
+pub(super) const MAX_ORDERS: usize = 300;
 /// A takeover does not wait for the silent when fewer than one in so many are.
 const FEW_SILENT: usize = 40;
 /// All machines are looked over this often, for each machine there is, and at least so often.
--- a/crates/gannethub-core/src/apply/storing.rs
+++ b/crates/gannethub-core/src/apply/storing.rs
@@ -197,6 +197,8 @@
             self.cancel(id);
         } else if self.pipelines.waiting.contains_key(id) || self.foreign.contains_key(id) {
             self.upstream_cancelled(id);
+        } else {
+            return;
         }
         self.stirred = true;
     }
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -476,9 +476,11 @@
             Purpose::Takeover { record, grant, sent } => {
                 self.taken_over(record, grant, sent, answer);
             }
-            Purpose::DropGrant { grant } => {
-                if matches!(status, Some(200 | 204 | 404)) {
-                    standing.candidacy.grant_dropped(grant);
+            Purpose::DropGrant { block, grant } => {
+                if matches!(status, Some(200 | 204 | 404))
+                    && let Some(candidacy) = self.candidacy(block)
+                {
+                    candidacy.grant_dropped(grant);
                 }
             }
             Purpose::Renew { sent, term } => {
@@ -510,13 +512,6 @@
             Purpose::SeatTake { block, record, grant, sent } => {
                 self.seat_taken(block, record, grant, sent, answer);
             }
-            Purpose::DropSeat { block, grant } => {
-                if matches!(status, Some(200 | 204 | 404))
-                    && let Some(seat) = self.seats.seats.get_mut(&block)
-                {
-                    seat.candidacy.grant_dropped(grant);
-                }
-            }
             Purpose::Load { term, stage } => {
                 let shadow = &mut self.shadow;
                 if let Some(h) = of_term(holders, term) {
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -83,6 +83,7 @@
         sent: Micros,
     },
     DropGrant {
+        block: u32,
         grant: u64,
     },
     Renew {
@@ -143,10 +144,6 @@
         grant: u64,
         sent: Micros,
     },
-    DropSeat {
-        block: u32,
-        grant: u64,
-    },
     /// Where the ledger stands, for a new leader.
     LoadLedger {
         term: u64,
@@ -335,6 +332,12 @@
         self.budget.push(urgency, request.changes, (id, request));
     }
 
+    /// A grant to hold a block with is not needed any more.
+    pub(super) fn drop_grant(&mut self, block: u32, grant: u64) {
+        let purpose = Purpose::DropGrant { block, grant };
+        self.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
+    }
+
     pub(super) fn reply(&mut self, conn: u64, response: Response) {
         if self.deadlines.remove(&conn).is_some() {
             self.effects.push(Effect::Reply { conn, response });
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -98,7 +98,7 @@
                 all.for_each(|i| port.say(i, Body::MarksAsk(ask.clone())));
             }
             if let Some(grant) = seat.candidacy.drop_again(now) {
-                give_back(port, *block, grant);
+                port.drop_grant(*block, grant);
             }
             // Only what its settings or its record speak of is taken, and only where somebody gives out machines.
             let exists = *block < port.blocks() || seat.candidacy.known();
@@ -148,7 +148,7 @@
             seat.candidacy.abstain(now + ABSTAIN);
         }
         self.probe_at = now;
-        give_back(port, block, grant);
+        port.drop_grant(block, grant);
     }
 
     pub fn probed(&mut self, port: &Port, answer: Option<(u16, Bytes)>) {
@@ -213,7 +213,7 @@
         let candidacy = &mut self.seat(port, block).candidacy;
         let Some(listing) = listing.filter(|_| candidacy.still_may(now)) else {
             candidacy.trying = false;
-            return give_back(port, block, grant);
+            return port.drop_grant(block, grant);
         };
         let find = |key: &str| {
             let item = listing.items.iter().find(|i| i.k == key);
@@ -242,12 +242,6 @@
         let now = port.clock.now;
         self.seat(port, block).candidacy.not_taken(grant, answer, now);
         self.probe_at = now;
-        give_back(port, block, grant);
+        port.drop_grant(block, grant);
     }
 }
-
-/// A grant to hold a block with is not needed any more.
-fn give_back(port: &mut Port, block: u32, grant: u64) {
-    let purpose = Purpose::DropSeat { block, grant };
-    port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
-}
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -117,7 +117,7 @@
         };
         if !self.candidacy.still_may(port.clock.now) {
             self.candidacy.trying = false;
-            return self.drop_grant(port, granted.permit);
+            return port.drop_grant(0, granted.permit);
         }
         let (holder, term, last) = self.candidacy.versions();
         // What this leader knows of marks, its own successor will: if it does not go by them, nobody is to until
@@ -217,7 +217,7 @@
             port.send(Urgency::Renewal, StoreRequest::list(LEAD, ""), Purpose::Probe);
         }
         if let Some(grant) = self.candidacy.drop_again(now) {
-            self.drop_grant(port, grant);
+            port.drop_grant(0, grant);
         }
         if !port.flavors.is_empty() && self.candidacy.may_try(now) {
             self.candidacy.trying = true;
@@ -230,12 +230,7 @@
     pub fn not_taken(&mut self, port: &mut Port, grant: u64, answer: Option<u16>) {
         self.candidacy.not_taken(grant, answer, port.clock.now);
         self.probe_at = port.clock.now;
-        self.drop_grant(port, grant);
-    }
-
-    fn drop_grant(&self, port: &mut Port, grant: u64) {
-        let purpose = Purpose::DropGrant { grant };
-        port.send(Urgency::Renewal, StoreRequest::drop_grant(grant), purpose);
+        port.drop_grant(0, grant);
     }
 
     /// It led, and gives its grant back. `deaf`: since it heard nobody.
@@ -244,7 +239,7 @@
         if deaf {
             self.candidacy.abstain(now + ABSTAIN);
         }
-        self.drop_grant(port, grant);
+        port.drop_grant(0, grant);
         self.probe_at = now;
     }
 
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -149,6 +149,7 @@
         let chunk = settings.policy.number(Setting::BlockChunk, &[]) as usize;
         let block = Block::new(0, term, &settings.name, settings.value_bytes, chunk);
         let doubt = Doubt::new(settings.teams.len());
+        let halts = Halts::new(settings.policy.number(Setting::Halts, &[]));
         Cluster {
             term,
             used: vec![Resources::default(); settings.teams.len()],
@@ -184,7 +185,7 @@
             pace: HashMap::new(),
             wall,
             buried: HashMap::new(),
-            halts: Halts::default(),
+            halts,
             freed: false,
             stirred: true,
             queue: Queue::default(),
--- a/crates/gannethub-core/src/memory/halt.rs
+++ b/crates/gannethub-core/src/memory/halt.rs
@@ -4,6 +4,7 @@
 
 use super::records::MachineId;
 use crate::model::{Micros, TaskId};
+use crate::wire::store::Bucket;
 
 /// Attempts to be halted on one machine.
 #[derive(Debug, Default)]
@@ -16,10 +17,15 @@
 }
 
 /// All that is to be told, and how many machines may be told.
-#[derive(Debug, Default)]
-pub struct Halts {
+#[derive(Debug)]
+pub(crate) struct Halts {
     pub due: BTreeMap<MachineId, Halt>,
-    /// Machines that may be told as of then.
-    pub may: f64,
-    pub at: Micros,
+    pub may: Bucket,
+}
+
+impl Halts {
+    /// So many machines may be told a second.
+    pub fn new(rate: f64) -> Halts {
+        Halts { due: BTreeMap::new(), may: Bucket::new(rate) }
+    }
 }
--- a/crates/gannethub-core/src/wire/store.rs
+++ b/crates/gannethub-core/src/wire/store.rs
@@ -578,18 +578,18 @@
 
 /// Tokens that refill over time, up to one second's worth.
 #[derive(Debug)]
-struct Bucket {
+pub(crate) struct Bucket {
     rate: f64,
-    level: f64,
+    pub level: f64,
     at: Micros,
 }
 
 impl Bucket {
-    fn new(rate: f64) -> Bucket {
+    pub fn new(rate: f64) -> Bucket {
         Bucket { rate, level: rate.max(1.0), at: 0 }
     }
 
-    fn refill(&mut self, now: Micros) {
+    pub fn refill(&mut self, now: Micros) {
         let earned = now.saturating_sub(self.at) as f64 / SECOND as f64 * self.rate;
         self.level = (self.level + earned).min(self.rate.max(1.0));
         self.at = now;
