Scale run: controllers as real processes under hollow and real workers, checked by what these and users saw

A package of its own, gannethub-scale: the state service and the cloud are stand-ins in processes of their own, with the published limits; hollow workers speak the whole protocol on sockets of their own, some hundreds in a process; real ones are processes that start one for each task. The sockets of stand-ins, which gannethub dev had, are shared. The state service's model reads its log and pages without going through all it holds.

--- /dev/null
+++ b/crates/gannethub-scale/src/cloud_role.rs
@@ -0,0 +1,226 @@
+//! The process that stands in for the cloud. The workers on its machines are in other processes, which the driver tells.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clap::Args;
+use gannethub::standins::{Asked, serve};
+use gannethub_standin::{Cloud, JobFacts, Site, Worker};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+use crate::host_role::worker_address;
+use crate::messages::{FromCloud, KindCount, Rented, ToCloud};
+use crate::role::{QUEUE, RunClock, read_driver, tell};
+
+#[derive(Args)]
+pub struct CloudArgs {
+    #[arg(long)]
+    epoch: u64,
+    #[arg(long)]
+    port: u16,
+    #[arg(long)]
+    worker_port: u16,
+    #[arg(long)]
+    controllers: usize,
+    #[arg(long)]
+    capacity: usize,
+    /// Its types of machines, as `GET /flavors` answers
+    #[arg(long)]
+    flavors: String,
+    #[arg(long)]
+    boot_least_us: u64,
+    #[arg(long)]
+    boot_most_us: u64,
+    #[arg(long)]
+    list_lag_us: u64,
+    #[arg(long)]
+    seed: u64,
+}
+
+enum Command {
+    Driver(ToCloud),
+    Asked(Asked),
+}
+
+/// What the model of the cloud asks of its surroundings.
+struct Surroundings {
+    now: u64,
+    rng: StdRng,
+    controllers: usize,
+    worker_port: u16,
+}
+
+impl Site for Surroundings {
+    fn now(&self) -> u64 {
+        self.now
+    }
+    fn draw(&mut self, from: u64, to: u64) -> u64 {
+        self.rng.random_range(from..to.max(from + 1))
+    }
+    fn chance(&mut self, part: f64) -> bool {
+        self.rng.random_bool(part)
+    }
+    fn nodes(&self) -> usize {
+        self.controllers
+    }
+    fn lease(&self) -> u64 {
+        0
+    }
+    fn job(&self, _: &str) -> Option<JobFacts> {
+        None
+    }
+    fn run_time(&mut self, _: &JobFacts) -> u64 {
+        0
+    }
+    fn is_done(&self, _: &str) -> bool {
+        false
+    }
+    fn done(&mut self, _: &str) {}
+    fn starts(&mut self, _: &Worker, _: &str) {}
+    fn failed(&mut self, _: &str) {}
+    fn reaches(&self, _: usize, _: &str) -> bool {
+        true
+    }
+    fn addr(&self, worker: &str) -> String {
+        worker_address(worker, self.worker_port).to_string()
+    }
+    fn send(&mut self, _: &str, _: usize, _: String) {}
+    fn named(&self, _: &str) -> Option<usize> {
+        None
+    }
+}
+
+struct Owner {
+    cloud: Cloud,
+    machines: BTreeMap<String, Worker>,
+    surroundings: Surroundings,
+    kinds: BTreeMap<String, KindCount>,
+}
+
+pub async fn run(args: CloudArgs) -> std::io::Result<()> {
+    let clock = RunClock(args.epoch);
+    let (queue, mut commands) = mpsc::channel(QUEUE);
+    let listener = TcpListener::bind(("127.0.0.1", args.port)).await?;
+    spawn_local(serve(listener, queue.clone(), Duration::ZERO, Command::Asked));
+    read_driver(queue, Command::Driver);
+    let mut cloud = Cloud::default();
+    cloud.flavors = serde_json::from_str(&args.flavors).unwrap_or(Value::Null);
+    cloud.capacity = args.capacity;
+    cloud.boot = (args.boot_least_us, args.boot_most_us);
+    cloud.list_lag = args.list_lag_us;
+    let surroundings = Surroundings {
+        now: 0,
+        rng: StdRng::seed_from_u64(args.seed),
+        controllers: args.controllers,
+        worker_port: args.worker_port,
+    };
+    let mut owner =
+        Owner { cloud, machines: BTreeMap::new(), surroundings, kinds: BTreeMap::new() };
+    while let Some(command) = commands.recv().await {
+        owner.surroundings.now = clock.now();
+        owner.command(command);
+    }
+    Ok(())
+}
+
+impl Owner {
+    fn command(&mut self, command: Command) {
+        match command {
+            Command::Driver(ToCloud::Failed(hosts)) => {
+                for host in hosts {
+                    if let Some(machine) = self.machines.get_mut(&host) {
+                        machine.dead = true;
+                    }
+                }
+            }
+            Command::Driver(ToCloud::Measure) => {
+                tell(&FromCloud::Counts(std::mem::take(&mut self.kinds)));
+            }
+            Command::Asked(asked) => self.asked(asked),
+        }
+    }
+
+    fn asked(&mut self, asked: Asked) {
+        let path = asked.path.split('?').next().unwrap_or("");
+        let kind = match path {
+            "/rentals" if asked.body.is_empty() => "list",
+            "/rentals" => "rent",
+            "/rentals/delete" => "delete",
+            _ => "flavors",
+        };
+        if kind == "list" {
+            let (status, body) = self.list(&asked.path);
+            self.count(kind, &asked, status, &body);
+            return asked.answer(status, body);
+        }
+        let (status, body, deleted) =
+            self.cloud.handle(&asked.path, &asked.body, &mut self.machines, &mut self.surroundings);
+        if !deleted.is_empty() {
+            tell(&FromCloud::Deleted(deleted.into_iter().map(|w| w.name).collect()));
+        }
+        if kind == "rent" && status == 200 {
+            self.tell_rented(&body);
+        }
+        self.count(kind, &asked, status, &body);
+        asked.answer(status, body);
+    }
+
+    /// A page of all machines, in the order of their names.
+    fn list(&self, path: &str) -> (u16, Value) {
+        let query = path.split_once('?').map_or("", |p| p.1);
+        let argument = |name: &str| {
+            query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == name).map(|p| p.1)
+        };
+        let from = argument("from").unwrap_or("");
+        let page = argument("page").and_then(|p| p.parse().ok()).unwrap_or(500usize).min(500);
+        let now = self.surroundings.now;
+        let old = |w: &&Worker| now > w.rented_at + self.cloud.list_lag;
+        let mut listed = self.machines.values().filter(old).filter(|w| w.name.as_str() > from);
+        let hosts: Vec<Value> = listed
+            .by_ref()
+            .take(page)
+            .map(|w| {
+                let status = match (w.dead, now < w.boots_at) {
+                    (true, _) => "failed",
+                    (false, true) => "booting",
+                    (false, false) => "running",
+                };
+                let held = (now - w.rented_at) as f64 / 1e6;
+                json!({"id": w.name, "addr": self.surroundings.addr(&w.name), "rig": w.flavor,
+                       "yard": w.zone, "loaners": w.spot, "status": status, "held_s": held})
+            })
+            .collect();
+        let truncated = listed.next().is_some();
+        (200, json!({"hosts": hosts, "truncated": truncated}))
+    }
+
+    /// Machines that are new: their workers are started elsewhere. A repeated request rents nothing.
+    fn tell_rented(&mut self, body: &Value) {
+        for host in body["hosts"].as_array().into_iter().flatten().filter_map(Value::as_str) {
+            let new = |w: &&Worker| w.rented_at == self.surroundings.now;
+            let Some(machine) = self.machines.get(host).filter(new) else { continue };
+            let rented = Rented {
+                host: host.into(),
+                flavor: machine.flavor.clone(),
+                zone: machine.zone.clone(),
+                spot: machine.spot,
+                boot: machine.boots_at - machine.rented_at,
+                node: self.surroundings.rng.random_range(0..self.surroundings.controllers),
+            };
+            tell(&FromCloud::Rented(rented));
+        }
+    }
+
+    fn count(&mut self, kind: &str, asked: &Asked, status: u16, answer: &Value) {
+        let count = self.kinds.entry(kind.to_string()).or_default();
+        count.count += 1;
+        count.bytes_in += (asked.path.len() + asked.body.len()) as u64;
+        count.bytes_out += answer.to_string().len() as u64;
+        count.refused += u64::from(status >= 400);
+    }
+}
--- /dev/null
+++ b/crates/gannethub-scale/src/process.rs
@@ -0,0 +1,198 @@
+//! Child processes of a run, and what the operating system says of them.
+
+use std::path::Path;
+use std::process::Stdio;
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
+use tokio::process::{Child, Command};
+use tokio::sync::mpsc;
+use tokio::task::spawn_local;
+
+/// A child that is told things by lines on its standard input.
+pub struct Talker {
+    child: Child,
+    lines: mpsc::UnboundedSender<Vec<u8>>,
+}
+
+impl Talker {
+    /// Starts a role of this program. What it says goes to `heard`.
+    pub fn start<M, C>(
+        role: &str,
+        arguments: &[String],
+        heard: mpsc::Sender<C>,
+        wrap: impl Fn(M) -> C + 'static,
+    ) -> std::io::Result<Talker>
+    where
+        M: DeserializeOwned + 'static,
+        C: 'static,
+    {
+        let mut child = Command::new(std::env::current_exe()?)
+            .arg(role)
+            .args(arguments)
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .kill_on_drop(true)
+            .spawn()?;
+        let missing = || std::io::Error::other("a child without its pipes");
+        let mut input = child.stdin.take().ok_or_else(missing)?;
+        let output = child.stdout.take().ok_or_else(missing)?;
+        let (lines, mut to_write) = mpsc::unbounded_channel::<Vec<u8>>();
+        spawn_local(async move {
+            while let Some(line) = to_write.recv().await {
+                // A child that has ended hears nothing.
+                if input.write_all(&line).await.is_err() {
+                    return;
+                }
+            }
+        });
+        spawn_local(async move {
+            let mut said = BufReader::new(output).lines();
+            while let Ok(Some(line)) = said.next_line().await {
+                let Ok(message) = serde_json::from_str(&line) else { continue };
+                if heard.send(wrap(message)).await.is_err() {
+                    return;
+                }
+            }
+        });
+        Ok(Talker { child, lines })
+    }
+
+    pub fn tell(&self, message: &impl Serialize) {
+        if let Ok(mut line) = serde_json::to_vec(message) {
+            line.push(b'\n');
+            let _ = self.lines.send(line);
+        }
+    }
+
+    pub fn pid(&self) -> Option<u32> {
+        self.child.id()
+    }
+
+    /// Ends it at once, and waits until it is gone.
+    pub async fn kill(&mut self) {
+        let _ = self.child.kill().await;
+    }
+}
+
+/// A controller's process, which writes its log to a file.
+pub struct ControllerProcess {
+    child: Option<Child>,
+}
+
+impl ControllerProcess {
+    pub fn start(
+        program: &Path,
+        settings: &Path,
+        log: &Path,
+    ) -> std::io::Result<ControllerProcess> {
+        let log = std::fs::File::options().create(true).append(true).open(log)?;
+        let child = Command::new(program)
+            .arg("--config")
+            .arg(settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        Ok(ControllerProcess { child: Some(child) })
+    }
+
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
+    /// It has ended by itself.
+    pub fn ended(&mut self) -> bool {
+        self.child.as_mut().is_some_and(|c| matches!(c.try_wait(), Ok(Some(_))))
+    }
+
+    pub async fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill().await;
+        }
+    }
+}
+
+/// What a process has used so far.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Usage {
+    pub user_s: f64,
+    pub system_s: f64,
+    /// The most memory that it held at once, and what it holds now.
+    pub peak_bytes: u64,
+    pub held_bytes: u64,
+    pub sockets: usize,
+}
+
+impl Usage {
+    /// `None`: there is no such process any more.
+    pub fn of(pid: u32) -> Option<Usage> {
+        let process = procfs::process::Process::new(pid as i32).ok()?;
+        let stat = process.stat().ok()?;
+        let status = process.status().ok()?;
+        let ticks = procfs::ticks_per_second() as f64;
+        let descriptors = process.fd().ok()?.flatten();
+        let socket = |fd: &procfs::process::FDInfo| {
+            matches!(fd.target, procfs::process::FDTarget::Socket(_))
+        };
+        Some(Usage {
+            user_s: stat.utime as f64 / ticks,
+            system_s: stat.stime as f64 / ticks,
+            peak_bytes: status.vmhwm.unwrap_or(0) * 1024,
+            held_bytes: status.vmrss.unwrap_or(0) * 1024,
+            sockets: descriptors.filter(socket).count(),
+        })
+    }
+
+    /// What was used since then.
+    pub fn since(self, before: Usage) -> Usage {
+        Usage {
+            user_s: self.user_s - before.user_s,
+            system_s: self.system_s - before.system_s,
+            ..self
+        }
+    }
+}
+
+/// Bytes that went from controller to controller so far on the connections that stand, by the system's own socket
+/// statistics; `None` where they cannot be had. A connection that was closed meanwhile is not among them.
+pub async fn bytes_between(ports: &[u16]) -> Option<u64> {
+    let output = Command::new("ss").args(["-tinH"]).output().await.ok()?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let mut sum = 0;
+    let mut lines = text.lines();
+    while let Some(head) = lines.next() {
+        let Some(details) = lines.next() else { break };
+        // The connecting side: its remote end is a controller's port for its siblings.
+        let remote = head.split_whitespace().nth(4).and_then(|a| a.rsplit(':').next());
+        let port = remote.and_then(|p| p.parse::<u16>().ok());
+        if port.is_some_and(|p| ports.contains(&p)) {
+            let sent = details.split_whitespace().find_map(|f| f.strip_prefix("bytes_sent:"));
+            sum += sent.and_then(|n| n.parse::<u64>().ok()).unwrap_or(0);
+        }
+    }
+    Some(sum)
+}
+
+/// The processor time that the whole machine has used and had, in seconds.
+pub fn machine_busy() -> Option<(f64, f64)> {
+    use procfs::CurrentSI;
+    let total = procfs::KernelStats::current().ok()?.total;
+    let ticks = procfs::ticks_per_second() as f64;
+    let idle = total.idle + total.iowait.unwrap_or(0);
+    let busy = total.user
+        + total.nice
+        + total.system
+        + total.irq.unwrap_or(0)
+        + total.softirq.unwrap_or(0)
+        + total.steal.unwrap_or(0);
+    Some((busy as f64 / ticks, (busy + idle) as f64 / ticks))
+}
+
+/// The machine's memory in bytes.
+pub fn machine_memory() -> Option<u64> {
+    use procfs::Current;
+    Some(procfs::Meminfo::current().ok()?.mem_total)
+}
--- a/crates/gannethub-standin/src/state.rs
+++ b/crates/gannethub-standin/src/state.rs
@@ -30,8 +30,12 @@
     /// Changes a second that it allows, if it counts them; and requests refused for coming too often.
     pub rate: Option<f64>,
     pub too_many: usize,
+    /// Requests a second that it allows, if it counts them; those refused count in `too_many` as well.
+    pub request_rate: Option<f64>,
     /// What is left of this second's changes, and when that was.
     left: (f64, u64),
+    /// The same of this second's requests.
+    requests_left: (f64, u64),
     /// A watch's answer has its changes in another order than that of their versions.
     pub unordered: bool,
     /// It keeps so many changes, if not all, and refused so many watches that asked for older ones.
@@ -39,6 +43,15 @@
     pub forgot: usize,
 }
 
+/// Takes `amount` off a bucket that fills at `rate` a second and holds one second's worth; false: there is too little.
+fn take(bucket: &mut (f64, u64), rate: f64, amount: f64, now: u64) -> bool {
+    let earned = now.saturating_sub(bucket.1) as f64 / 1e6 * rate;
+    *bucket = ((bucket.0 + earned).min(rate), now);
+    let enough = bucket.0 >= amount;
+    bucket.0 -= if enough { amount } else { 0.0 };
+    enough
+}
+
 /// What a request comes to: an answer, or a watch that waits.
 pub enum Outcome {
     Answer(u16, Value),
@@ -90,10 +103,10 @@
     }
 
     pub fn changes(&self, prefix: &str, after: u64) -> Option<Value> {
-        let log: Vec<Value> = self
-            .log
+        let first = self.log.partition_point(|(r, _, _)| *r <= after);
+        let log: Vec<Value> = self.log[first..]
             .iter()
-            .filter(|(r, k, _)| *r > after && k.starts_with(prefix))
+            .filter(|(_, k, _)| k.starts_with(prefix))
             .map(|(r, k, v)| match v {
                 Some(v) => json!({"write": k, "v": v, "stamp": r}),
                 None => json!({"delete": k, "stamp": r}),
@@ -119,6 +132,10 @@
         if self.down {
             return Outcome::Answer(503, json!({"error": "down"}));
         }
+        if self.request_rate.is_some_and(|rate| !take(&mut self.requests_left, rate, 1.0, now)) {
+            self.too_many += 1;
+            return Outcome::Answer(429, json!({"error": "too many"}));
+        }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         let arg = |name: &str| {
             query.split('&').filter_map(|p| p.split_once('=')).find(|p| p.0 == name).map(|p| p.1)
@@ -140,16 +157,18 @@
             }
             ("GET", "/kv") => {
                 let (prefix, from) = (arg("starts").unwrap_or(""), arg("from").unwrap_or(""));
-                let all: Vec<Value> = self
-                    .entries
-                    .iter()
-                    .filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from)
+                let asked = arg("page").and_then(|p| p.parse().ok()).unwrap_or(usize::MAX);
+                let first = prefix.max(from).to_string();
+                let keys = self.entries.range(first..).take_while(|(k, _)| k.starts_with(prefix));
+                let mut keys = keys.filter(|(k, _)| k.as_str() > from);
+                let page: Vec<Value> = keys
+                    .by_ref()
+                    .take(self.page.min(asked))
                     .map(
                         |(k, e)| json!({"k": k, "v": e.value, "stamp": e.stamp, "permit": e.grant}),
                     )
                     .collect();
-                let page: Vec<Value> = all.iter().take(self.page).cloned().collect();
-                let more = page.len() < all.len();
+                let more = keys.next().is_some();
                 (200, json!({"items": page, "truncated": more, "ledger_no": self.revision}))
             }
             ("GET", p) => match self.entries.get(p.trim_start_matches("/kv/")) {
@@ -195,11 +214,7 @@
     fn may_change(&mut self, body: &Value, now: u64) -> bool {
         let Some(rate) = self.rate else { return true };
         let changes = body["writes"].as_array().map_or(0, Vec::len) as f64;
-        let earned = (now - self.left.1) as f64 / 1e6 * rate;
-        self.left = ((self.left.0 + earned).min(rate), now);
-        let may = self.left.0 >= changes;
-        self.left.0 -= if may { changes } else { 0.0 };
-        may
+        take(&mut self.left, rate, changes, now)
     }
 
     fn commit(&mut self, body: &Value) -> (u16, Value) {
@@ -256,6 +271,17 @@
         self.entries.get(key).map(|e| &e.value)
     }
 
+    /// How many keys there are, and how many bytes their values take.
+    pub fn size(&self) -> (usize, usize) {
+        let bytes = self.entries.values().map(|e| e.value.to_string().len());
+        (self.entries.len(), bytes.sum())
+    }
+
+    /// How many changes there have been.
+    pub fn changed(&self) -> usize {
+        self.log.len()
+    }
+
     /// Keys with a prefix, for the tests to look at.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.entries.keys().filter(|k| k.starts_with(prefix)).cloned().collect()
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -29,6 +29,17 @@
     /// How many controllers there are, and how long leases are.
     fn nodes(&self) -> usize;
     fn lease(&self) -> u64;
+    /// How often a worker reports, give or take a quarter.
+    fn report_every(&self) -> u64 {
+        SECOND
+    }
+    /// How long a task waits for its image, and a gang's task for the others.
+    fn fetch_time(&self) -> u64 {
+        SECOND
+    }
+    fn gang_wait(&self) -> u64 {
+        30 * SECOND
+    }
     fn job(&self, id: &str) -> Option<JobFacts>;
     /// How long the next task of a job runs.
     fn run_time(&mut self, job: &JobFacts) -> u64;
@@ -165,6 +176,18 @@
         self.dead || now < self.hung_until || now < self.boots_at
     }
 
+    /// When [`Worker::step`] has something to do next, if nothing reaches the worker before.
+    pub fn due(&self) -> u64 {
+        let own = match self.waiting {
+            Some(sent) => sent + 4 * SECOND + 1,
+            None => self.next,
+        };
+        let running = |t: &&Task| !(t.ended() || t.gang && t.phase == Phase::Running);
+        let tasks = self.tasks.values().filter(running).map(|t| t.until).min();
+        let lease = self.lease_from.saturating_add(self.lease) + 1;
+        own.min(lease).min(tasks.unwrap_or(u64::MAX)).max(self.boots_at)
+    }
+
     pub fn step(&mut self, site: &mut dyn Site) {
         let now = site.now();
         if self.hung(now) {
@@ -194,7 +217,7 @@
                     let facts = site.job(job_of(&name)).unwrap_or_default();
                     if t.gang {
                         t.phase = Phase::Waiting;
-                        t.until = now + 30 * SECOND;
+                        t.until = now + site.gang_wait();
                     } else {
                         t.phase = Phase::Running;
                         t.until = if known { now } else { now + site.run_time(&facts) };
@@ -256,7 +279,8 @@
         });
         self.waiting = Some(now);
         self.sent_at = now;
-        self.next = now + site.draw(3 * SECOND / 4, 5 * SECOND / 4);
+        let every = site.report_every();
+        self.next = now + site.draw(3 * every / 4, 5 * every / 4);
         if !site.reaches(self.node, &self.zone) {
             return;
         }
@@ -339,7 +363,7 @@
                     name: name.clone(),
                     attempt,
                     phase: Phase::Fetching,
-                    until: site.now() + SECOND,
+                    until: site.now() + site.fetch_time(),
                     gang: facts.gang,
                     service: facts.service,
                     broken: facts.broken,
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -5,7 +5,7 @@
 //! owns them all and works through a queue; tasks beside it hold the sockets.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener as Probe};
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command as Process, Stdio};
 use std::rc::Rc;
@@ -13,11 +13,10 @@
 
 use clap::Args;
 use comfy_table::Table;
-use gannethub_core::http::{Method, Response};
+use gannethub_core::http::Method;
 use gannethub_core::wire::store::LiveRecord;
 use gannethub_ledger::audit::verify;
 use gannethub_ledger::line::{Body, Entry};
-use gannethub_standin::state::Outcome;
 use gannethub_standin::worker::{JobFacts, step_gangs};
 use gannethub_standin::{Cloud, Record, Site, Span, State, Worker};
 use rand::rngs::StdRng;
@@ -29,8 +28,9 @@
 use tokio::time::{sleep, timeout};
 
 use crate::files::{self, FileError};
-use crate::http::{Bodies, Client, Connection, ask_any};
+use crate::http::{Client, ask_any};
 use crate::ledger::{LedgerError, fetch};
+use crate::standins::{Asked, StateService, free_ports, serve};
 
 const SECOND: u64 = 1_000_000;
 const TICK: Duration = Duration::from_millis(10);
@@ -68,26 +68,12 @@
     Load(String),
 }
 
-type Reply = oneshot::Sender<(u16, Value)>;
-
 /// What the owner of all stand-ins is told.
 enum Command {
-    State {
-        method: Method,
-        path: String,
-        body: bytes::Bytes,
-        reply: Reply,
-    },
-    Cloud {
-        path: String,
-        body: bytes::Bytes,
-        reply: Reply,
-    },
+    State(Asked),
+    Cloud(Asked),
     /// Commands for a worker, from a controller.
-    Direct {
-        body: bytes::Bytes,
-        reply: Reply,
-    },
+    Direct(Asked),
     Answer {
         worker: String,
         node: usize,
@@ -104,24 +90,16 @@
     Record(oneshot::Sender<BTreeMap<(String, String, u64), Span>>),
 }
 
-struct Watch {
-    prefix: String,
-    after: u64,
-    until: u64,
-    reply: Reply,
-}
-
 /// The stand-ins and what they know.
 struct Region {
     start: Instant,
     /// The time of this command or step: it stands still meanwhile.
     now: u64,
     rng: StdRng,
-    state: State,
+    state: StateService,
     cloud: Cloud,
     workers: BTreeMap<String, Worker>,
     record: Record,
-    watches: Vec<Watch>,
     facts: HashMap<String, JobFacts>,
     done: HashSet<String>,
     names: Vec<String>,
@@ -161,42 +139,38 @@
     fn command(&mut self, command: Command) {
         let now = self.turn();
         match command {
-            Command::State { method, path, body, reply } => {
-                if path == "/commit" {
-                    self.learn(&body);
-                }
-                match self.state.handle(method.name(), &path, &body, now) {
-                    Outcome::Answer(status, body) => drop(reply.send((status, body))),
-                    Outcome::Wait { prefix, after, until } => {
-                        self.watches.push(Watch { prefix, after, until, reply });
-                    }
+            Command::State(asked) => {
+                if asked.path == "/commit" {
+                    self.learn(&asked.body);
                 }
+                self.state.handle(asked, now);
             }
-            Command::Cloud { path, body, reply } => {
+            Command::Cloud(asked) => {
                 let mut workers = std::mem::take(&mut self.workers);
                 let mut cloud = std::mem::take(&mut self.cloud);
-                let (status, answer, gone) = cloud.handle(&path, &body, &mut workers, self);
+                let (status, answer, gone) =
+                    cloud.handle(&asked.path, &asked.body, &mut workers, self);
                 (self.workers, self.cloud) = (workers, cloud);
                 for mut w in gone {
                     w.tasks.clear();
                     self.record.note(&w, now);
                 }
-                let _ = reply.send((status, answer));
+                asked.answer(status, answer);
             }
-            Command::Direct { body, reply } => {
+            Command::Direct(asked) => {
                 // All workers are at one address here. An attempt is on one of them.
-                let tasks: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+                let tasks: Value = serde_json::from_slice(&asked.body).unwrap_or(Value::Null);
                 let piece = tasks["orders"][0]["piece"].as_str().unwrap_or("").to_string();
                 let holds = |w: &&Worker| !w.hung(now) && w.tasks.contains_key(&piece);
                 let name = self.workers.values().find(holds).map(|w| w.name.clone());
                 let worker = name.and_then(|n| self.workers.remove(&n));
                 let status = worker.map_or(409, |mut w| {
-                    let status = w.commanded(self, &body);
+                    let status = w.commanded(self, &asked.body);
                     self.record.note(&w, now);
                     self.workers.insert(w.name.clone(), w);
                     status
                 });
-                let _ = reply.send((status, json!({})));
+                asked.answer(status, json!({}));
             }
             Command::Answer { worker, node, sent, answer } => {
                 let Some(mut w) = self.workers.remove(&worker) else { return };
@@ -207,7 +181,7 @@
                 }
                 self.workers.insert(worker, w);
             }
-            Command::Outage(down) => self.state.down = down,
+            Command::Outage(down) => self.state.state.down = down,
             Command::Kill => {
                 let busy = self.workers.values_mut().filter(|w| !w.dead && !w.tasks.is_empty());
                 if let Some(w) = busy.last() {
@@ -218,7 +192,7 @@
                 }
             }
             Command::Leader(reply) => {
-                let holder = self.state.value("gh/lead/holder");
+                let holder = self.state.state.value("gh/lead/holder");
                 let _ = reply.send(holder.and_then(|v| Some(v["holder"].as_str()?.to_string())));
             }
             Command::Record(reply) => drop(reply.send(self.record.spans.clone())),
@@ -228,15 +202,6 @@
     fn tick(&mut self) {
         let now = self.turn();
         self.state.tick(now);
-        for w in std::mem::take(&mut self.watches) {
-            match self.state.changes(&w.prefix, w.after).filter(|_| !self.state.down) {
-                Some(changes) => drop(w.reply.send((200, changes))),
-                None if w.until <= now && !self.state.down => {
-                    let _ = w.reply.send((200, self.state.quiet()));
-                }
-                None => self.watches.push(w),
-            }
-        }
         let names: Vec<String> = self.workers.keys().cloned().collect();
         for name in names {
             let Some(mut w) = self.workers.remove(&name) else { continue };
@@ -315,36 +280,6 @@
     }
 }
 
-/// Serves one of the stand-ins: each request becomes a command.
-async fn serve(
-    listener: TcpListener,
-    queue: mpsc::Sender<Command>,
-    make: fn(Method, String, bytes::Bytes, Reply) -> Command,
-) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(Duration::from_millis(100)).await;
-            continue;
-        };
-        let queue = queue.clone();
-        spawn_local(async move {
-            let mut connection = Connection::new(stream, Bodies::new(usize::MAX));
-            while let Some(request) = connection.next().await {
-                let (reply, answer) = oneshot::channel();
-                let command = make(request.method, request.path, request.body, reply);
-                if queue.send(command).await.is_err() {
-                    return;
-                }
-                let Ok((status, body)) = answer.await else { return };
-                let response = Response::json(status, &body);
-                if connection.write(&response, request.close).await.is_err() || request.close {
-                    return;
-                }
-            }
-        });
-    }
-}
-
 /// Controllers as processes; all end with this value.
 struct Controllers {
     dir: PathBuf,
@@ -385,13 +320,6 @@
     }
 }
 
-/// Ports of this machine that nobody uses now.
-fn free_ports(n: usize) -> std::io::Result<Vec<u16>> {
-    let probes: Vec<Probe> =
-        (0..n).map(|_| Probe::bind((Ipv4Addr::LOCALHOST, 0))).collect::<Result<_, _>>()?;
-    probes.iter().map(|p| Ok(p.local_addr()?.port())).collect()
-}
-
 fn write_settings(dir: &Path, ports: &[u16], state: u16, cloud: u16) -> Result<(), DevError> {
     let n = ports.len() / 2;
     let zone = |i: usize| ["a", "b"][i % 2];
@@ -455,11 +383,10 @@
         start: Instant::now(),
         now: 0,
         rng: StdRng::seed_from_u64(args.seed),
-        state: store,
+        state: StateService::new(store),
         cloud: Cloud::default(),
         workers: BTreeMap::new(),
         record: Record::default(),
-        watches: Vec::new(),
         facts: HashMap::new(),
         done: HashSet::new(),
         names: (0..n).map(|i| format!("n{i}")).collect(),
@@ -467,18 +394,9 @@
         nodes: addrs.iter().map(|a| Rc::new(Client::new(*a))).collect(),
         queue: queue.clone(),
     };
-    spawn_local(serve(workers, queue.clone(), |_, _, body, reply| Command::Direct { body, reply }));
-    spawn_local(serve(state, queue.clone(), |method, path, body, reply| Command::State {
-        method,
-        path,
-        body,
-        reply,
-    }));
-    spawn_local(serve(cloud, queue.clone(), |_, path, body, reply| Command::Cloud {
-        path,
-        body,
-        reply,
-    }));
+    spawn_local(serve(workers, queue.clone(), Duration::ZERO, Command::Direct));
+    spawn_local(serve(state, queue.clone(), Duration::ZERO, Command::State));
+    spawn_local(serve(cloud, queue.clone(), Duration::ZERO, Command::Cloud));
     spawn_local(async move {
         let mut batch = Vec::new();
         loop {
