Versions of the configuration: followed by every controller, in force everywhere within seven seconds

Teams, objectives and policy may change while the service runs. A version is a key among those of live jobs, so the watch and the reads that controllers make anyway bring it. Accepting has the key's version among its conditions; refusing for good, placing and launching need a version that was known to be the newest 6.5 s ago at the most, counted from when the request was sent.

--- /dev/null
+++ b/crates/gannethub-core/src/control/configuring.rs
@@ -0,0 +1,432 @@
+//! Following the configuration: which version is in force in this process, and until when it may be acted on.
+//!
+//! A version is in force everywhere [`FRESH`] after it was stored, at the latest, since a controller acts on a version
+//! only for so long after it last knew it to be the newest. That is counted on its own steady clock from when the
+//! request was *sent* whose answer said so. Which controller is slow, cut off or unknown to the operator does not matter.
+//!
+//! | what is done | what keeps it from being done by an older version |
+//! | --- | --- |
+//! | accepting a job | the transaction has the version's key among its conditions |
+//! | answering that a job can never run | only while the version is fresh; else 503 |
+//! | placing, and telling a worker to launch | only while the version is fresh, once any version was stored |
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+use super::port::read;
+use crate::configuration::{Document, OverLimit};
+use crate::model::{Micros, SECOND};
+use crate::settings::Settings;
+use crate::wire::configuration::{CURRENT, HISTORY, HistoryRecord, VersionRecord};
+use crate::wire::store::{Change, Item, Listing, StoreRequest};
+
+/// How long after a version was last known to be the newest it may be acted on.
+pub(super) const FRESH: Micros = 6_500_000;
+/// Once a version was stored, what has changed is read at least this often.
+pub(super) const LOOK_EVERY: Micros = 2 * SECOND;
+/// A read that failed is tried again after this time.
+const READ_AGAIN: Micros = 300_000;
+
+/// What is asked of the state service for the configuration.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum ConfigurationRead {
+    /// The document of the version that is to be tried next.
+    Document,
+    /// The versions before, since the newest cannot be used.
+    History,
+}
+
+/// A version as the state service has it.
+#[derive(Clone, Debug)]
+struct Seen {
+    /// The version of the key's last change in the state service, and of the key itself: 0 where it was deleted.
+    stamp: u64,
+    guard: u64,
+    version: u64,
+}
+
+/// Settings that are to be put in force in this process.
+#[derive(Debug)]
+pub(super) struct NewSettings {
+    pub settings: Arc<Settings>,
+    pub over_limit: OverLimit,
+}
+
+pub(super) struct Configuring {
+    /// The platform's settings.
+    base: Arc<Settings>,
+    /// The newest version that this process has heard of.
+    seen: Option<Seen>,
+    /// The version of the key's last change that was dealt with; 0: none was ever seen.
+    settled: u64,
+    /// The version of the key then.
+    guard: u64,
+    /// The version in force here; 0: the platform's settings alone.
+    version: u64,
+    /// A version of its own process was put in force: it stays where a newer one cannot be used.
+    any_in_force: bool,
+    /// When the newest version was last known to be the newest.
+    known_at: Option<Micros>,
+    /// A transaction has failed on the version's key at this time: there is a newer one.
+    doubted_at: Option<Micros>,
+    /// The newest version that a sibling has told of.
+    told: u64,
+    /// Versions to be tried, the newest first.
+    candidates: VecDeque<VersionRecord>,
+    /// The versions before are to be read: none of the candidates can be used.
+    needs_history: bool,
+    reading: bool,
+    read_at: Micros,
+    /// Why the newest version is not in force.
+    refused: Option<String>,
+}
+
+impl Configuring {
+    pub fn new(base: Arc<Settings>) -> Configuring {
+        Configuring {
+            base,
+            seen: None,
+            settled: 0,
+            guard: 0,
+            version: 0,
+            any_in_force: false,
+            known_at: None,
+            doubted_at: None,
+            told: 0,
+            candidates: VecDeque::new(),
+            needs_history: false,
+            reading: false,
+            read_at: 0,
+            refused: None,
+        }
+    }
+
+    /// The version in force here.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The newest version that this process has seen in the state service.
+    pub fn newest(&self) -> u64 {
+        self.seen.as_ref().map_or(0, |s| s.version)
+    }
+
+    /// Why the newest version is not in force.
+    pub fn refused(&self) -> Option<&str> {
+        self.refused.as_deref()
+    }
+
+    /// A version was stored at some time.
+    pub fn ever(&self) -> bool {
+        self.seen.is_some()
+    }
+
+    /// What a transaction that accepts jobs has as its condition on [`CURRENT`].
+    pub fn guard(&self) -> u64 {
+        self.guard
+    }
+
+    /// All that is known of versions has been dealt with.
+    pub fn settled(&self) -> bool {
+        self.doubted_at.is_none() && self.seen.as_ref().is_none_or(|s| s.stamp == self.settled)
+    }
+
+    /// The version in force here may be acted on.
+    pub fn fresh(&self, now: Micros) -> bool {
+        self.settled()
+            && self.told <= self.newest()
+            && self.known_at.is_some_and(|at| now < at + FRESH)
+    }
+
+    /// How long ago the newest version was last known to be the newest.
+    pub fn age(&self, now: Micros) -> Option<Micros> {
+        self.known_at.map(|at| now.saturating_sub(at))
+    }
+
+    /// Nothing is to be started by the version in force here. Where none was ever stored, nothing is held up.
+    pub fn holds_starts(&self, now: Micros) -> bool {
+        (self.ever() || self.told > 0) && !self.fresh(now)
+    }
+
+    /// There is a newer version than this process knows of: what has changed is to be read without delay.
+    pub fn behind(&self) -> bool {
+        self.doubted_at.is_some() || self.told > self.newest()
+    }
+
+    /// A sibling has seen this version.
+    pub fn told(&mut self, version: u64) {
+        self.told = self.told.max(version);
+    }
+
+    /// A transaction failed on the version's key.
+    pub fn doubt(&mut self, now: Micros) {
+        self.doubted_at = Some(now);
+    }
+
+    /// All changes up to a request that was sent at this time have been taken in.
+    pub fn knew(&mut self, sent: Micros) {
+        self.known_at = self.known_at.max(Some(sent));
+        self.doubted_at = self.doubted_at.filter(|doubted| *doubted > sent);
+    }
+
+    /// Takes in a page of a listing of live jobs.
+    pub fn listed(&mut self, listing: &Listing) {
+        let current = listing.items.iter().find(|i| i.k == CURRENT);
+        if let Some(item) = current {
+            self.see(Some(item.v.get()), item.stamp);
+        }
+    }
+
+    /// Takes in changes of live jobs.
+    pub fn changed(&mut self, log: &[Change]) {
+        for change in log {
+            if change.write.as_deref() == Some(CURRENT) {
+                self.see(change.v.as_deref().map(|v| v.get()), change.stamp);
+            } else if change.delete.as_deref() == Some(CURRENT) {
+                self.see(None, change.stamp);
+            }
+        }
+    }
+
+    /// The key was found to be so. Changes may come twice, and in any order.
+    fn see(&mut self, value: Option<&str>, stamp: u64) {
+        if self.seen.as_ref().is_some_and(|s| s.stamp >= stamp) {
+            return;
+        }
+        self.refused = None;
+        self.candidates.clear();
+        self.needs_history = false;
+        match value.map(serde_json::from_str::<VersionRecord>) {
+            Some(Ok(record)) => {
+                tracing::info!(version = record.version, by = %record.by, why = %record.why, "a new configuration");
+                self.seen = Some(Seen { stamp, guard: stamp, version: record.version });
+                self.candidates.push_back(record);
+                self.read_at = 0;
+            }
+            unusable => {
+                let reason = match unusable {
+                    Some(Err(e)) => e.to_string(),
+                    _ => "it was deleted".to_string(),
+                };
+                let guard = if value.is_some() { stamp } else { 0 };
+                self.seen = Some(Seen { stamp, guard, version: self.newest() });
+                self.refuse(CURRENT, &reason);
+            }
+        }
+    }
+
+    /// A version cannot be used: the last good one stays in force. A process that has put none in force looks for it.
+    fn refuse(&mut self, key: &str, reason: &str) {
+        let in_force = self.version;
+        tracing::error!(key, reason, in_force, "the configuration cannot be used");
+        self.refused.get_or_insert_with(|| format!("{key}: {reason}"));
+        if !self.candidates.is_empty() {
+            return;
+        }
+        if self.any_in_force {
+            self.settle();
+        } else {
+            self.needs_history = true;
+            self.read_at = 0;
+        }
+    }
+
+    fn settle(&mut self) {
+        (self.settled, self.guard) = self.seen.as_ref().map_or((0, 0), |s| (s.stamp, s.guard));
+        self.candidates.clear();
+        self.needs_history = false;
+    }
+
+    /// What is to be read next, if anything.
+    pub fn next_read(&mut self, now: Micros) -> Option<(ConfigurationRead, StoreRequest)> {
+        if self.reading || now < self.read_at {
+            return None;
+        }
+        let next = match self.candidates.front() {
+            Some(record) => (ConfigurationRead::Document, StoreRequest::list(&record.prefix(), "")),
+            None if self.needs_history => (ConfigurationRead::History, StoreRequest::get(HISTORY)),
+            None => return None,
+        };
+        self.reading = true;
+        Some(next)
+    }
+
+    /// Takes in the answer to what was read; settings that come of it are to be put in force.
+    pub fn answered(
+        &mut self,
+        what: ConfigurationRead,
+        answer: Option<(u16, Bytes)>,
+        running: &Settings,
+        now: Micros,
+    ) -> Option<NewSettings> {
+        self.reading = false;
+        match what {
+            ConfigurationRead::Document => match read::<Listing>(answer) {
+                Some(listing) => self.document_read(&listing, running),
+                None => {
+                    self.read_at = now + READ_AGAIN;
+                    None
+                }
+            },
+            ConfigurationRead::History => {
+                self.history_read(answer, now);
+                None
+            }
+        }
+    }
+
+    fn document_read(&mut self, listing: &Listing, running: &Settings) -> Option<NewSettings> {
+        // A newer version may have been seen meanwhile: then these parts are not its own.
+        let own = |r: &VersionRecord| listing.items.iter().all(|i| i.k.starts_with(&r.prefix()));
+        let record = self.candidates.front().filter(|r| own(r))?.clone();
+        let document = record.assemble(listing).map_err(|e| e.to_string());
+        let checked = document.and_then(|d| {
+            let settings = d.effective(&self.base, running).map_err(|e| e.to_string())?;
+            Ok((settings, d))
+        });
+        match checked {
+            Ok((settings, document)) => Some(self.put_in_force(&record, settings, &document)),
+            Err(reason) => {
+                self.candidates.pop_front();
+                self.refuse(&record.prefix(), &reason);
+                None
+            }
+        }
+    }
+
+    fn put_in_force(
+        &mut self,
+        record: &VersionRecord,
+        settings: Settings,
+        document: &Document,
+    ) -> NewSettings {
+        self.version = record.version;
+        self.any_in_force = true;
+        self.settle();
+        let (teams, by, why) = (settings.teams.len(), &record.by, &record.why);
+        tracing::info!(version = record.version, %by, %why, teams, "the configuration is in force");
+        NewSettings { settings: Arc::new(settings), over_limit: document.over_limit }
+    }
+
+    fn history_read(&mut self, answer: Option<(u16, Bytes)>, now: Micros) {
+        let newest = self.newest();
+        match answer {
+            Some((200, body)) => {
+                let item = serde_json::from_slice::<Item>(&body).ok();
+                let history = item.and_then(|i| i.record::<HistoryRecord>()).unwrap_or_default();
+                let before = history.versions.into_iter();
+                let before = before.filter(|v| newest == 0 || v.version < newest);
+                self.candidates = before.collect();
+                self.needs_history = false;
+                if self.candidates.is_empty() {
+                    self.nothing_usable();
+                }
+            }
+            Some((404, _)) => self.nothing_usable(),
+            _ => self.read_at = now + READ_AGAIN,
+        }
+    }
+
+    /// No version can be used: the platform's settings hold.
+    fn nothing_usable(&mut self) {
+        self.any_in_force = true;
+        self.settle();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::tests::SAMPLE;
+
+    fn configuring() -> (Configuring, Arc<Settings>) {
+        let base = Arc::new(Settings::parse(SAMPLE, "sample").unwrap().0);
+        (Configuring::new(base.clone()), base)
+    }
+
+    fn stored(version: u64, stamp: u64) -> Listing {
+        let record =
+            VersionRecord { version, id: format!("{version}-x"), parts: 1, ..Default::default() };
+        let text = serde_json::json!({"items": [{"k": CURRENT, "v": record, "stamp": stamp}],
+            "truncated": false, "ledger_no": stamp});
+        serde_json::from_str(&text.to_string()).unwrap()
+    }
+
+    fn part(version: u64, value: &str) -> Option<(u16, Bytes)> {
+        let text = format!(
+            r#"{{"items":[{{"k":"gh/config/doc/{version}-x/000","v":{value},"stamp":1}}],"truncated":false,"ledger_no":9}}"#
+        );
+        Some((200, Bytes::from(text)))
+    }
+
+    const TEAM: &str = r#"{"teams":[{"name":"late","cpus":1.0,"cpus_max":4.0}]}"#;
+
+    #[test]
+    fn a_version_is_acted_on_once_it_is_read_and_for_so_long_after_it_was_known() {
+        let (mut c, base) = configuring();
+        assert!(!c.fresh(0) && !c.holds_starts(0), "nothing was ever stored, as far as is known");
+        c.knew(100);
+        assert!(c.fresh(100 + FRESH - 1) && !c.fresh(100 + FRESH));
+        c.listed(&stored(4, 50));
+        assert!(!c.fresh(200) && c.holds_starts(200) && c.guard() == 0);
+        let (what, request) = c.next_read(200).unwrap();
+        assert!(request.path.contains("gh/config/doc/4-x/"), "{}", request.path);
+        assert!(c.answered(what, None, &base, 200).is_none() && c.next_read(201).is_none());
+        let (what, _) = c.next_read(200 + READ_AGAIN).unwrap();
+        let new = c.answered(what, part(4, TEAM), &base, 300).unwrap();
+        assert!(new.settings.team("late").is_some());
+        assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 50, true));
+        assert!(!c.holds_starts(100 + FRESH - 1) && c.holds_starts(100 + FRESH));
+        c.listed(&stored(3, 40));
+        assert_eq!((c.version(), c.fresh(300)), (4, true), "older news come late");
+    }
+
+    #[test]
+    fn what_a_sibling_or_a_failed_transaction_tells_is_waited_for() {
+        let (mut c, _) = configuring();
+        c.knew(100);
+        c.told(2);
+        assert!(c.behind() && c.holds_starts(200) && !c.fresh(200));
+        let (mut c, _) = configuring();
+        c.knew(100);
+        c.doubt(200);
+        assert!(c.behind() && !c.fresh(201));
+        c.knew(199);
+        assert!(!c.fresh(201), "that was asked before");
+        c.knew(201);
+        assert!(!c.behind() && c.fresh(202));
+    }
+
+    #[test]
+    fn a_broken_version_leaves_the_last_good_one_and_a_new_process_looks_for_it() {
+        let (mut c, base) = configuring();
+        c.knew(100);
+        c.listed(&stored(4, 50));
+        let (what, _) = c.next_read(200).unwrap();
+        assert!(c.answered(what, part(4, TEAM), &base, 300).is_some());
+        c.listed(&stored(5, 60));
+        let (what, _) = c.next_read(300).unwrap();
+        assert!(c.answered(what, part(5, r#"{"future":1}"#), &base, 300).is_none());
+        assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 60, true));
+        assert!(c.refused().is_some_and(|r| r.contains("5-x")), "{:?}", c.refused());
+        let (mut c, base) = configuring();
+        c.knew(100);
+        c.listed(&stored(5, 60));
+        let (what, _) = c.next_read(300).unwrap();
+        assert!(c.answered(what, part(5, "7"), &base, 300).is_none() && !c.fresh(300));
+        let (what, request) = c.next_read(300).unwrap();
+        assert_eq!(
+            (what, request.path.as_str()),
+            (ConfigurationRead::History, "/kv/gh/config/history")
+        );
+        let history = r#"{"k":"gh/config/history","v":{"versions":[
+            {"version":5,"id":"5-x","parts":1,"at":0,"by":"","why":""},
+            {"version":4,"id":"4-x","parts":1,"at":0,"by":"","why":""}]},"stamp":60}"#;
+        assert!(c.answered(what, Some((200, Bytes::from(history))), &base, 300).is_none());
+        let (what, _) = c.next_read(300).unwrap();
+        assert!(c.answered(what, part(4, TEAM), &base, 300).is_some());
+        assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 60, true));
+    }
+}
--- a/crates/gannethub-core/src/control/controller.rs
+++ b/crates/gannethub-core/src/control/controller.rs
@@ -50,7 +50,7 @@
 pub struct Controller {
     pub(super) port: Port,
     pub(super) standing: Standing,
-    intake: Intake,
+    pub(super) intake: Intake,
     seats: Seats,
     /// The blocks that it holds. Whoever holds block 0 is the leader.
     pub(super) holders: Holders,
@@ -152,6 +152,12 @@
         self.holders.get(&0).map(|h| &h.cluster)
     }
 
+    /// The version of the configuration in force here, and whether it may be acted on now.
+    pub fn configuration(&self) -> (u64, bool) {
+        let configuring = &self.port.configuring;
+        (configuring.version(), configuring.fresh(self.port.clock.now))
+    }
+
     /// All blocks that this controller holds.
     pub fn clusters(&self) -> impl Iterator<Item = &Cluster> {
         self.holders.values().map(|h| &h.cluster)
@@ -231,6 +237,7 @@
         self.relays.retain(|_, r| r.1 > now);
         self.port.forgive();
         self.intake.refresh(&mut self.port);
+        self.read_configuration();
         self.intake.read_ends(&mut self.port, self.holders.get(&0).map(|h| &**h));
         if self.standing.beat(&mut self.port, &self.holders) {
             self.tell_tabs();
@@ -308,6 +315,7 @@
                 };
                 port.reply(conn, response);
             }
+            Route::Configuration => self.show_configuration(conn),
             Route::Report => self.report(conn, request.body),
             Route::Ledger { page, team } => intake.show_ledger(port, conn, page, team),
             Route::Submit => intake.submit(port, conn, &request.body),
@@ -422,6 +430,8 @@
             let (from, told) = (&self.port.settings.siblings[i].name, promise.count);
             tracing::warn!(%from, told, read = ids.len(), "a promise makes no sense in part");
         }
+        // A newer version than is known here cannot be read now: nothing is started until it can.
+        self.port.configuring.told(promise.configuration);
         let knows = promise.knows && whole;
         if knows && let Some(at) = holder.lease.authority.informed(promise.round, i) {
             // Its own users' cancellations are among those that its copy knows of.
@@ -429,6 +439,7 @@
                 holder.cluster.cancelled_elsewhere(id);
             }
             holder.lease.knew(at);
+            self.port.configuring.knew(at);
         }
         holder.lease.authority.promised(promise.round, i, self.port.clock.now);
         if holder.lease.authority.bridged() {
@@ -561,6 +572,7 @@
             }
             Purpose::Named { conn, job } => intake.named(port, conn, job, answer),
             Purpose::Copy => intake.copied(port, answer),
+            Purpose::Configuration(what) => self.configuration_read(what, answer),
             Purpose::Accept { jobs } => intake.accepted(port, jobs, answer),
             Purpose::Cancel { job, conns, view } => {
                 intake.cancelled(port, job, conns, view, answer);
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -17,6 +17,7 @@
 use crate::memory::fleet::CloudCall;
 use crate::memory::writes::Batch;
 use crate::model::{JobId, Micros, SECOND};
+use crate::wire::configuration::CURRENT;
 use crate::wire::peer::Running;
 use crate::wire::store::{
     self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest, Urgency,
@@ -286,13 +287,18 @@
         port.send(Urgency::Renewal, request, purpose);
     }
 
-    pub(super) fn caught_up(&mut self, port: &Port, sent: Micros, answer: Option<(u16, Bytes)>) {
+    pub(super) fn caught_up(
+        &mut self,
+        port: &mut Port,
+        sent: Micros,
+        answer: Option<(u16, Bytes)>,
+    ) {
         self.catching = false;
         // The watch finds out if it is too far behind.
         if self.loaded()
             && let Some(followed) = read::<Followed>(answer)
         {
-            self.take_changes(followed, sent, port.clock.now);
+            self.take_changes(port, followed, sent);
         }
     }
 
@@ -305,12 +311,18 @@
         }
     }
 
+    /// Starts nothing while there may be a newer configuration than is known here.
+    pub(super) fn heed_configuration(&mut self, port: &Port) {
+        self.cluster.holds_starts = port.configuring.holds_starts(port.clock.now);
+    }
+
     /// The leader's answer to a report.
     pub(super) fn report(&mut self, port: &Port, body: &Bytes) -> Answer {
         let now = port.clock.now;
         let error = |status: u16, why: &str| Answer::Now(status, Response::error(status, why).body);
         self.heard_at = Some(now);
         self.cluster.wall = port.clock.wall;
+        self.heed_configuration(port);
         let report: Report<'_> = match serde_json::from_slice(body) {
             Ok(report) => report,
             Err(e) => {
@@ -362,12 +374,16 @@
             self.follow_at = now + 500_000;
             return;
         };
-        self.take_changes(followed, self.follow_sent, now);
+        self.take_changes(port, followed, self.follow_sent);
     }
 
     /// Takes in what has changed, as was asked for then. The watch and what is read beside it may overtake each other.
-    fn take_changes(&mut self, followed: Followed, sent: Micros, now: Micros) {
-        for change in followed.log.into_iter().filter(|c| c.stamp > self.watched) {
+    fn take_changes(&mut self, port: &mut Port, followed: Followed, sent: Micros) {
+        let now = port.clock.now;
+        port.configuring.changed(&followed.log);
+        port.configuring.knew(sent);
+        let jobs = followed.log.into_iter().filter(|c| c.key() != Some(CURRENT));
+        for change in jobs.filter(|c| c.stamp > self.watched) {
             if let Some(id) = change.delete.as_deref().and_then(|k| k.strip_prefix(store::LIVE)) {
                 self.cluster.job_gone(id, change.stamp, None);
             }
@@ -486,6 +502,7 @@
 
     pub(super) fn tick(&mut self, port: &mut Port) {
         let now = port.clock.now;
+        self.heed_configuration(port);
         let wall = port.clock.wall;
         let siblings = port.settings.siblings.len();
         if siblings > 0 && self.heard_at.is_some_and(|t| now > t + DEAF) {
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -12,6 +12,7 @@
 use crate::memory::pipeline::Fate;
 use crate::model::{JobId, Micros, SECOND};
 use crate::wire::api::{self, JobView, Refusal, Status, Submission};
+use crate::wire::configuration::CURRENT;
 use crate::wire::store::{
     self, Commit, Committed, Conflict, JobRecord, StoreRequest, Urgency, WaitingRecord,
 };
@@ -81,8 +82,9 @@
     naming: HashMap<u64, Naming>,
     /// Jobs whose ends are being read, or are to be read again after this time.
     pub ends_asked: HashMap<JobId, Micros>,
-    /// Reading what the mirror lacks is under way.
+    /// Reading what the mirror lacks is under way, asked for at this time.
     pub refreshing: bool,
+    pub refresh_sent: Micros,
     pub refresh_at: Micros,
     /// Queries that the read under way answers, and those that the next one will.
     pub answering: Vec<Asker>,
@@ -103,7 +105,7 @@
             Err(refusal) => return port.refuse(conn, &refusal),
         };
         let checked = api::parse_submission(&map).and_then(|mut submission| {
-            api::admit(&mut submission.spec, &port.settings.teams, &port.flavors)?;
+            check(port, &mut submission)?;
             Ok(Box::new(submission))
         });
         let wait = port.budget.wait();
@@ -224,11 +226,47 @@
         }
     }
 
+    /// A new configuration is in force: what was refused by the one before is to be asked again.
+    pub(super) fn configured(&mut self) {
+        let waiters = self.lookups.values_mut().flat_map(|l| l.now.iter_mut().chain(&mut l.next));
+        for waiter in waiters {
+            if let Waiter::Submit(_, checked @ Err(Refusal::Impossible(_))) = waiter {
+                *checked = Err(Refusal::Changing);
+            }
+        }
+    }
+
+    /// Checks those again that were checked by an older configuration.
+    fn check_again(&mut self, port: &mut Port) {
+        let version = port.configuring.version();
+        for (conn, id, mut submission) in std::mem::take(&mut self.accepting) {
+            if submission.checked_under == version {
+                self.accepting.push_back((conn, id, submission));
+                continue;
+            }
+            match check(port, &mut submission) {
+                Ok(()) => self.accepting.push_back((conn, id, submission)),
+                Err(refusal) => self.look(port, id, Waiter::Submit(conn, Err(refusal))),
+            }
+        }
+    }
+
     /// Submissions that came together are accepted in one transaction.
     pub(super) fn flush_accepts(&mut self, port: &mut Port) {
+        if self.accepting.is_empty() {
+            return;
+        }
+        if !port.configuring.settled() {
+            // There is a newer configuration to check them by, which is being read.
+            self.accepting.retain(|a| port.deadlines.contains_key(&a.0));
+            return;
+        }
+        self.check_again(port);
         let max = port.settings.txn_ops.min(8);
         while !self.accepting.is_empty() {
             let mut commit = Commit::default();
+            // None is accepted by an older configuration: where there is a newer one, all of this fails.
+            commit.guard(CURRENT, port.configuring.guard());
             let mut jobs: Vec<(u64, JobId)> = Vec::new();
             let mut left = VecDeque::new();
             while let Some((conn, id, spec)) = self.accepting.pop_front() {
@@ -269,6 +307,9 @@
             .filter(|a| a.0 == 409)
             .and_then(|a| serde_json::from_slice::<Conflict>(&a.1).ok())
             .map_or_else(Vec::new, |c| c.failed);
+        if failed.iter().any(|k| k == CURRENT) {
+            port.configuring.doubt(port.clock.now);
+        }
         for (conn, id) in jobs {
             let Some(spec) = self.accept_specs.remove(&conn) else { continue };
             match status {
@@ -293,6 +334,12 @@
     }
 }
 
+/// Whether a job can ever run, by the configuration in force here.
+fn check(port: &Port, submission: &mut Submission) -> Result<(), Refusal> {
+    submission.checked_under = port.configuring.version();
+    api::admit(&mut submission.spec, &port.settings.teams, &port.flavors)
+}
+
 /// The version a transaction was carried out at, as its answer has it. An answer that cannot be
 /// read is taken for the newest: the job is then looked at.
 pub(super) fn committed(answer: Option<&(u16, Bytes)>) -> u64 {
--- a/crates/gannethub-core/src/control/loading.rs
+++ b/crates/gannethub-core/src/control/loading.rs
@@ -9,6 +9,7 @@
 use crate::memory::block::ChunkRecord;
 use crate::memory::shadow::Shadow;
 use crate::model::{Micros, SECOND};
+use crate::wire::configuration::CURRENT;
 use crate::wire::store::{self, Item, Listing, MoveRecord, PartRecord, StoreRequest, Urgency};
 
 /// Machines on their way here are looked for this often.
@@ -93,6 +94,8 @@
                 }
                 self.loaded_once = true;
                 self.lease.read_from(self.read_from);
+                port.configuring.knew(self.read_from);
+                self.heed_configuration(port);
                 self.cluster.loaded(now);
             }
         }
@@ -144,8 +147,12 @@
         if stage == 0 && self.watched == 0 {
             self.watched = listing.ledger_no;
         }
+        if stage == 0 {
+            port.configuring.listed(&listing);
+        }
         for item in &listing.items {
             match stage {
+                0 if item.k == CURRENT => {}
                 0 => {
                     if let Some(record) = item.live() {
                         let id = item.k.trim_start_matches(store::LIVE);
--- a/crates/gannethub-core/src/control/mod.rs
+++ b/crates/gannethub-core/src/control/mod.rs
@@ -1,6 +1,8 @@
 //! The roles of a controller, and the owner of them all.
 
 mod allotter;
+mod configured;
+mod configuring;
 pub mod controller;
 mod holder;
 mod intake;
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use serde::de::DeserializeOwned;
 
+use super::configuring::{ConfigurationRead, Configuring};
 use crate::http::{Request, Response};
 use crate::memory::fleet::CloudCall;
 use crate::memory::share::{self, Load};
@@ -175,6 +176,8 @@
     Copy,
     /// What has changed since.
     Refresh,
+    /// A version of the configuration, or those before it.
+    Configuration(ConfigurationRead),
     Accept {
         jobs: Vec<(u64, JobId)>,
     },
@@ -221,6 +224,8 @@
     pub news: Vec<News>,
     /// How the blocks stand, as their holders last told.
     pub loads: Vec<Load>,
+    /// Which version of the configuration is in force.
+    pub configuring: Configuring,
     /// There are several blocks, or have been, or are to be. Where not, nothing is asked or told of them.
     pub several: bool,
 }
@@ -233,6 +238,7 @@
             rates: settings.state_rates,
             restraint: 1.0,
             slowed_at: 0,
+            configuring: Configuring::new(settings.clone()),
             settings,
             clock,
             flavors: Arc::default(),
@@ -363,10 +369,17 @@
     }
 
     pub(super) fn refuse(&mut self, conn: u64, refusal: &Refusal) {
+        // What can never run by an older configuration may run by a newer one, and its user would not ask again.
+        let old = !self.configuring.fresh(self.clock.now);
+        let refusal = match refusal {
+            Refusal::Impossible(_) if old => &Refusal::Changing,
+            refusal => refusal,
+        };
         let response = match refusal {
             Refusal::Malformed(_) => Response::error(400, refusal),
             Refusal::Impossible(_) => Response::error(422, refusal),
             Refusal::NotYet => Response::error(503, refusal).retry(2),
+            Refusal::Changing => Response::error(503, refusal).retry(1),
         };
         self.reply(conn, response);
     }
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use gannethub_ledger::audit::Page;
 
+use super::configuring::LOOK_EVERY;
 use super::holder::Holder;
 use super::intake::{Asker, Intake, MAX_ASKING, POLL_PATIENCE, Waiter, committed};
 use super::port::{News, Port, Purpose, read};
@@ -177,9 +178,16 @@
         // At most half of this controller's requests, however many queries come.
         let pause = (2.0 * SECOND as f64 / port.budget.rate().max(0.1)) as Micros;
         let pause = pause.max(REFRESH_EVERY);
+        let at_least = if port.configuring.ever() {
+            LOOK_EVERY.min(REFRESH_AT_LEAST)
+        } else {
+            REFRESH_AT_LEAST
+        };
+        let due = now >= self.refresh_at + at_least;
         match self.mirror.at() {
-            Some(at) if !self.asking.is_empty() || now >= self.refresh_at + REFRESH_AT_LEAST => {
+            Some(at) if !self.asking.is_empty() || port.configuring.behind() || due => {
                 self.refreshing = true;
+                self.refresh_sent = now;
                 self.refresh_at = now + pause;
                 self.answering = std::mem::take(&mut self.asking);
                 let request = StoreRequest::changes(store::LIVE, at);
@@ -187,6 +195,7 @@
             }
             None if port.state_ok() => {
                 self.refreshing = true;
+                self.refresh_sent = now;
                 self.refresh_at = now + SECOND;
                 let request = StoreRequest::list(store::LIVE, "");
                 port.send(Urgency::User, request, Purpose::Copy);
@@ -201,6 +210,7 @@
             self.refreshing = false;
             return self.mirror.lost();
         };
+        port.configuring.listed(&listing);
         match self.mirror.listed(&listing) {
             Some(after) => {
                 let request = StoreRequest::list(store::LIVE, &after);
@@ -209,6 +219,7 @@
             None => {
                 self.refreshing = false;
                 self.refresh_at = port.clock.now;
+                port.configuring.knew(self.refresh_sent);
             }
         }
     }
@@ -233,6 +244,8 @@
             waiting.into_iter().for_each(|asker| port.unavailable(asker.conn()));
             return self.refresh(port);
         };
+        port.configuring.changed(&followed.log);
+        port.configuring.knew(self.refresh_sent);
         self.mirror.followed(&followed);
         for asker in waiting {
             let (conn, id) = match asker {
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -36,6 +36,8 @@
     running: HashMap<String, (u32, u32)>,
     /// How the blocks stand that it holds.
     pub loads: Vec<Load>,
+    /// The version of the configuration in force there; `None`: it is of a release that knows of none.
+    pub configuration: Option<u64>,
     /// It has promised something that makes no sense, and that was logged.
     pub odd: bool,
 }
@@ -160,6 +162,9 @@
             running: holders.values().flat_map(|h| h.running()).collect(),
             blocks: own.iter().map(|l| tell(flavors, l)).collect(),
             refused: refused.collect(),
+            configurable: true,
+            configuration: port.configuring.version(),
+            newest_configuration: port.configuring.newest(),
         };
         self.own = own;
         for i in 0..self.siblings.len() {
@@ -248,6 +253,8 @@
         let sibling = &mut self.siblings[i];
         sibling.loads = beat.blocks.iter().map(|b| load_of(&port.flavors, b, i)).collect();
         sibling.leading = beat.leading;
+        sibling.configuration = beat.configurable.then_some(beat.configuration);
+        port.configuring.told(beat.newest_configuration);
         sibling.state_ok = beat.state_ok;
         sibling.takes_reports = beat.takes_reports;
         let running = beat.running.into_iter();
@@ -277,7 +284,8 @@
             // A process that has not read the state does not know what an earlier one of its name has confirmed.
             let knows = asked.is_some() && copy.at().is_some() && all;
             let (count, cancelled) = (ids.len() as u32, store::encode_ids(&ids));
-            let promise = Promise { round, term, block, knows, cancelled, count };
+            let configuration = port.configuring.newest();
+            let promise = Promise { round, term, block, knows, cancelled, count, configuration };
             port.say(i, Body::Promise(promise));
         }
     }
--- /dev/null
+++ b/crates/gannethub-core/src/decide/limits.rs
@@ -0,0 +1,75 @@
+//! Teams that are above their limit, since it was lowered: what is not launched after all, and what is stopped.
+
+use crate::configuration::OverLimit;
+use crate::memory::cluster::Cluster;
+use crate::memory::records::{MachineId, Phase};
+use crate::model::{Micros, Resources, TaskId, Team};
+
+/// An attempt that may be stopped to bring a team within its limit.
+#[derive(Debug)]
+struct Excess {
+    /// It has run so long; 0 for one that its worker has not shown yet.
+    ran: Micros,
+    task: TaskId,
+    need: Resources,
+}
+
+impl Cluster {
+    /// Brings teams within limits that were lowered: what no worker has shown yet is not launched any more, and what
+    /// runs is stopped if that is the operators' choice.
+    pub fn keep_limits(&mut self, now: Micros) {
+        for team in 0..self.settings.teams.len() {
+            let limit = self.settings.teams[team].limit;
+            if !Team::within(&limit, &Resources::default(), &self.used[team]) {
+                self.keep_limit(team, limit, now);
+            }
+        }
+    }
+
+    fn keep_limit(&mut self, team: usize, limit: Resources, now: Micros) {
+        let (mut held, mut excess) = (Resources::default(), Vec::new());
+        for machine in self.machines.values() {
+            for ((task, _), a) in &machine.attempts {
+                if a.team != Some(team) || !a.holds || a.stop.is_some() {
+                    continue;
+                }
+                held += a.need;
+                let starting = a.phase == Phase::Starting && !a.seen;
+                let ran = if starting { 0 } else { 1 + now.saturating_sub(a.since) };
+                if starting || self.over_limit == OverLimit::Stop {
+                    excess.push(Excess { ran, task: task.clone(), need: a.need });
+                }
+            }
+        }
+        excess.sort_by(|a, b| {
+            (a.ran, &a.task.job, a.task.index).cmp(&(b.ran, &b.task.job, b.task.index))
+        });
+        let mut stopped = 0;
+        for Excess { task, need, .. } in excess {
+            if Team::within(&limit, &Resources::default(), &held) {
+                break;
+            }
+            // A gang is stopped whole: its other tasks are marked with the first.
+            if self.stopping(&task) {
+                held -= need;
+                continue;
+            }
+            self.evict(&task.job, task.index);
+            held -= need;
+            stopped += 1;
+        }
+        if stopped > 0 {
+            let team = &self.settings.teams[team].name;
+            tracing::info!(%team, stopped, "above its limit");
+        }
+    }
+
+    fn stopping(&self, task: &TaskId) -> bool {
+        let live = self.jobs.get(&task.job).and_then(|j| j.live.get(&task.index));
+        live.is_some_and(|(machine, attempt): &(MachineId, u64)| {
+            let key = (task.clone(), *attempt);
+            let attempt = self.machines.get(machine).and_then(|m| m.attempts.get(&key));
+            attempt.is_some_and(|a| a.stop.is_some())
+        })
+    }
+}
--- a/crates/gannethub-core/src/decide/mod.rs
+++ b/crates/gannethub-core/src/decide/mod.rs
@@ -3,6 +3,7 @@
 pub mod allot;
 pub mod blame;
 pub mod gather;
+pub mod limits;
 pub mod order;
 pub mod plan;
 pub mod pulls;
--- a/crates/gannethub-core/src/decide/scheduler.rs
+++ b/crates/gannethub-core/src/decide/scheduler.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use crate::configuration::OverLimit;
 use crate::decide::gather::Gathering;
 use crate::decide::zones::{Zones, zone_ok, zone_room};
 use crate::memory::cluster::Cluster;
@@ -197,7 +198,7 @@
 
     /// How many more of the job's tasks its team's limit allows.
     pub fn headroom(&self, job: &Job) -> i64 {
-        let Some(t) = job.team else { return 0 };
+        let Some(t) = job.team.filter(|_| !self.holds_starts) else { return 0 };
         let mut free = self.room_of(t);
         free.mem = UNLIMITED;
         let need = Resources { mem: 0, ..job.spec.need };
@@ -235,6 +236,10 @@
     /// has been heard, and stops nothing: there may be room enough.
     pub fn schedule(&mut self, now: Micros) {
         let before = self.looks.get();
+        if self.over_limit == OverLimit::Stop {
+            // A new leader learns of what runs as it is reported.
+            self.keep_limits(now);
+        }
         self.pull(now);
         self.order_queue(now);
         self.rank_kinds();
--- a/crates/gannethub-core/src/lib.rs
+++ b/crates/gannethub-core/src/lib.rs
@@ -9,6 +9,7 @@
 //! [`memory`], which knows the types of the [`wire`] and the plain modules below.
 
 pub mod apply;
+pub mod configuration;
 pub mod control;
 pub mod decide;
 pub mod http;
--- a/crates/gannethub-core/src/memory/cluster.rs
+++ b/crates/gannethub-core/src/memory/cluster.rs
@@ -17,6 +17,7 @@
 use super::records::{Attempt, Job, Machine, MachineId, Phase};
 use super::room::{Kind, Rooms};
 use super::share::{Giving, Load};
+use crate::configuration::OverLimit;
 use crate::model::{Flavor, JobId, Micros, Priority, Resources, SECOND, Shape, TaskId, Team};
 use crate::policy::Setting;
 use crate::settings::Settings;
@@ -134,6 +135,10 @@
     pub spent: Spent,
     /// Transactions in a row that the state service called malformed or too large.
     pub refusals: u32,
+    /// What becomes of tasks above a limit that was lowered.
+    pub over_limit: OverLimit,
+    /// Nothing is placed or launched: there may be a newer configuration than is known here.
+    pub holds_starts: bool,
     /// Usage as it is charged, where a ledger is kept.
     pub ledger: Option<Box<Ledger>>,
 }
@@ -203,6 +208,8 @@
             looks: Cell::new(0),
             spent: Spent::default(),
             refusals: 0,
+            over_limit: OverLimit::default(),
+            holds_starts: false,
             ledger: None,
         }
     }
@@ -445,7 +452,7 @@
 
     /// Whether the launch of a task may go out: its mark covers it, or no successor relies on marks.
     pub fn may_launch(&self, job: &Job, index: u32) -> bool {
-        index < job.opened || self.unmarked
+        !self.holds_starts && (index < job.opened || self.unmarked)
     }
 
     /// A number that no other start of the same task has, in this term or another.
--- a/crates/gannethub-core/src/memory/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -14,6 +14,7 @@
 use crate::memory::pipeline::{Fate, Links};
 use crate::model::{JobId, Ranges};
 use crate::wire::api::{JobView, Status};
+use crate::wire::configuration::CURRENT;
 use crate::wire::store::{Change, Followed, Item, LIVE, Listing, decode_done, decode_ids};
 
 /// How many ends, and how many ids that nobody submitted, are remembered.
@@ -196,6 +197,9 @@
     }
 
     fn read(&mut self, item: &Item) {
+        if item.k == CURRENT {
+            return;
+        }
         if let (Some(id), Some(brief)) = (item.k.strip_prefix(LIVE), item.record::<Brief>()) {
             self.alive(id.into(), &brief, item.stamp);
         }
@@ -230,6 +234,10 @@
     }
 
     fn change(&mut self, change: &Change) {
+        // The configuration is no job's.
+        if change.key() == Some(CURRENT) {
+            return;
+        }
         if let Some(id) = change.write.as_deref().and_then(|k| k.strip_prefix(LIVE)) {
             let text = change.v.as_deref().map_or("null", |v| v.get());
             match serde_json::from_str::<Brief>(text) {
--- a/crates/gannethub-core/src/model.rs
+++ b/crates/gannethub-core/src/model.rs
@@ -141,6 +141,8 @@
     pub name: String,
     pub guarantee: Resources,
     pub limit: Resources,
+    /// It was removed: it gets no new jobs, and those it has finish within its last limit.
+    pub closed: bool,
 }
 
 impl Team {
--- a/crates/gannethub-core/src/policy.rs
+++ b/crates/gannethub-core/src/policy.rs
@@ -472,6 +472,16 @@
         Policy::read(text, Policy::default())
     }
 
+    /// This policy with the settings that another text names in the place of its own.
+    pub fn overlaid(&self, text: &str) -> Result<Policy, PolicyError> {
+        Policy::read(text, self.clone())
+    }
+
+    /// The settings that a text names; none of a text that is no policy.
+    pub fn named(text: &str) -> Vec<String> {
+        parse(text).map_or_else(|_| Vec::new(), |list| list.into_iter().map(|s| s.0).collect())
+    }
+
     fn read(text: &str, mut policy: Policy) -> Result<Policy, PolicyError> {
         let mut seen: Vec<String> = Vec::new();
         for (name, at, mut value) in parse(text)? {
--- a/crates/gannethub-core/src/settings.rs
+++ b/crates/gannethub-core/src/settings.rs
@@ -257,7 +257,7 @@
 
 /// In the settings file a limit of zero means that there is none: a guest team has no guarantee,
 /// no limit, and what others leave.
-fn unlimited(limit: Resources) -> Resources {
+pub(crate) fn unlimited(limit: Resources) -> Resources {
     let none = |x: i64| if x == 0 { UNLIMITED } else { x };
     Resources { cpu: none(limit.cpu), gpu: none(limit.gpu), mem: 0 }
 }
@@ -351,6 +351,7 @@
                     self.amount(&at("gpus_max"), t.gpus_max)?,
                     0.0,
                 )),
+                closed: false,
             };
             if !Team::within(&team.limit, &Resources::default(), &team.guarantee) {
                 self.warnings.push(format!("team {}: the guarantee is above the limit", t.name));
--- a/crates/gannethub-core/src/wire/api.rs
+++ b/crates/gannethub-core/src/wire/api.rs
@@ -46,6 +46,8 @@
     pub spec: JobSpec,
     /// Jobs that it waits for, each once.
     pub waits_on: Vec<JobId>,
+    /// The version of the configuration that it was checked under.
+    pub checked_under: u64,
 }
 
 /// The body of an answer about a job.
@@ -78,6 +80,8 @@
     Impossible(String),
     #[error("the machine types are not known yet")]
     NotYet,
+    #[error("the configuration is changing")]
+    Changing,
 }
 
 fn bad<T>(field: &str, reason: &str) -> Result<T, Refusal> {
@@ -150,7 +154,7 @@
         return bad("id", "a job id like j-000412 is needed");
     }
     let waits_on = parse_waits_on(&f)?;
-    Ok(Submission { spec: parse_spec(&f)?, waits_on })
+    Ok(Submission { spec: parse_spec(&f)?, waits_on, checked_under: 0 })
 }
 
 fn parse_spec(f: &Fields<'_>) -> Result<JobSpec, Refusal> {
@@ -229,7 +233,7 @@
         return Err(Refusal::NotYet);
     }
     let never = |reason: &str| Err(Refusal::Impossible(reason.into()));
-    let Some(team) = teams.iter().find(|t| t.name == spec.team) else {
+    let Some(team) = teams.iter().find(|t| t.name == spec.team && !t.closed) else {
         return never("crew: no such team");
     };
     let typed = |f: &&Flavor| spec.types.as_ref().is_none_or(|t| t.iter().any(|t| **t == *f.name));
@@ -279,6 +283,8 @@
 #[derive(Debug, PartialEq)]
 pub enum Route<'a> {
     Health,
+    /// Which version of the configuration is in force here and at the siblings.
+    Configuration,
     Report,
     Submit,
     Query(&'a str),
@@ -316,6 +322,7 @@
     let (route, needed) = match path {
         "/api/ledger" => (ledger(query)?, Get),
         "/healthz" => (Route::Health, Get),
+        "/api/config" => (Route::Configuration, Get),
         "/v1/report" => (Route::Report, Post),
         "/api/jobs" => (Route::Submit, Post),
         _ => match path.strip_prefix("/api/jobs/") {
--- /dev/null
+++ b/crates/gannethub-core/src/wire/configuration.rs
@@ -0,0 +1,201 @@
+//! How versions of the configuration are stored: one key says which version holds, others hold its document in parts.
+//!
+//! The key is among those of live jobs, so the watch that every controller has brings a new version without a further
+//! request. A controller of a release that does not know it finds a value there that is no job's, and passes over it.
+
+use serde::{Deserialize, Serialize};
+
+use super::store::Listing;
+use crate::configuration::Document;
+
+/// Which version holds. It sorts before all jobs' keys.
+pub const CURRENT: &str = "gh/live/configuration";
+/// The versions before, the newest first.
+pub const HISTORY: &str = "gh/config/history";
+/// Under this and a version's id are the parts of its document.
+const DOCUMENT: &str = "gh/config/doc/";
+/// The longest reason and name that are kept with a version, in bytes.
+pub const MOST_TEXT: usize = 160;
+/// Room that a stored value leaves for what holds it, in bytes.
+const SLACK: usize = 96;
+
+/// A version: who made it, when and why, and where its document is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct VersionRecord {
+    pub version: u64,
+    /// Tells documents apart that were written for the same version by two operators at once.
+    pub id: String,
+    /// How many parts the document has.
+    pub parts: u32,
+    /// Time of day in microseconds since 1970, by the operator's clock.
+    pub at: u64,
+    pub by: String,
+    pub why: String,
+}
+
+/// Versions that were in force, the newest first.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct HistoryRecord {
+    pub versions: Vec<VersionRecord>,
+}
+
+/// Why a stored document cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum StoredError {
+    #[error("{found} of {needed} parts are there")]
+    Parts { found: usize, needed: u32 },
+    #[error("{key} is not a part of a document: {reason}")]
+    Part { key: String, reason: String },
+    #[error("{field} does not fit into a value of {limit} bytes")]
+    TooLarge { field: String, limit: usize },
+}
+
+impl VersionRecord {
+    /// All parts of its document have keys that begin so.
+    pub fn prefix(&self) -> String {
+        format!("{DOCUMENT}{}/", self.id)
+    }
+
+    pub fn part_key(&self, part: usize) -> String {
+        format!("{}{part:03}", self.prefix())
+    }
+
+    /// The document, from a listing of all its parts.
+    pub fn assemble(&self, listing: &Listing) -> Result<Document, StoredError> {
+        let found = listing.items.len();
+        if found != self.parts as usize || listing.truncated {
+            return Err(StoredError::Parts { found, needed: self.parts });
+        }
+        let mut document = Document::default();
+        for item in &listing.items {
+            let part: Document = serde_json::from_str(item.v.get())
+                .map_err(|e| StoredError::Part { key: item.k.clone(), reason: e.to_string() })?;
+            document.teams.extend(part.teams);
+            document.objectives = part.objectives.or(document.objectives);
+            document.policy = part.policy.or(document.policy);
+            if part.over_limit != Default::default() {
+                document.over_limit = part.over_limit;
+            }
+        }
+        Ok(document)
+    }
+}
+
+/// A document in parts, each of which fits into a value of so many bytes.
+pub fn split(document: &Document, value_bytes: usize) -> Result<Vec<Document>, StoredError> {
+    let limit = value_bytes.saturating_sub(SLACK);
+    let size = |d: &Document| serde_json::to_string(d).map_or(usize::MAX, |s| s.len());
+    let too_large = |field: String| Err(StoredError::TooLarge { field, limit });
+    let objectives = Document { objectives: document.objectives.clone(), ..Document::default() };
+    if size(&objectives) > limit {
+        return too_large("objectives".into());
+    }
+    let policy = Document {
+        policy: document.policy.clone(),
+        over_limit: document.over_limit,
+        ..Document::default()
+    };
+    if size(&policy) > limit {
+        return too_large("policy".into());
+    }
+    let mut parts = vec![policy, objectives];
+    let mut part = Document::default();
+    let mut bytes = size(&part);
+    for team in &document.teams {
+        let alone = serde_json::to_string(team).map_or(usize::MAX, |s| s.len() + 1);
+        if alone + SLACK > limit {
+            return too_large(format!("team {:?}", team.name));
+        }
+        if bytes + alone + SLACK > limit {
+            parts.push(std::mem::take(&mut part));
+            bytes = size(&part);
+        }
+        part.teams.push(team.clone());
+        bytes += alone;
+    }
+    parts.push(part);
+    // The first part is always there, so that a document without parts is known to be broken.
+    let empty = |d: &Document| *d == Document::default();
+    let mut kept: Vec<Document> = parts.into_iter().filter(|d| !empty(d)).collect();
+    if kept.is_empty() {
+        kept.push(Document::default());
+    }
+    Ok(kept)
+}
+
+impl HistoryRecord {
+    /// With one more version, and as many of those before as fit; returns those that do not.
+    pub fn push(&mut self, version: VersionRecord, value_bytes: usize) -> Vec<VersionRecord> {
+        self.versions.insert(0, version);
+        let limit = value_bytes.saturating_sub(SLACK);
+        let mut dropped = Vec::new();
+        let fits = |h: &HistoryRecord| serde_json::to_string(h).is_ok_and(|s| s.len() <= limit);
+        while self.versions.len() > 1 && !fits(self) {
+            dropped.extend(self.versions.pop());
+        }
+        dropped
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::configuration::TeamEntry;
+
+    fn listing(record: &VersionRecord, parts: &[Document]) -> Listing {
+        let item = |(i, part): (usize, &Document)| serde_json::json!({"k": record.part_key(i), "v": part, "stamp": 1});
+        let items: Vec<_> = parts.iter().enumerate().map(item).collect();
+        let text = serde_json::json!({"items": items, "truncated": false, "ledger_no": 1});
+        serde_json::from_str(&text.to_string()).unwrap()
+    }
+
+    fn document(teams: usize) -> Document {
+        let team = |i: usize| TeamEntry {
+            name: format!("team-{i:03}"),
+            cpus: 10.0,
+            cpus_max: 40.0,
+            ..TeamEntry::default()
+        };
+        Document {
+            teams: (0..teams).map(team).collect(),
+            policy: Some("patience_s = 7".into()),
+            objectives: Some(Vec::new()),
+            ..Document::default()
+        }
+    }
+
+    #[test]
+    fn three_hundred_teams_go_into_small_values_and_come_back() {
+        let whole = document(300);
+        let parts = split(&whole, 4096).unwrap();
+        assert!((4..=7).contains(&parts.len()), "{}", parts.len());
+        for part in &parts {
+            assert!(serde_json::to_string(part).unwrap().len() <= 4096);
+        }
+        let record =
+            VersionRecord { id: "3-a".into(), parts: parts.len() as u32, ..Default::default() };
+        assert_eq!(record.assemble(&listing(&record, &parts)), Ok(whole));
+        let missing = record.assemble(&listing(&record, &parts[1..]));
+        assert!(matches!(missing, Err(StoredError::Parts { .. })));
+        assert_eq!(split(&Document::default(), 4096).unwrap().len(), 1);
+    }
+
+    #[test]
+    fn what_fits_no_value_is_named() {
+        let long = Document { policy: Some("# ".repeat(4000)), ..Document::default() };
+        let error = split(&long, 4096).unwrap_err();
+        assert!(error.to_string().starts_with("policy does not fit"), "{error}");
+    }
+
+    #[test]
+    fn history_keeps_what_fits() {
+        let mut history = HistoryRecord::default();
+        let mut dropped = 0;
+        for version in 1..=100 {
+            let record = VersionRecord { version, why: "x".repeat(100), ..Default::default() };
+            dropped += history.push(record, 4096).len();
+        }
+        assert_eq!((history.versions[0].version, history.versions.len() + dropped), (100, 100));
+        assert!(serde_json::to_string(&history).unwrap().len() <= 4096 && dropped > 50);
+    }
+}
--- a/crates/gannethub-core/src/wire/mod.rs
+++ b/crates/gannethub-core/src/wire/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod api;
 pub mod cloud;
+pub mod configuration;
 pub mod peer;
 pub mod store;
 pub mod worker;
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -60,6 +60,14 @@
     /// From block 0's holder: offers that the cloud refuses, and for how many milliseconds they are left alone.
     #[prost(message, repeated, tag = "6")]
     pub refused: Vec<OfferTold>,
+    /// The sender follows versions of the configuration; a sender of an earlier release does not say so.
+    #[prost(bool, tag = "7")]
+    pub configurable: bool,
+    /// The version of the configuration that is in force at the sender, and the newest that it has seen.
+    #[prost(uint64, tag = "8")]
+    pub configuration: u64,
+    #[prost(uint64, tag = "9")]
+    pub newest_configuration: u64,
 }
 
 /// How a block stands.
@@ -172,6 +180,9 @@
     pub cancelled: String,
     #[prost(uint32, tag = "6")]
     pub count: u32,
+    /// The newest version of the configuration that the sender has seen.
+    #[prost(uint64, tag = "7")]
+    pub configuration: u64,
 }
 
 /// A process that began within a term asks, and whoever knows answers, whether nothing was launched without
--- a/crates/gannethub-core/src/wire/store.rs
+++ b/crates/gannethub-core/src/wire/store.rs
@@ -576,6 +576,13 @@
     pub stamp: u64,
 }
 
+impl Change {
+    /// The key that was written or deleted.
+    pub fn key(&self) -> Option<&str> {
+        self.write.as_deref().or(self.delete.as_deref())
+    }
+}
+
 /// Tokens that refill over time, up to one second's worth.
 #[derive(Debug)]
 pub(crate) struct Bucket {
--- a/crates/gannethub-core/tests/stories/main.rs
+++ b/crates/gannethub-core/tests/stories/main.rs
@@ -1,5 +1,6 @@
 //! Short stories: a whole cluster in memory, on a simulated clock, with the rules checked.
 
+mod configuration;
 mod deaf;
 mod floor;
 mod further;
--- a/crates/gannethub-standin/src/state.rs
+++ b/crates/gannethub-standin/src/state.rs
@@ -266,6 +266,11 @@
         self.change(key, None);
     }
 
+    /// The version of a key's last change, for the tests to look at; 0: it is not there.
+    pub fn stamp(&self, key: &str) -> u64 {
+        self.entries.get(key).map_or(0, |e| e.stamp)
+    }
+
     /// A key's value, for the tests to look at.
     pub fn value(&self, key: &str) -> Option<&Value> {
         self.entries.get(key).map(|e| &e.value)
