--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,9 +1,10 @@
 //! gannethub, a cluster scheduler: the process around the core.
 //!
 //! [`gannethub_core`] decides and remembers; [`daemon`] connects it to sockets and clocks, [`files`] reads what
-//! operators write, and [`ledger`] is their command for the ledger. [`dev`] runs a whole cluster on loopback, with the
+//! operators write, [`config`] changes the configuration while controllers run, and [`ledger`] is the command for the ledger. [`dev`] runs a whole cluster on loopback, with the
 //! sockets of [`standins`].
 
+pub mod config;
 pub mod daemon;
 pub mod dev;
 pub mod files;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use clap::{Parser, Subcommand};
 use tracing::Level;
 
-use gannethub::{daemon, dev, files, ledger};
+use gannethub::{config, daemon, dev, files, ledger};
 
 /// A controller of the gannethub cluster scheduler.
 #[derive(Parser)]
@@ -32,6 +32,8 @@
     CheckPolicy { file: PathBuf },
     /// Run a cluster on loopback: stand-ins of cloud, state service and workers, and controllers
     Dev(dev::DevArgs),
+    /// Read and change the configuration while the service runs
+    Config(config::ConfigArgs),
     /// Read, check and export the ledger
     Ledger(ledger::LedgerArgs),
 }
@@ -85,6 +87,15 @@
                 }
             });
         }
+        Some(Command::Config(args)) => {
+            return Ok(match config::run(args) {
+                Ok(()) => ExitCode::SUCCESS,
+                Err(e) => {
+                    eprintln!("gannethub config: {e}");
+                    ExitCode::FAILURE
+                }
+            });
+        }
         Some(Command::Ledger(args)) => {
             return Ok(match ledger::run(args) {
                 Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,157 @@
+//! Versions of the configuration in an in-memory state service, with answers that are lost and other operators.
+
+use std::cell::{Cell, RefCell};
+
+use bytes::Bytes;
+use gannethub::config::store::{Author, ConfigError, ConfigStore, StateClient};
+use gannethub_core::configuration::{Document, TeamEntry};
+use gannethub_core::http::Method;
+use gannethub_core::settings::Settings;
+use gannethub_standin::State;
+use gannethub_standin::state::Outcome;
+
+/// A state service, and what goes wrong on the way to it.
+struct Store {
+    state: RefCell<State>,
+    /// Answers to so many transactions from now on are lost, though these are carried out.
+    lost: Cell<usize>,
+    /// So many requests are answered 503.
+    refused: Cell<usize>,
+}
+
+impl Store {
+    fn new() -> Store {
+        let mut state = State::new(4096, 8);
+        state.page = 1000;
+        let state = RefCell::new(state);
+        Store { state, lost: Cell::new(0), refused: Cell::new(0) }
+    }
+}
+
+fn used_up(count: &Cell<usize>) -> bool {
+    let left = count.get();
+    count.set(left.saturating_sub(1));
+    left == 0
+}
+
+impl StateClient for Store {
+    async fn call(&self, method: Method, path: &str, body: &[u8]) -> Option<(u16, Bytes)> {
+        if !used_up(&self.refused) {
+            return Some((503, Bytes::new()));
+        }
+        let outcome = self.state.borrow_mut().handle(method.name(), path, body, 0);
+        let Outcome::Answer(status, body) = outcome else { return None };
+        if path == "/commit" && !used_up(&self.lost) {
+            return None;
+        }
+        Some((status, Bytes::from(body.to_string())))
+    }
+}
+
+fn base() -> Settings {
+    let text = "host_name = \"n0\"\nbind = \"127.0.0.1:1\"\ncluster_listen = \"127.0.0.1:2\"\n\
+                [outside]\ncloud = \"127.0.0.1:3\"\nstate = \"127.0.0.1:4\"\n[cluster.state]\n\
+                value_kb = 4.0\ntxn_ops = 8\n[[cluster.teams]]\nname = \"red\"\ncpus = 8.0\n\
+                cpus_max = 16.0\n";
+    Settings::parse(text, "test").expect("it is fine").0
+}
+
+fn author(by: &str, nonce: u64) -> Author {
+    Author { by: by.into(), why: "a reason".into(), at: 7, nonce }
+}
+
+fn teams(count: usize, cpus_max: f64) -> Document {
+    let team = |i: usize| TeamEntry {
+        name: format!("team-{i:03}"),
+        cpus: 1.0,
+        cpus_max,
+        ..TeamEntry::default()
+    };
+    Document { teams: (0..count).map(team).collect(), ..Document::default() }
+}
+
+#[tokio::test(start_paused = true)]
+async fn versions_of_three_hundred_teams_follow_one_another_and_come_back() {
+    let (client, base) = (Store::new(), base());
+    let store = ConfigStore { client: &client, base: &base };
+    assert_eq!(store.current().await.expect("read").version(), 0);
+    for version in 1..=3u64 {
+        let current = store.current().await.expect("read");
+        let wanted = teams(300, version as f64 * 10.0);
+        let record = store.store(&current, wanted, &author("ada", version)).await.expect("stored");
+        assert_eq!((record.version, record.by.as_str()), (version, "ada"));
+    }
+    let current = store.current().await.expect("read");
+    assert_eq!((current.version(), current.document.teams.len()), (3, 300));
+    assert_eq!(current.document.teams[7].cpus_max, 30.0);
+    let first = store.kept(&current, 1).await.expect("it is kept");
+    let record = store.store(&current, first, &author("bob", 4)).await.expect("rolled back");
+    let current = store.current().await.expect("read");
+    assert_eq!((record.version, current.document.teams[7].cpus_max), (4, 10.0));
+    assert!(matches!(store.kept(&current, 99).await, Err(ConfigError::Unknown(99))));
+    assert_eq!(client.state.borrow().too_large, 0);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_lost_answer_is_found_out_and_nothing_is_stored_twice() {
+    for lost in 1..4 {
+        let (client, base) = (Store::new(), base());
+        let store = ConfigStore { client: &client, base: &base };
+        let current = store.current().await.expect("read");
+        client.lost.set(lost);
+        client.refused.set(2);
+        let record = store.store(&current, teams(3, 9.0), &author("ada", 1)).await.expect("stored");
+        let current = store.current().await.expect("read");
+        assert_eq!((record.version, current.version()), (1, 1));
+        assert_eq!(current.history.versions.len(), 1);
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn of_two_operators_at_once_the_second_is_told_of_the_first() {
+    let (client, base) = (Store::new(), base());
+    let store = ConfigStore { client: &client, base: &base };
+    let current = store.current().await.expect("read");
+    store.store(&current, teams(3, 9.0), &author("ada", 1)).await.expect("stored");
+    let second = store.store(&current, teams(5, 9.0), &author("bob", 2)).await;
+    match second {
+        Err(ConfigError::Conflict { version: 1, by, why }) => {
+            assert_eq!((by.as_str(), why.as_str()), ("ada", "a reason"));
+        }
+        other => panic!("{other:?}"),
+    }
+    // What the second had written of its document is gone.
+    let documents = client.state.borrow().keys("gh/config/doc/");
+    assert!(documents.iter().all(|k| k.contains("/1-0000000000000001/")), "{documents:?}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_cannot_be_used_is_never_stored() {
+    let (client, base) = (Store::new(), base());
+    let store = ConfigStore { client: &client, base: &base };
+    let current = store.current().await.expect("read");
+    let mut wanted = teams(1, 9.0);
+    wanted.teams[0].cpus = 10.0;
+    let refused = store.store(&current, wanted, &author("ada", 1)).await;
+    assert!(matches!(refused, Err(ConfigError::Document(e)) if e.field == "teams[0].cpus"));
+    let long = Document { policy: Some("# ".repeat(9000)), ..Document::default() };
+    assert!(matches!(
+        store.store(&current, long, &author("ada", 1)).await,
+        Err(ConfigError::Split(_))
+    ));
+    assert!(client.state.borrow().keys("gh/").is_empty());
+}
+
+#[tokio::test(start_paused = true)]
+async fn history_is_bounded_and_documents_beyond_it_are_deleted() {
+    let (client, base) = (Store::new(), base());
+    let store = ConfigStore { client: &client, base: &base };
+    for version in 1..=60 {
+        let current = store.current().await.expect("read");
+        store.store(&current, teams(2, 9.0), &author("ada", version)).await.expect("stored");
+    }
+    let current = store.current().await.expect("read");
+    let kept = current.history.versions.len();
+    assert!((10..60).contains(&kept), "{kept}");
+    assert_eq!(client.state.borrow().keys("gh/config/doc/").len(), kept);
+}
