--- a/crates/gannethub-scale/src/lib.rs
+++ b/crates/gannethub-scale/src/lib.rs
@@ -3,6 +3,7 @@
 //! The state service and the cloud are stand-ins in processes of their own, most workers are hollow (they speak the whole
 //! protocol, and run tasks by the clock), some are real processes. The rules are checked by what workers and users saw.
 
+pub mod changes;
 pub mod cloud_role;
 pub mod deployment;
 pub mod fit;
--- a/crates/gannethub-scale/src/load.rs
+++ b/crates/gannethub-scale/src/load.rs
@@ -34,6 +34,8 @@
     pub classes: Vec<Class>,
     #[serde(default, rename = "fault")]
     pub faults: Vec<Fault>,
+    #[serde(default, rename = "change")]
+    pub changes: Vec<ConfigChange>,
 }
 
 /// The one type of machine.
@@ -149,6 +151,15 @@
     pub for_s: f64,
 }
 
+/// Changes of the configuration: so many, so far apart, from a time on.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ConfigChange {
+    pub at_s: f64,
+    pub count: u32,
+    pub every_s: f64,
+}
+
 /// A job as its user submits it.
 #[derive(Clone, Debug)]
 pub struct Job {
--- a/crates/gannethub-scale/src/report.rs
+++ b/crates/gannethub-scale/src/report.rs
@@ -6,13 +6,14 @@
 use hdrhistogram::Histogram;
 use serde::{Deserialize, Serialize};
 
+use crate::changes::ChangesReport;
 use crate::messages::{KindCount, ReportCounts, StateCounts};
 use crate::process::Usage;
 
 /// Hollow workers' reports may differ so far from the real ones'.
 pub const AGREEMENT: f64 = 0.05;
 /// With fewer reports than this on one side chance decides.
-const FEWEST: u64 = 400;
+const FEWEST: u64 = 200;
 
 /// What was asked for.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
@@ -144,6 +145,8 @@
     pub unanswered: u64,
     pub given_up: u64,
     pub faults: Vec<String>,
+    #[serde(default)]
+    pub changes: ChangesReport,
     pub ended_by_themselves: usize,
     /// Rules broken, and how often; the first of each in words.
     pub rules: BTreeMap<String, usize>,
@@ -169,6 +172,8 @@
     pub fn passed(&self) -> bool {
         self.rules.is_empty()
             && self.ended_by_themselves == 0
+            && self.changes.acted_on_older == 0
+            && self.changes.never_in_force == 0
             && self.agreement.as_ref().is_none_or(|a| a.agree)
     }
 
@@ -230,6 +235,16 @@
                 a.changes_a_start
             ),
         };
+        if self.changes.stored + self.changes.failed > 0 {
+            let ChangesReport { stored, failed, in_force, never_in_force, acted_on_older } =
+                &self.changes;
+            text += &format!(
+                "configuration: {stored} changes, {failed} failed; in force everywhere after p50 {:.0}, p99 {:.0}, \
+                 at most {:.0} ms; {never_in_force} never, {acted_on_older} times acted on an older one\n",
+                in_force.p50_ms, in_force.p99_ms, in_force.max_ms
+            );
+        }
+        self.faults.iter().for_each(|fault| text += &format!("fault at {fault}\n"));
         if self.rules.is_empty() {
             text += "no rule broken\n";
         }
--- a/crates/gannethub-scale/src/run.rs
+++ b/crates/gannethub-scale/src/run.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use gannethub::files::FileError;
 use gannethub::http::{Client, Method};
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::rngs::StdRng;
@@ -14,6 +15,7 @@
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
+use crate::changes::Operators;
 use crate::deployment::{Ports, flavors, team_cpus, write_settings};
 use crate::gangs::{GangStep, Gangs};
 use crate::load::{Fault, FaultKind, Job, Load, LoadError, Shape, zone_name};
@@ -50,6 +52,8 @@
     #[error("{0}")]
     Size(#[from] SizeError),
     #[error("{0}")]
+    Files(#[from] FileError),
+    #[error("{0}")]
     Json(#[from] serde_json::Error),
     #[error("{0} did not answer in time")]
     Silent(&'static str),
@@ -98,6 +102,7 @@
     hosts: Vec<HostProcess>,
     record: Rc<RefCell<Record>>,
     users: Rc<Users>,
+    operators: Rc<Operators>,
     gangs: Gangs,
     /// How many tasks a gang has and how long it runs.
     gang_facts: HashMap<String, (u32, u64)>,
@@ -115,6 +120,8 @@
 struct Counted {
     hollow: ReportCounts,
     real: ReportCounts,
+    /// Hollow workers that were rented right after the real ones, and so have the same kind of load.
+    alike: ReportCounts,
     hosts_told: usize,
     state: Option<StateCounts>,
     cloud: Option<BTreeMap<String, KindCount>>,
@@ -169,6 +176,14 @@
         let record = Rc::new(RefCell::new(first_record(&options, &load)));
         let users =
             Users::new(clock, load.clone(), &ports.controllers(), record.clone(), options.seed ^ 1);
+        let operators = Operators::new(
+            clock,
+            ports.controllers(),
+            state_role::address(options.controllers, ports.state),
+            &dir.join("n0.toml"),
+            record.clone(),
+            (load.workers.fetch_s * 1e6) as u64,
+        )?;
         let mut driver = Driver {
             rng: StdRng::seed_from_u64(options.seed),
             controllers: Vec::new(),
@@ -177,6 +192,7 @@
             hosts,
             record,
             users: Rc::new(users),
+            operators: Rc::new(operators),
             gangs: Gangs::default(),
             gang_facts: HashMap::new(),
             arrivals: vec![0; load.classes.len()],
@@ -228,6 +244,9 @@
         let measured = began + self.options.warm_up * SECOND;
         let mut faults = self.load.faults.clone();
         faults.sort_by(|a, b| b.at_s.total_cmp(&a.at_s));
+        for row in self.load.changes.clone() {
+            spawn_local(self.operators.clone().change(row, began));
+        }
         let bar = ProgressBar::new(self.options.seconds).with_style(style());
         let (mut first, mut batch) = (None, Vec::new());
         let mut pretend = self.options.pretend;
@@ -301,7 +320,7 @@
             state: counted.state.unwrap_or_default(),
             cloud: counted.cloud.unwrap_or_default(),
             between_controllers: between.map(|(l, f)| l.saturating_sub(f) as f64 / seconds),
-            agreement: Agreement::of(&counted.real, &counted.hollow),
+            agreement: Agreement::of(&counted.real, &counted.alike),
             hollow: counted.hollow,
             real: counted.real,
             users: users_times(&record, &latencies, from, to, until),
@@ -309,6 +328,7 @@
             unanswered: latencies.unanswered,
             given_up: latencies.given_up,
             faults: self.faults.clone(),
+            changes: self.operators.report(),
             ended_by_themselves: self.ended_by_themselves,
             rules,
             broken: words.map(|b| format!("{}: {}", b.rule, b.what)).collect(),
@@ -329,10 +349,15 @@
                 self.cloud.tell(&ToCloud::Failed(hosts));
             }
             Heard::Hosts(process, FromHosts::Counts(counts)) => {
-                let real = self.hosts[process].kind == HostKind::Real;
                 let counted = &mut self.counted;
-                let sum = if real { &mut counted.real } else { &mut counted.hollow };
-                sum.add(&counts);
+                match self.hosts[process].kind {
+                    HostKind::Real => counted.real.add(&counts),
+                    HostKind::Hollow => counted.hollow.add(&counts),
+                    HostKind::Rack => {
+                        counted.hollow.add(&counts);
+                        counted.alike.add(&counts);
+                    }
+                }
                 counted.hosts_told += 1;
             }
             Heard::State(counts) => self.counted.state = Some(counts),
@@ -549,7 +574,7 @@
 
     /// Who leads, as the state service has it.
     async fn leader(&self) -> Option<String> {
-        let client = Client::new(state_role::address(0, self.ports.state));
+        let client = Client::new(state_role::address(self.options.controllers, self.ports.state));
         let path = "/kv/gh/lead/holder";
         let (_, body) =
             client.call(Method::Get, path, b"", PATIENCE).await.filter(|a| a.0 == 200)?;
--- a/crates/gannethub-scale/src/state_role.rs
+++ b/crates/gannethub-scale/src/state_role.rs
@@ -50,7 +50,7 @@
     Asked(usize, Asked),
 }
 
-/// Where the state service is for this controller; the driver itself is number 0's.
+/// Where the state service is for this controller; operators come after the last one.
 pub fn address(node: usize, port: u16) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(127, 0, 1, node as u8 + 1), port)
 }
@@ -69,7 +69,8 @@
 pub async fn run(args: StateArgs) -> std::io::Result<()> {
     let clock = RunClock(args.epoch);
     let (queue, mut commands) = mpsc::channel(QUEUE);
-    for node in 0..args.controllers {
+    // The last one is for operators, and for the driver itself.
+    for node in 0..=args.controllers {
         let listener = TcpListener::bind(address(node, args.port)).await?;
         let lag = Duration::from_millis(args.lag_ms);
         spawn_local(serve(listener, queue.clone(), lag, move |a| Command::Asked(node, a)));
--- a/crates/gannethub-scale/tests/loopback.rs
+++ b/crates/gannethub-scale/tests/loopback.rs
@@ -42,6 +42,8 @@
     for role in ["leader", "follower", "real worker", "hollow workers", "state service", "cloud"] {
         assert!(report.roles[role].processes > 0 && report.roles[role].peak_mb > 0.5, "{role}");
     }
+    let changes = &report.changes;
+    assert_eq!((changes.stored, changes.in_force.count, changes.acted_on_older), (3, 3, 0));
     assert!(report.reached.starts > 1.0 && report.state.changes > 0 && report.real.reports > 20);
     assert!(report.users["submission"].count > 10 && report.users["question"].count > 10);
     assert!(report.state.kinds["commit"].bytes_in > 0 && report.state.kinds["watch"].bytes_out > 0);
