--- a/crates/gannethub-core/tests/stories/sim/changes.rs
+++ b/crates/gannethub-core/tests/stories/sim/changes.rs
@@ -71,6 +71,19 @@
         version
     }
 
+    /// While the state service answers nobody, a version that no controller has heard of cannot be in force.
+    pub fn wait_out(&mut self, step: u64) {
+        let now = self.now;
+        if self.state.down {
+            self.changes.iter_mut().filter(|c| c.by > now).for_each(|c| c.by += step);
+        }
+    }
+
+    /// The number of the last version; 0: none was ever stored.
+    pub fn last_version(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
     /// Limits of a team that a controller may go by now, or that a task which starts now was launched under. A removed
     /// team has the last one.
     fn limits_of(&self, team: &str) -> Vec<f64> {
--- /dev/null
+++ b/crates/gannethub-core/tests/stories/sim/checks.rs
@@ -0,0 +1,288 @@
+//! The checker of the stories: the rules, held against what workers, users and the state service see.
+
+use super::*;
+
+impl World {
+    /// A task of `w` starts to count as on its machine now.
+    pub fn check_start(&mut self, w: &Worker, name: &str) {
+        self.starts += 1;
+        let id = name.split('/').next().unwrap_or("").to_string();
+        let Some(job) = self.jobs.get(&id) else {
+            self.broken.push(format!("unknown job started: {name}"));
+            return;
+        };
+        let body = &job.body;
+        let mut broken = Vec::new();
+        for u in self.upstream(&id).iter().filter(|u| **u != id) {
+            if !self.completed(u) {
+                broken.push(format!("too_early: {name} before {u} is done"));
+            }
+            let lost = self.jobs.get(u).and_then(|j| j.told_cancelled);
+            if lost.is_some_and(|t| self.now > t + CANCEL) {
+                broken.push(format!("ran_cancelled: {name}, which needs {u}"));
+            }
+        }
+        let index = name.split('/').nth(1).and_then(|n| n.parse::<u32>().ok());
+        if index.is_some_and(|index| self.stored(&id, index)) {
+            broken.push(format!("began again: {name} is stored as done"));
+        }
+        let others = || self.workers.values().filter(|o| !o.gone(self.now) && o.name != w.name);
+        if others().any(|o| o.tasks.get(name).is_some_and(|t| t.on_machine())) {
+            broken.push(format!("ran_twice: {name} on {}", w.name));
+        }
+        match job.told_cancelled {
+            Some(t) if self.now > t + CANCEL => broken.push(format!("ran_cancelled: {name}")),
+            Some(_) => self.late_starts += 1,
+            None => {}
+        }
+        let allowed = |field: &str, value: &str| match &body[field] {
+            Value::Array(list) => list.iter().any(|v| v == value),
+            Value::String(s) => s == value,
+            _ => true,
+        };
+        if !allowed("rigs", &w.flavor)
+            || !allowed("yard", &w.zone)
+            || (w.spot && body["loaners"] == json!(false))
+        {
+            broken.push(format!("wrong_place: {name} on {}", w.name));
+        }
+        let mut zones: HashMap<&str, u64> = HashMap::new();
+        let mut used: f64 = 0.0;
+        for o in others().chain([w]) {
+            for t in o.tasks.values().filter(|t| t.on_machine()) {
+                let other = t.name.split('/').next().unwrap_or("");
+                let Some(j) = self.jobs.get(other) else { continue };
+                if other == id {
+                    *zones.entry(&o.zone).or_default() += 1;
+                }
+                if j.body["crew"] == body["crew"] {
+                    used += j.body["vcpus"].as_f64().unwrap_or(0.0);
+                }
+            }
+        }
+        if body["together"] == json!(true) && zones.len() > 1 {
+            broken.push(format!("wrong_place: {name} splits its job over zones"));
+        }
+        let half = body["pieces"].as_u64().unwrap_or(0).div_ceil(2);
+        if body["scatter"] == json!(true) && zones.values().any(|n| *n > half) {
+            broken.push(format!("wrong_place: {name} crowds a zone"));
+        }
+        let limit = self.most_allowed(body["crew"].as_str().unwrap_or(""));
+        if used > limit + 1e-6 {
+            broken.push(format!("quota: {} uses {used}", body["crew"]));
+        }
+        self.broken.extend(broken);
+    }
+
+    /// Whoever has told a user that a job is cancelled launches none of its tasks.
+    pub(super) fn check_launches(&mut self, node: usize, life: u32, body: &Value) {
+        for order in body["orders"].as_array().into_iter().flatten() {
+            let task = order["piece"].as_str().unwrap_or("");
+            let job = task.split('/').next().unwrap_or("").to_string();
+            if order["verb"] == json!("launch") && self.told_by.contains(&(node, life, job)) {
+                self.broken
+                    .push(format!("launched: {task} by n{node}, which told it is cancelled"));
+            }
+        }
+    }
+
+    /// Copies that were kept come to every controller as soon as a new term begins.
+    pub(super) fn send_kept_copies(&mut self) {
+        if self.keep_copies == 0.0 && self.kept_copies.is_empty() {
+            return;
+        }
+        let term = self.state.value(TERM).and_then(|v| v["term"].as_u64()).unwrap_or(0);
+        if term == std::mem::replace(&mut self.last_term, term) {
+            return;
+        }
+        for body in std::mem::take(&mut self.kept_copies) {
+            for node in 0..self.nodes.len() {
+                let soon = self.rng.random_range(0..2 * SECOND);
+                self.at(soon, Event::Copy { node: Some(node), body: body.clone() });
+                self.kept_came += 1;
+            }
+        }
+    }
+
+    /// What a machine has left, by what is on it.
+    pub(super) fn room(&self, w: &Worker) -> (f64, f64, f64) {
+        let rigs = self.cloud.flavors["rigs"].as_array().cloned().unwrap_or_default();
+        let rig = rigs.iter().find(|r| r["label"] == w.flavor.as_str());
+        let number = |v: &Value, f: &str| v[f].as_f64().unwrap_or(0.0);
+        let size = |f: &str| rig.map_or(0.0, |r| number(r, f));
+        let mut room = (size("vcpus"), size("cards"), size("mem_gb"));
+        for t in w.tasks.values().filter(|t| !t.ended()) {
+            let id = t.name.split('/').next().unwrap_or("");
+            let Some(j) = self.jobs.get(id) else { continue };
+            room.0 -= number(&j.body, "vcpus");
+            room.1 -= number(&j.body, "cards");
+            room.2 -= number(&j.body, "mem_gb");
+        }
+        room
+    }
+
+    /// There is room for this job now: for a task of an array, for all tasks of another, on machines that it allows and
+    /// under its team's limit.
+    pub(super) fn has_room(&self, body: &Value) -> bool {
+        let number = |f: &str| body[f].as_f64().unwrap_or(0.0);
+        let need = (number("vcpus"), number("cards"), number("mem_gb"));
+        let tasks = body["pieces"].as_u64().unwrap_or(1);
+        let wanted = if body["shape"] == "array" { 1 } else { tasks };
+        let allowed = |field: &str, value: &str| match &body[field] {
+            Value::Array(list) => list.iter().any(|v| v == value),
+            Value::String(s) => s == value,
+            _ => true,
+        };
+        let mut used = need.0 * wanted as f64;
+        let mut zones: BTreeMap<&str, u64> = BTreeMap::new();
+        for w in self.workers.values() {
+            for t in w.tasks.values().filter(|t| !t.ended()) {
+                let other = self.jobs.get(t.name.split('/').next().unwrap_or(""));
+                let same = other.filter(|o| o.body["crew"] == body["crew"]);
+                used += same.map_or(0.0, |o| o.body["vcpus"].as_f64().unwrap_or(0.0));
+            }
+            let up = !w.hung(self.now) && !w.notice && !w.faulty;
+            let kind = !w.spot || body["loaners"] == json!(true);
+            if !up || !kind || !allowed("rigs", &w.flavor) || !allowed("yard", &w.zone) {
+                continue;
+            }
+            let mut room = self.room(w);
+            while room.0 >= need.0 && room.1 >= need.1 && room.2 >= need.2 {
+                room = (room.0 - need.0, room.1 - need.1, room.2 - need.2);
+                let here = zones.entry(&w.zone).or_default();
+                *here += 1;
+                if *here >= wanted {
+                    break;
+                }
+            }
+        }
+        let limit = self.surely_allowed(body["crew"].as_str().unwrap_or(""));
+        let half = wanted.div_ceil(2);
+        let fits = match (body["together"] == json!(true), body["scatter"] == json!(true)) {
+            (true, _) => zones.values().any(|n| *n >= wanted),
+            (_, true) => zones.values().map(|n| (*n).min(half)).sum::<u64>() >= wanted,
+            _ => zones.values().sum::<u64>() >= wanted,
+        };
+        fits && used <= limit + 1e-6
+    }
+
+    /// Once troubles are over, no job waits 90 s while there is room for it.
+    pub(super) fn check_waiting(&mut self) {
+        if self.asked_since == 0 {
+            return;
+        }
+        let begun: HashSet<String> = self
+            .workers
+            .values()
+            .flat_map(|w| w.tasks.keys())
+            .chain(&self.done)
+            .map(|t| t.split('/').next().unwrap_or("").to_string())
+            .collect();
+        for id in self.jobs.keys().cloned().collect::<Vec<_>>() {
+            let chain = self.upstream(&id);
+            let released = chain.iter().filter(|u| **u != id).all(|u| self.completed(u));
+            let called_off = chain.iter().any(|u| self.jobs.get(u).is_some_and(|j| j.cancel_asked));
+            let j = &self.jobs[&id];
+            let waits = j.accepted.is_some()
+                && !called_off
+                && released
+                && !begun.contains(&id)
+                && j.body["jobclass"] != "broken";
+            let idle = waits && self.has_room(&j.body);
+            let now = self.now;
+            let Some(j) = self.jobs.get_mut(&id) else { continue };
+            match (idle, j.idle_since) {
+                (false, _) => j.idle_since = None,
+                (true, None) => j.idle_since = Some(now),
+                (true, Some(t)) if now == t + 90 * SECOND => {
+                    self.broken.push(format!("left waiting: {id}, though there is room for it"));
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// A leader's index of room agrees with what it knows of its machines.
+    pub(super) fn check_index(&mut self) {
+        let leading = self.nodes.iter().filter_map(|n| n.controller.as_ref()?.cluster());
+        self.broken.extend(leading.flat_map(|c| c.misplaced()));
+        self.check_blocks();
+    }
+
+    /// No machine is in two blocks' records, and parts of a limit add up to no more than it, as is stored.
+    pub(super) fn check_blocks(&mut self) {
+        let mut seen: HashMap<String, String> = HashMap::new();
+        let block_of = |key: &str| key.split('/').nth(2).unwrap_or("").to_string();
+        for key in self.state.keys("gh/block/") {
+            let machines = self.state.value(&key).map(|v| v["machines"].clone());
+            let machines = machines.as_ref().and_then(Value::as_object).cloned();
+            for name in machines.into_iter().flatten().map(|m| m.0) {
+                let other = seen.insert(name.clone(), block_of(&key));
+                if other.as_ref().is_some_and(|o| *o != block_of(&key)) {
+                    self.broken.push(format!("held twice: {name} in {other:?} and {key}"));
+                }
+            }
+        }
+        let mut sums: HashMap<String, i64> = HashMap::new();
+        for key in self.state.keys("gh/allot/") {
+            let teams = self.state.value(&key).map(|v| v["teams"].clone());
+            for (team, part) in teams.as_ref().and_then(Value::as_object).into_iter().flatten() {
+                *sums.entry(team.clone()).or_default() += part["cpu"].as_i64().unwrap_or(0);
+            }
+        }
+        for team in &self.settings[0].teams {
+            let sum = sums.get(&team.name).copied().unwrap_or(0);
+            if sum > team.limit.cpu {
+                self.broken.push(format!("allotted: {sum} of {}", team.name));
+            }
+        }
+    }
+
+    /// The state service has it that this task of a live job is done.
+    pub(super) fn stored(&self, id: &str, index: u32) -> bool {
+        let part = index / PART_TASKS;
+        let values = [(format!("gh/live/{id}"), 0), (format!("gh/part/{id}/{part}"), part)];
+        values.iter().any(|(key, part)| {
+            let text = self.state.value(key).and_then(|v| v["done"].as_str());
+            let mut done = Ranges::default();
+            decode_done(text.unwrap_or(""), *part, &mut done);
+            done.contains(index)
+        })
+    }
+
+    /// What is stored as done stays so: a part of a job only grows, until it goes with the job.
+    pub(super) fn check_parts(&mut self) {
+        let mut parts = HashMap::new();
+        for key in self.state.keys("gh/part/") {
+            let index = key.rsplit('/').next().and_then(|n| n.parse().ok()).unwrap_or(0);
+            let mut done = Ranges::default();
+            let text = self.state.value(&key).and_then(|v| v["done"].as_str()).unwrap_or("");
+            decode_done(text, index, &mut done);
+            parts.insert(key, done.len() as usize);
+        }
+        for (key, before) in std::mem::take(&mut self.parts) {
+            if parts.get(&key).is_some_and(|now| *now < before) {
+                self.broken.push(format!("lost: {key} had {before} ends, and has {}", parts[&key]));
+            }
+        }
+        self.parts = parts;
+    }
+
+    /// Cancelled jobs must be gone from all machines in time, those that hung and went on among them.
+    pub fn check_cancelled(&mut self) {
+        let mut broken = Vec::new();
+        let mut ran_on = 0;
+        for w in self.workers.values().filter(|w| !w.gone(self.now)) {
+            for t in w.tasks.values().filter(|t| t.on_machine()) {
+                let id = t.name.split('/').next().unwrap_or("");
+                let told = self.jobs.get(id).and_then(|j| j.told_cancelled);
+                ran_on += usize::from(told.is_some());
+                if told.is_some_and(|at| self.now > at + CANCEL) {
+                    broken.push(format!("ran_cancelled: {} is still on {}", t.name, w.name));
+                }
+            }
+        }
+        self.ran_on += ran_on;
+        self.broken.extend(broken);
+    }
+}
