--- a/crates/gannethub-core/benches/day.rs
+++ b/crates/gannethub-core/benches/day.rs
@@ -300,7 +300,7 @@
         day.play(machines, options.seconds, options.load);
         let s = &day.spent;
         assert!(s.started > 0, "nothing was started");
-        assert_eq!(day.floor.c.misplaced(), Vec::<String>::new(), "the index of room is wrong");
+        assert_eq!(day.view.c.misplaced(), Vec::<String>::new(), "the index of room is wrong");
         let ms = |d: Duration| d.as_secs_f64() * 1000.0 / options.seconds as f64;
         let each = |n: u64| n as f64 / s.started as f64;
         let costs = [s.reports, s.passes, s.plans, s.rest, s.total()];
--- a/crates/gannethub-core/src/control/allotter.rs
+++ b/crates/gannethub-core/src/control/allotter.rs
@@ -15,7 +15,8 @@
 use crate::decide::allot::{self, Parts};
 use crate::memory::cluster::Cluster;
 use crate::model::{Micros, Resources, SECOND, Team};
-use crate::wire::store::{self, ALLOT, AllotRecord, Commit, Item, Listing, StoreRequest, Urgency};
+use crate::wire::budget::Urgency;
+use crate::wire::store::{self, ALLOT, AllotRecord, Commit, Item, Listing, StoreRequest};
 
 /// Parts are read this often, and this often while nothing asks for it.
 const READ_EVERY: Micros = SECOND / 2;
--- a/crates/gannethub-core/src/control/configured.rs
+++ b/crates/gannethub-core/src/control/configured.rs
@@ -7,7 +7,7 @@
 use super::controller::Controller;
 use super::port::Purpose;
 use crate::http::Response;
-use crate::wire::store::Urgency;
+use crate::wire::budget::Urgency;
 
 /// The answer to `GET /api/config`.
 #[derive(Serialize)]
--- a/crates/gannethub-core/src/control/holder.rs
+++ b/crates/gannethub-core/src/control/holder.rs
@@ -17,10 +17,11 @@
 use crate::memory::fleet::CloudCall;
 use crate::memory::writes::Batch;
 use crate::model::{JobId, Micros, SECOND};
+use crate::wire::budget::Urgency;
 use crate::wire::configuration::CURRENT;
 use crate::wire::peer::Running;
 use crate::wire::store::{
-    self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest, Urgency,
+    self, Committed, Conflict, Followed, Item, LiveRecord, OverRecord, StoreRequest,
 };
 use crate::wire::worker::{Commands, Report, ReportAnswer};
 
--- a/crates/gannethub-core/src/control/intake.rs
+++ b/crates/gannethub-core/src/control/intake.rs
@@ -12,9 +12,10 @@
 use crate::memory::pipeline::Fate;
 use crate::model::{JobId, Micros, SECOND};
 use crate::wire::api::{self, JobView, Refusal, Status, Submission};
+use crate::wire::budget::Urgency;
 use crate::wire::configuration::CURRENT;
 use crate::wire::store::{
-    self, Commit, Committed, Conflict, JobRecord, StoreRequest, Urgency, WaitingRecord,
+    self, Commit, Committed, Conflict, JobRecord, StoreRequest, WaitingRecord,
 };
 
 pub(super) const POLL_PATIENCE: Micros = 1_700_000;
--- a/crates/gannethub-core/src/control/lease.rs
+++ b/crates/gannethub-core/src/control/lease.rs
@@ -10,8 +10,9 @@
 use super::port::{Port, Purpose};
 use crate::model::{Micros, SECOND};
 use crate::settings::Settings;
+use crate::wire::budget::Urgency;
 use crate::wire::peer::{Body, PromiseAsk};
-use crate::wire::store::{StoreRequest, Urgency};
+use crate::wire::store::StoreRequest;
 
 /// Promises are asked for this often while the grant runs low.
 const ASK_EVERY: Micros = 600_000;
--- a/crates/gannethub-core/src/control/loading.rs
+++ b/crates/gannethub-core/src/control/loading.rs
@@ -9,8 +9,9 @@
 use crate::memory::block::ChunkRecord;
 use crate::memory::shadow::Shadow;
 use crate::model::{Micros, SECOND};
+use crate::wire::budget::Urgency;
 use crate::wire::configuration::CURRENT;
-use crate::wire::store::{self, Item, Listing, MoveRecord, PartRecord, StoreRequest, Urgency};
+use crate::wire::store::{self, Item, Listing, MoveRecord, PartRecord, StoreRequest};
 
 /// Machines on their way here are looked for this often.
 const MOVES_EVERY: Micros = SECOND;
--- a/crates/gannethub-core/src/control/port.rs
+++ b/crates/gannethub-core/src/control/port.rs
@@ -17,9 +17,10 @@
 use crate::policy::Setting;
 use crate::settings::{Rates, Settings};
 use crate::wire::api::{JobView, Refusal};
+use crate::wire::budget::{Budget, Urgency};
 use crate::wire::cloud::CloudRequest;
 use crate::wire::peer::{Body, Envelope};
-use crate::wire::store::{Budget, LeadRecord, StoreRequest, Urgency};
+use crate::wire::store::{LeadRecord, StoreRequest};
 
 /// The state service is asked at least this often, and counts as gone after three times as long without an answer.
 pub(super) const PROBE_EVERY: Micros = 500_000;
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -13,8 +13,9 @@
 use crate::memory::mirror::Found;
 use crate::model::{JobId, Micros, Ranges, SECOND};
 use crate::wire::api::{self, JobView, Status};
+use crate::wire::budget::Urgency;
 use crate::wire::store::{
-    self, Commit, Committed, Followed, Item, Listing, LiveRecord, OverRecord, StoreRequest, Urgency,
+    self, Commit, Committed, Followed, Item, Listing, LiveRecord, OverRecord, StoreRequest,
 };
 
 /// Ends of jobs that others wait for that are asked for at once.
--- a/crates/gannethub-core/src/control/seats.rs
+++ b/crates/gannethub-core/src/control/seats.rs
@@ -10,10 +10,10 @@
 use super::port::{PROBE_EVERY, Port, Purpose, read};
 use super::standing::Standing;
 use crate::model::{Micros, SECOND};
+use crate::wire::budget::Urgency;
 use crate::wire::peer::{Body, Marks};
 use crate::wire::store::{
-    self, COUNT, Commit, Granted, LEAD, LeadRecord, Listing, SEAT, StoreRequest, TERM, Urgency,
-    seat_keys,
+    self, COUNT, Commit, Granted, LEAD, LeadRecord, Listing, SEAT, StoreRequest, TERM, seat_keys,
 };
 
 /// Where one block is enough, others that are left over are looked for this often.
--- a/crates/gannethub-core/src/control/standing.rs
+++ b/crates/gannethub-core/src/control/standing.rs
@@ -11,11 +11,12 @@
 use crate::memory::mirror::Mirror;
 use crate::memory::share::Load;
 use crate::model::{Flavor, JobId, Micros, Resources, SECOND};
+use crate::wire::budget::Urgency;
 use crate::wire::peer::{
     BlockTold, Body, Heartbeat, Marks, OfferTold, Promise, PromiseAsk, TeamTold,
 };
 use crate::wire::store::{
-    self, COUNT, Commit, Granted, HOLDER, LEAD, LeadRecord, Listing, StoreRequest, TERM, Urgency,
+    self, COUNT, Commit, Granted, HOLDER, LEAD, LeadRecord, Listing, StoreRequest, TERM,
 };
 
 const BEAT_EVERY: Micros = 500_000;
--- a/crates/gannethub-core/src/memory/halt.rs
+++ b/crates/gannethub-core/src/memory/halt.rs
@@ -4,7 +4,7 @@
 
 use super::records::MachineId;
 use crate::model::{Micros, TaskId};
-use crate::wire::store::Bucket;
+use crate::wire::budget::Bucket;
 
 /// Attempts to be halted on one machine.
 #[derive(Debug, Default)]
--- /dev/null
+++ b/crates/gannethub-core/src/wire/budget.rs
@@ -0,0 +1,221 @@
+//! How much one controller asks of the state service: tokens that refill, and requests in the order of their urgency.
+
+use std::collections::VecDeque;
+
+use crate::model::{Micros, SECOND};
+
+/// Tokens that refill over time, up to one second's worth.
+#[derive(Debug)]
+pub(crate) struct Bucket {
+    rate: f64,
+    pub level: f64,
+    at: Micros,
+}
+
+impl Bucket {
+    pub fn new(rate: f64) -> Bucket {
+        Bucket { rate, level: rate.max(1.0), at: 0 }
+    }
+
+    pub fn refill(&mut self, now: Micros) {
+        let earned = now.saturating_sub(self.at) as f64 / SECOND as f64 * self.rate;
+        self.level = (self.level + earned).min(self.rate.max(1.0));
+        self.at = now;
+    }
+}
+
+/// How urgent a request is. Renewals are never held up by the rest. Users and commits take turns:
+/// a storm of queries must not keep a leader from what its watch brings, a cancellation first of
+/// all, or from writing what is done. What users ask and what they change take turns as well: when
+/// more is submitted than may be written, questions about jobs behind that went without an answer
+/// for minutes. The rest goes when nothing else waits.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub enum Urgency {
+    Renewal,
+    User,
+    Commit,
+    Rest,
+}
+
+/// Keeps one controller's requests within its share of what the service allows.
+#[derive(Debug)]
+pub struct Budget<T> {
+    requests: Bucket,
+    changes: Bucket,
+    renewals: VecDeque<(u32, T)>,
+    /// Those that take turns: what users ask, what they change, and commits.
+    lanes: [VecDeque<(u32, T)>; 3],
+    /// Whether it is the turn of commits next, and which of users' lanes comes first when it is theirs.
+    commits_next: bool,
+    users: [usize; 2],
+    rest: VecDeque<(u32, T)>,
+}
+
+const ASKS: usize = 0;
+const CHANGES: usize = 1;
+const COMMITS: usize = 2;
+
+impl<T> Budget<T> {
+    pub fn new(rps: f64, write_rps: f64) -> Budget<T> {
+        Budget {
+            requests: Bucket::new(rps),
+            changes: Bucket::new(write_rps),
+            renewals: VecDeque::new(),
+            lanes: Default::default(),
+            commits_next: false,
+            users: [ASKS, CHANGES],
+            rest: VecDeque::new(),
+        }
+    }
+
+    /// The requests a second that it may make.
+    pub fn rate(&self) -> f64 {
+        self.requests.rate
+    }
+
+    /// Changes the share, as when leadership comes or goes.
+    pub fn set_share(&mut self, rps: f64, write_rps: f64) {
+        self.requests.rate = rps;
+        self.changes.rate = write_rps;
+    }
+
+    pub fn push(&mut self, urgency: Urgency, changes: u32, item: T) {
+        let queue = match urgency {
+            Urgency::Renewal => &mut self.renewals,
+            Urgency::User if changes == 0 => &mut self.lanes[ASKS],
+            Urgency::User => &mut self.lanes[CHANGES],
+            Urgency::Commit => &mut self.lanes[COMMITS],
+            Urgency::Rest => &mut self.rest,
+        };
+        queue.push_back((changes, item));
+    }
+
+    /// The next request that may go now.
+    pub fn pop(&mut self, now: Micros) -> Option<T> {
+        self.requests.refill(now);
+        self.changes.refill(now);
+        if let Some((n, item)) = self.renewals.pop_front() {
+            self.requests.level -= 1.0;
+            self.changes.level -= f64::from(n);
+            return Some(item);
+        }
+        let mut blocked = false;
+        let [first, second] = self.users;
+        let turns = match self.commits_next {
+            true => [Some(COMMITS), Some(first), Some(second), None],
+            false => [Some(first), Some(second), Some(COMMITS), None],
+        };
+        for lane in turns {
+            let queue = match lane {
+                Some(lane) => &mut self.lanes[lane],
+                None => &mut self.rest,
+            };
+            let Some(&(n, _)) = queue.front() else { continue };
+            let changes = f64::from(n);
+            // A transaction larger than the bucket goes when the bucket is full. Until it can
+            // go, only what changes nothing passes it.
+            blocked |= self.changes.level < changes.min(self.changes.rate.max(1.0));
+            if self.requests.level < 1.0 || (blocked && n > 0) {
+                continue;
+            }
+            let item = queue.pop_front().map(|(_, item)| item);
+            match lane {
+                Some(COMMITS) => self.commits_next = false,
+                Some(lane) => (self.commits_next, self.users) = (true, [CHANGES - lane, lane]),
+                None => {}
+            }
+            self.requests.level -= 1.0;
+            self.changes.level -= changes;
+            return item;
+        }
+        None
+    }
+
+    /// How long another change of users' would wait behind what is queued, the others taking turns.
+    pub fn wait(&self) -> Micros {
+        let [_, changes, commits] = &self.lanes;
+        let between = commits.iter().take(changes.len() + 1);
+        let queued = self.renewals.iter().chain(changes).chain(between);
+        let changes = queued.map(|(n, _)| f64::from(*n)).sum();
+        self.behind(CHANGES).max(Self::time(changes, &self.changes))
+    }
+
+    /// How long another question of users would wait. Changes that may not be made yet do not hold it up.
+    pub fn wait_to_ask(&self) -> Micros {
+        self.behind(ASKS)
+    }
+
+    /// How long until it is a lane's turn once more after all that is in it, as far as requests go.
+    fn behind(&self, lane: usize) -> Micros {
+        let own = self.lanes[lane].len();
+        let others = (0..self.lanes.len()).filter(|other| *other != lane);
+        let between: usize = others.map(|other| self.lanes[other].len().min(own + 1)).sum();
+        Self::time((self.renewals.len() + own + between) as f64, &self.requests)
+    }
+
+    fn time(queued: f64, bucket: &Bucket) -> Micros {
+        let wait = (queued - bucket.level).max(0.0) / bucket.rate.max(0.1);
+        (wait * SECOND as f64) as Micros
+    }
+
+    pub fn queued(&self) -> usize {
+        let lanes: usize = self.lanes.iter().map(VecDeque::len).sum();
+        self.renewals.len() + lanes + self.rest.len()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn the_budget_lets_renewals_pass_and_holds_the_rest_to_its_rates() {
+        let mut b = Budget::new(4.0, 2.0);
+        for i in 0..10 {
+            b.push(Urgency::User, 1, i);
+        }
+        b.push(Urgency::Renewal, 0, 100);
+        let mut first = Vec::new();
+        while let Some(x) = b.pop(SECOND) {
+            first.push(x);
+        }
+        assert_eq!(first, [100, 0, 1], "the renewal first, then two changes a second");
+        let later = std::iter::from_fn(|| b.pop(2 * SECOND)).count();
+        assert_eq!(later, 2);
+        assert_eq!(b.queued(), 6);
+        assert_eq!(b.wait(), 3 * SECOND, "six changes at two a second");
+    }
+
+    #[test]
+    fn questions_do_not_wait_behind_changes_that_may_not_be_made_yet() {
+        let mut b = Budget::new(20.0, 4.0);
+        (0..10).for_each(|i| b.push(Urgency::User, 4, i));
+        b.push(Urgency::Commit, 4, 50);
+        (100..104).for_each(|i| b.push(Urgency::User, 0, i));
+        assert!(b.wait() > 8 * SECOND && b.wait_to_ask() == 0);
+        let first: Vec<u32> = std::iter::from_fn(|| b.pop(0)).collect();
+        assert_eq!(first, [100, 50, 101, 102, 103]);
+        // Nor are changes kept out by questions without end, or commits by both.
+        (200..1000).for_each(|i| b.push(Urgency::User, 0, i));
+        assert!(b.wait_to_ask() > 30 * SECOND);
+        let then: Vec<u32> = (1..9).flat_map(|s| b.pop(s * SECOND)).collect();
+        assert!(then.iter().filter(|i| **i < 10).count() >= 3, "{then:?}");
+    }
+
+    #[test]
+    fn a_storm_of_queries_leaves_every_other_request_to_commits() {
+        let mut b = Budget::new(6.0, 6.0);
+        (0..1000).for_each(|i| b.push(Urgency::User, 0, i));
+        (0..3).for_each(|i| b.push(Urgency::Commit, 0, 2000 + i));
+        b.push(Urgency::Rest, 0, 3000);
+        let first: Vec<u32> = std::iter::from_fn(|| b.pop(SECOND)).collect();
+        assert_eq!(first, [0, 2000, 1, 2001, 2, 2002]);
+        // A transaction that waits for its changes holds up no reads, but the changes behind it.
+        let mut b = Budget::new(10.0, 4.0);
+        b.push(Urgency::User, 4, 0);
+        b.push(Urgency::User, 4, 1);
+        (2..6).for_each(|i| b.push(Urgency::Commit, u32::from(i == 4), i));
+        let first: Vec<u32> = std::iter::from_fn(|| b.pop(0)).collect();
+        assert_eq!(first, [0, 2, 3]);
+    }
+}
