--- a/src/config/wait.rs
+++ b/src/config/wait.rs
@@ -21,6 +21,7 @@
 /// The answer to `GET /api/config`, as far as it matters here.
 #[derive(Debug, Deserialize)]
 struct Told {
+    newest: u64,
     refused: Option<String>,
     nodes: Vec<NodeTold>,
 }
@@ -71,8 +72,9 @@
     let mut missing = Vec::new();
     while began.elapsed() < LONGEST {
         let told = ask(controllers).await;
-        if let Some(reason) = told.iter().find_map(|t| t.refused.as_ref()) {
-            println!("a controller cannot use it: {reason}");
+        let refused = told.iter().filter(|t| t.newest == version).find_map(|t| t.refused.clone());
+        if let Some(reason) = refused {
+            return Err(CommandError::CannotUse { version, reason });
         }
         let newest = newest(&told);
         let heard = |name: &String| {
