--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -86,6 +86,10 @@
         "{0:?} are of a release that knows of no configuration, or were never heard; nothing was changed"
     )]
     OldControllers(Vec<String>),
+    #[error(
+        "version {version} is stored, and a controller cannot use it: {reason}; the one before holds"
+    )]
+    CannotUse { version: u64, reason: String },
     #[error(
         "version {version} is not known to be in force everywhere after {seconds} s: not at {missing:?}"
     )]
