--- a/crates/gannethub-scale/src/run.rs
+++ b/crates/gannethub-scale/src/run/mod.rs
@@ -1,5 +1,9 @@
 //! The driver of a run: it starts all processes, brings the load and the faults, and measures.
 
+mod faults;
+mod measuring;
+mod start;
+
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::path::PathBuf;
@@ -31,6 +35,8 @@
 use crate::state_role;
 use crate::users::Users;
 
+use start::{HostKind, HostProcess, start_cloud, start_hosts, start_state};
+
 const TICK: Duration = Duration::from_millis(20);
 const SECOND: u64 = 1_000_000;
 /// A controller that was killed is started again after this time, in microseconds.
@@ -66,22 +72,6 @@
     Cloud(FromCloud),
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum HostKind {
-    Hollow,
-    Rack,
-    Real,
-}
-
-/// A process with workers.
-struct HostProcess {
-    kind: HostKind,
-    talker: Talker,
-    room: usize,
-    hosts: BTreeSet<String>,
-    ended: bool,
-}
-
 /// What happens later by itself.
 enum Later {
     StartController(usize),
@@ -127,14 +117,6 @@
     cloud: Option<BTreeMap<String, KindCount>>,
 }
 
-/// What was read of all processes at one moment.
-struct Moment {
-    at: u64,
-    usage: BTreeMap<u32, Usage>,
-    machine: Option<(f64, f64)>,
-    between: Option<u64>,
-}
-
 /// Makes a run; its report is written if a file is named.
 pub fn run(options: &RunOptions) -> Result<Report, RunError> {
     let load = Load::read(options.load.as_deref())?;
@@ -280,61 +262,6 @@
         self.conclude(first, heard).await
     }
 
-    /// Takes everything down that was measured since the first moment.
-    async fn conclude(
-        &mut self,
-        first: Moment,
-        heard: &mut mpsc::Receiver<Heard>,
-    ) -> Result<Report, RunError> {
-        let last = self.moment().await;
-        self.measure(heard).await?;
-        let leader = self.leader().await.unwrap_or_default();
-        self.users.ask_again(ASKED_AGAIN).await;
-        let until = last.at;
-        let broken = self.record.borrow_mut().check(until);
-        let mut rules = BTreeMap::new();
-        broken.iter().for_each(|b| *rules.entry(b.rule.to_string()).or_default() += 1);
-        let words = broken.iter().take(TOLD_IN_WORDS);
-        let (from, to) = (first.at, last.at);
-        let seconds = (to - from) as f64 / 1e6;
-        let between = last.between.zip(first.between);
-        let busy = last.machine.zip(first.machine);
-        let (record, latencies) = (self.record.borrow(), self.users.latencies.borrow());
-        let submitted = record.jobs.values().filter(|j| (from..to).contains(&j.asked)).count();
-        let workers = self.hosts.iter().map(|h| h.hosts.len()).sum::<usize>();
-        let counted = std::mem::take(&mut self.counted);
-        Ok(Report {
-            asked: asked(&self.options),
-            reached: Reached {
-                seconds,
-                workers: workers as f64,
-                starts: record.starts(from, to) as f64 / seconds,
-                running: record.mean_running(from, to),
-                jobs_submitted: submitted as f64 / seconds,
-            },
-            commit: commit(),
-            machine_cores: std::thread::available_parallelism().map_or(0, usize::from),
-            machine_busy: busy.map_or(0.0, |(l, f)| (l.0 - f.0) / (l.1 - f.1).max(0.01)),
-            roles: self.roles(&first, &last, &leader),
-            leader,
-            state: counted.state.unwrap_or_default(),
-            cloud: counted.cloud.unwrap_or_default(),
-            between_controllers: between.map(|(l, f)| l.saturating_sub(f) as f64 / seconds),
-            agreement: Agreement::of(&counted.real, &counted.alike),
-            hollow: counted.hollow,
-            real: counted.real,
-            users: users_times(&record, &latencies, from, to, until),
-            turned_away: latencies.turned_away,
-            unanswered: latencies.unanswered,
-            given_up: latencies.given_up,
-            faults: self.faults.clone(),
-            changes: self.operators.report(),
-            ended_by_themselves: self.ended_by_themselves,
-            rules,
-            broken: words.map(|b| format!("{}: {}", b.rule, b.what)).collect(),
-        })
-    }
-
     // ---- What is heard ----
 
     fn heard(&mut self, message: Heard) {
@@ -510,154 +437,6 @@
         true
     }
 
-    // ---- Faults ----
-
-    async fn fault(&mut self, fault: &Fault) -> Result<(), RunError> {
-        let now = self.clock.now();
-        let over = now + (fault.for_s * 1e6) as u64;
-        let what = match fault.kind {
-            FaultKind::Rack => self.end_rack().await,
-            FaultKind::Zone => {
-                self.tell_hosts(&ToHosts::EndZone(zone_name(0)));
-                format!("all hollow workers of {} end", zone_name(0))
-            }
-            FaultKind::Leader => {
-                let leader = self.leader().await;
-                self.kill(leader.iter().filter_map(|name| node_of(name)).collect()).await
-            }
-            FaultKind::Half => {
-                let half = self.controllers.len().div_ceil(2);
-                self.kill((0..half).collect()).await
-            }
-            FaultKind::Outage => {
-                self.state.tell(&ToState::Outage(true));
-                self.later.entry(over).or_default().push(Later::EndOutage);
-                format!("the state service refuses all for {} s", fault.for_s)
-            }
-            FaultKind::RefuseLeader => {
-                let leader = self.leader().await;
-                let node = leader.as_deref().and_then(node_of);
-                self.state.tell(&ToState::Refuse(node));
-                self.later.entry(over).or_default().push(Later::EndRefusal);
-                format!("the state service refuses {leader:?} alone for {} s", fault.for_s)
-            }
-        };
-        self.faults.push(format!("{:.1} s: {what}", now as f64 / 1e6));
-        Ok(())
-    }
-
-    async fn end_rack(&mut self) -> String {
-        let Some(rack) = self.hosts.iter_mut().find(|h| h.kind == HostKind::Rack && !h.ended)
-        else {
-            return "no rack is left".into();
-        };
-        rack.talker.kill().await;
-        rack.ended = true;
-        let (at, hosts) = (self.clock.now(), std::mem::take(&mut rack.hosts));
-        for host in &hosts {
-            let gone = self.record.borrow_mut().host_ended(host, at);
-            gone.iter().for_each(|event| self.on_gang(event));
-        }
-        let count = hosts.len();
-        self.cloud.tell(&ToCloud::Failed(hosts.into_iter().collect()));
-        format!("a process with {count} hollow workers is killed")
-    }
-
-    async fn kill(&mut self, nodes: Vec<usize>) -> String {
-        let back = self.clock.now() + RESTART;
-        for node in &nodes {
-            self.controllers[*node].kill().await;
-            self.later.entry(back).or_default().push(Later::StartController(*node));
-        }
-        format!("controllers {nodes:?} are killed, back after {} s", RESTART / SECOND)
-    }
-
-    /// Who leads, as the state service has it.
-    async fn leader(&self) -> Option<String> {
-        let client = Client::new(state_role::address(self.options.controllers, self.ports.state));
-        let path = "/kv/gh/lead/holder";
-        let (_, body) =
-            client.call(Method::Get, path, b"", PATIENCE).await.filter(|a| a.0 == 200)?;
-        let body: serde_json::Value = serde_json::from_slice(&body).ok()?;
-        Some(body["v"]["holder"].as_str()?.to_string())
-    }
-
-    // ---- Measuring ----
-
-    async fn moment(&self) -> Moment {
-        let pids = self.pids();
-        let all = pids.values().flatten();
-        Moment {
-            at: self.clock.now(),
-            usage: all.filter_map(|pid| Some((*pid, Usage::of(*pid)?))).collect(),
-            machine: machine_busy(),
-            between: bytes_between(&self.ports.cluster).await,
-        }
-    }
-
-    /// The processes of each role.
-    fn pids(&self) -> BTreeMap<String, Vec<u32>> {
-        let mut pids: BTreeMap<String, Vec<u32>> = BTreeMap::new();
-        let mut add =
-            |role: &str, pid: Option<u32>| pids.entry(role.into()).or_default().extend(pid);
-        add("state service", self.state.pid());
-        add("cloud", self.cloud.pid());
-        add("driver and users", Some(std::process::id()));
-        for process in self.hosts.iter().filter(|h| !h.ended) {
-            let real = process.kind == HostKind::Real;
-            add(if real { "real worker" } else { "hollow workers" }, process.talker.pid());
-        }
-        for (node, process) in self.controllers.iter().enumerate() {
-            add(&format!("n{node}"), process.pid());
-        }
-        pids
-    }
-
-    fn roles(
-        &self,
-        first: &Moment,
-        last: &Moment,
-        leader: &str,
-    ) -> BTreeMap<String, crate::report::RoleUsage> {
-        let seconds = (last.at - first.at) as f64 / 1e6;
-        let mut roles: BTreeMap<String, Vec<Usage>> = BTreeMap::new();
-        for (role, pids) in self.pids() {
-            let role = match node_of(&role) {
-                Some(_) if role == leader => "leader".to_string(),
-                Some(_) => "follower".to_string(),
-                None => role,
-            };
-            // One that was not there at first has used all of it since.
-            let used = pids.iter().filter_map(|pid| {
-                let before = first.usage.get(pid).copied().unwrap_or_default();
-                Some(last.usage.get(pid)?.since(before))
-            });
-            roles.entry(role).or_default().extend(used);
-        }
-        roles.into_iter().map(|(role, used)| (role, role_usage(&used, seconds))).collect()
-    }
-
-    /// Has all processes tell their counts since the last time.
-    async fn measure(&mut self, heard: &mut mpsc::Receiver<Heard>) -> Result<(), RunError> {
-        self.counted = Counted::default();
-        self.state.tell(&ToState::Measure);
-        self.cloud.tell(&ToCloud::Measure);
-        self.tell_hosts(&ToHosts::Measure);
-        let told = self.hosts.iter().filter(|h| !h.ended).count();
-        let all = async {
-            while self.counted.hosts_told < told
-                || self.counted.state.is_none()
-                || self.counted.cloud.is_none()
-            {
-                match heard.recv().await {
-                    Some(message) => self.heard(message),
-                    None => return,
-                }
-            }
-        };
-        timeout(PATIENCE, all).await.map_err(|_| RunError::Silent("a process"))
-    }
-
     async fn end(&mut self) {
         for process in &mut self.controllers {
             process.kill().await;
@@ -670,91 +449,6 @@
     }
 }
 
-fn start_state(
-    options: &RunOptions,
-    load: &Load,
-    ports: &Ports,
-    clock: RunClock,
-    queue: mpsc::Sender<Heard>,
-) -> std::io::Result<Talker> {
-    let limits = &load.state;
-    let arguments = arguments([
-        ("epoch", clock.0.to_string()),
-        ("port", ports.state.to_string()),
-        ("controllers", options.controllers.to_string()),
-        ("rps", limits.rps.to_string()),
-        ("write-rps", limits.write_rps.to_string()),
-        ("value-bytes", ((limits.value_kb * 1024.0) as u64).to_string()),
-        ("txn-ops", limits.txn_ops.to_string()),
-        ("lag-ms", limits.lag_ms.to_string()),
-    ]);
-    Talker::start("state", &arguments, queue, Heard::State)
-}
-
-fn start_cloud(
-    options: &RunOptions,
-    load: &Load,
-    ports: &Ports,
-    clock: RunClock,
-    queue: mpsc::Sender<Heard>,
-) -> std::io::Result<Talker> {
-    let [boot_least, boot_most] = load.machine.boot_s.map(|s| (s * 1e6) as u64);
-    let arguments = arguments([
-        ("epoch", clock.0.to_string()),
-        ("port", ports.cloud.to_string()),
-        ("worker-port", ports.workers.to_string()),
-        ("controllers", options.controllers.to_string()),
-        ("capacity", options.workers.to_string()),
-        ("flavors", flavors(options, load).to_string()),
-        ("boot-least-us", boot_least.to_string()),
-        ("boot-most-us", boot_most.max(boot_least + 1).to_string()),
-        ("list-lag-us", ((load.cloud.list_lag_s * 1e6) as u64).to_string()),
-        ("seed", options.seed.to_string()),
-    ]);
-    Talker::start("cloud", &arguments, queue, Heard::Cloud)
-}
-
-fn start_hosts(
-    options: &RunOptions,
-    load: &Load,
-    ports: &Ports,
-    clock: RunClock,
-    queue: &mpsc::Sender<Heard>,
-) -> std::io::Result<Vec<HostProcess>> {
-    let controllers: Vec<String> = ports.controllers().iter().map(|a| a.to_string()).collect();
-    let micros = |s: f64| ((s * 1e6) as u64).to_string();
-    let hollow = options.hollow_processes();
-    let mut processes = Vec::new();
-    for index in 0..hollow + options.real {
-        let (kind, room) = match index {
-            i if i + 1 < hollow => (HostKind::Hollow, HOLLOW_IN_A_PROCESS),
-            i if i < hollow => (HostKind::Rack, options.rack()),
-            _ => (HostKind::Real, 1),
-        };
-        let mut arguments = arguments([
-            ("epoch", clock.0.to_string()),
-            ("seed", (options.seed + 100 + index as u64).to_string()),
-            ("controllers", controllers.join(",")),
-            ("worker-port", ports.workers.to_string()),
-            ("report-us", micros(load.workers.report_s)),
-            ("lease-us", micros(load.workers.lease_s)),
-            ("fetch-us", micros(load.workers.fetch_s)),
-            ("gang-wait-us", micros(load.workers.gang_wait_s)),
-        ]);
-        if kind == HostKind::Real {
-            arguments.push("--real".into());
-        }
-        let heard = move |message| Heard::Hosts(index, message);
-        let talker = Talker::start("hosts", &arguments, queue.clone(), heard)?;
-        processes.push(HostProcess { kind, talker, room, hosts: BTreeSet::new(), ended: false });
-    }
-    Ok(processes)
-}
-
-fn arguments<const N: usize>(list: [(&str, String); N]) -> Vec<String> {
-    list.into_iter().map(|(name, value)| format!("--{name}={value}")).collect()
-}
-
 fn first_record(options: &RunOptions, load: &Load) -> Record {
     let (_, limit) = team_cpus(options, load);
     let limits = vec![vec![LimitFrom { at: 0, cpus: limit }]; options.teams];
@@ -766,48 +460,6 @@
     name.strip_prefix('n')?.parse().ok()
 }
 
-fn asked(options: &RunOptions) -> Asked {
-    Asked {
-        workers: options.workers,
-        starts: options.starts,
-        running: options.tasks_running(),
-        teams: options.teams,
-        zones: options.zones,
-        gang: options.gang,
-        controllers: options.controllers,
-        seconds: options.seconds,
-        warm_up: options.warm_up,
-        seed: options.seed,
-        real: options.real,
-    }
-}
-
-fn users_times(
-    record: &Record,
-    latencies: &crate::users::Latencies,
-    from: u64,
-    to: u64,
-    until: u64,
-) -> BTreeMap<String, Times> {
-    let within = |list: &[(u64, u64)]| {
-        let inside = list.iter().filter(|(asked, _)| (from..to).contains(asked));
-        Times::of(inside.map(|(_, took)| *took))
-    };
-    BTreeMap::from([
-        ("submission".to_string(), within(&latencies.submissions)),
-        ("question".to_string(), within(&latencies.questions)),
-        ("cancellation told".to_string(), within(&latencies.cancellations)),
-        ("cancellation gone".to_string(), Times::of(record.cancellations_gone(until))),
-        ("urgent start".to_string(), Times::of(record.urgent_starts(from, to))),
-    ])
-}
-
-/// The sources that are measured, where they can be told.
-fn commit() -> String {
-    let output = std::process::Command::new("git").args(["rev-parse", "--short", "HEAD"]).output();
-    output.map_or(String::new(), |o| String::from_utf8_lossy(&o.stdout).trim().to_string())
-}
-
 fn style() -> ProgressStyle {
     ProgressStyle::with_template("{bar:40} {pos}/{len} s, {msg}")
         .unwrap_or_else(|_| ProgressStyle::default_bar())
