--- a/crates/gannethub-core/src/control/configuring.rs
+++ b/crates/gannethub-core/src/control/configuring.rs
@@ -171,11 +171,16 @@
         self.doubted_at = self.doubted_at.filter(|doubted| *doubted > sent);
     }
 
-    /// Takes in a page of a listing of live jobs.
-    pub fn listed(&mut self, listing: &Listing) {
+    /// Takes in a page of a listing of live jobs. On the first page the key is there, or it is nowhere: it may have been
+    /// deleted while changes were missed, and a transaction on the condition of what was there would fail for ever.
+    pub fn listed(&mut self, listing: &Listing, first: bool) {
         let current = listing.items.iter().find(|i| i.k == CURRENT);
-        if let Some(item) = current {
-            self.see(Some(item.v.get()), item.stamp);
+        match current {
+            Some(item) => self.see(Some(item.v.get()), item.stamp),
+            None if first && self.seen.as_ref().is_some_and(|s| s.guard > 0) => {
+                self.see(None, listing.ledger_no);
+            }
+            None => {}
         }
     }
 
@@ -369,7 +374,7 @@
         assert!(!c.fresh(0) && !c.holds_starts(0), "nothing was ever stored, as far as is known");
         c.knew(100);
         assert!(c.fresh(100 + FRESH - 1) && !c.fresh(100 + FRESH));
-        c.listed(&stored(4, 50));
+        c.listed(&stored(4, 50), true);
         assert!(!c.fresh(200) && c.holds_starts(200) && c.guard() == 0);
         let (what, request) = c.next_read(200).unwrap();
         assert!(request.path.contains("gh/config/doc/4-x/"), "{}", request.path);
@@ -379,10 +384,25 @@
         assert!(new.settings.team("late").is_some());
         assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 50, true));
         assert!(!c.holds_starts(100 + FRESH - 1) && c.holds_starts(100 + FRESH));
-        c.listed(&stored(3, 40));
+        c.listed(&stored(3, 40), true);
         assert_eq!((c.version(), c.fresh(300)), (4, true), "older news come late");
     }
 
+    #[test]
+    fn a_key_that_was_deleted_while_changes_were_missed_is_not_waited_for() {
+        let (mut c, base) = configuring();
+        c.knew(100);
+        c.listed(&stored(4, 50), true);
+        let (what, _) = c.next_read(200).unwrap();
+        assert!(c.answered(what, part(4, TEAM), &base, 300).is_some());
+        let nothing = r#"{"items":[],"truncated":false,"ledger_no":70}"#;
+        let nothing: Listing = serde_json::from_str(nothing).unwrap();
+        c.listed(&nothing, false);
+        assert_eq!(c.guard(), 50, "a later page says nothing of it");
+        c.listed(&nothing, true);
+        assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 0, true));
+    }
+
     #[test]
     fn what_a_sibling_or_a_failed_transaction_tells_is_waited_for() {
         let (mut c, _) = configuring();
@@ -403,17 +423,17 @@
     fn a_broken_version_leaves_the_last_good_one_and_a_new_process_looks_for_it() {
         let (mut c, base) = configuring();
         c.knew(100);
-        c.listed(&stored(4, 50));
+        c.listed(&stored(4, 50), true);
         let (what, _) = c.next_read(200).unwrap();
         assert!(c.answered(what, part(4, TEAM), &base, 300).is_some());
-        c.listed(&stored(5, 60));
+        c.listed(&stored(5, 60), true);
         let (what, _) = c.next_read(300).unwrap();
         assert!(c.answered(what, part(5, r#"{"future":1}"#), &base, 300).is_none());
         assert_eq!((c.version(), c.guard(), c.fresh(300)), (4, 60, true));
         assert!(c.refused().is_some_and(|r| r.contains("5-x")), "{:?}", c.refused());
         let (mut c, base) = configuring();
         c.knew(100);
-        c.listed(&stored(5, 60));
+        c.listed(&stored(5, 60), true);
         let (what, _) = c.next_read(300).unwrap();
         assert!(c.answered(what, part(5, "7"), &base, 300).is_none() && !c.fresh(300));
         let (what, request) = c.next_read(300).unwrap();
--- a/crates/gannethub-core/src/control/loading.rs
+++ b/crates/gannethub-core/src/control/loading.rs
@@ -149,7 +149,7 @@
             self.watched = listing.ledger_no;
         }
         if stage == 0 {
-            port.configuring.listed(&listing);
+            port.configuring.listed(&listing, false);
         }
         for item in &listing.items {
             match stage {
--- a/crates/gannethub-core/src/control/queries.rs
+++ b/crates/gannethub-core/src/control/queries.rs
@@ -211,7 +211,7 @@
             self.refreshing = false;
             return self.mirror.lost();
         };
-        port.configuring.listed(&listing);
+        port.configuring.listed(&listing, self.mirror.begins());
         match self.mirror.listed(&listing) {
             Some(after) => {
                 let request = StoreRequest::list(store::LIVE, &after);
--- a/crates/gannethub-core/src/memory/mirror.rs
+++ b/crates/gannethub-core/src/memory/mirror.rs
@@ -183,6 +183,11 @@
         self.absent.clear();
     }
 
+    /// The next page is the first one.
+    pub fn begins(&self) -> bool {
+        self.reading.is_none()
+    }
+
     /// Takes in a page of all live jobs. Returns the key after which the next page begins.
     pub fn listed(&mut self, listing: &Listing) -> Option<String> {
         let began = *self.reading.get_or_insert(listing.ledger_no);
