--- a/crates/gannethub-scale/src/cloud_role.rs
+++ b/crates/gannethub-scale/src/cloud_role.rs
@@ -77,15 +77,6 @@
     fn run_time(&mut self, _: &JobFacts) -> u64 {
         0
     }
-    fn is_done(&self, _: &str) -> bool {
-        false
-    }
-    fn done(&mut self, _: &str) {}
-    fn starts(&mut self, _: &Worker, _: &str) {}
-    fn failed(&mut self, _: &str) {}
-    fn reaches(&self, _: usize, _: &str) -> bool {
-        true
-    }
     fn addr(&self, worker: &str) -> String {
         worker_address(worker, self.worker_port).to_string()
     }
--- a/crates/gannethub-scale/src/gangs.rs
+++ b/crates/gannethub-scale/src/gangs.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use gannethub_standin::worker::job_of;
+
 use crate::messages::{Happened, TaskEvent};
 
 /// An attempt of a gang.
@@ -41,7 +43,7 @@
         run: u64,
         notices: u64,
     ) -> Option<GangStep> {
-        let job = event.task.split('/').next().unwrap_or("").to_string();
+        let job = job_of(&event.task).to_string();
         let key = (job, event.attempt);
         let gang = self.gangs.entry(key.clone()).or_default();
         match event.what {
--- a/crates/gannethub-scale/src/host_role.rs
+++ b/crates/gannethub-scale/src/host_role.rs
@@ -12,7 +12,7 @@
 use clap::Args;
 use gannethub::http::{Client, Method};
 use gannethub::standins::{Asked, serve};
-use gannethub_standin::worker::{Phase, Task};
+use gannethub_standin::worker::{Phase, Task, job_of};
 use gannethub_standin::{JobFacts, Site, Worker};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -147,15 +147,6 @@
         }
         run_time(job.estimate, &mut self.rng)
     }
-    fn is_done(&self, _: &str) -> bool {
-        false
-    }
-    fn done(&mut self, _: &str) {}
-    fn starts(&mut self, _: &Worker, _: &str) {}
-    fn failed(&mut self, _: &str) {}
-    fn reaches(&self, _: usize, _: &str) -> bool {
-        true
-    }
     fn addr(&self, worker: &str) -> String {
         worker_address(worker, self.args.worker_port).to_string()
     }
@@ -445,7 +436,7 @@
     }
 
     fn start_process(&mut self, host: &str, task: &str, attempt: u64) {
-        let job = task.split('/').next().unwrap_or("");
+        let job = job_of(task);
         let facts = self.site.jobs.get(job).cloned().unwrap_or_default();
         // A gang's tasks are told when it is over.
         let run =
--- a/crates/gannethub-scale/src/process.rs
+++ b/crates/gannethub-scale/src/process.rs
@@ -120,9 +120,8 @@
 pub struct Usage {
     pub user_s: f64,
     pub system_s: f64,
-    /// The most memory that it held at once, and what it holds now.
+    /// The most memory that it held at once.
     pub peak_bytes: u64,
-    pub held_bytes: u64,
     pub sockets: usize,
 }
 
@@ -141,7 +140,6 @@
             user_s: stat.utime as f64 / ticks,
             system_s: stat.stime as f64 / ticks,
             peak_bytes: status.vmhwm.unwrap_or(0) * 1024,
-            held_bytes: status.vmrss.unwrap_or(0) * 1024,
             sockets: descriptors.filter(socket).count(),
         })
     }
--- a/crates/gannethub-scale/src/record.rs
+++ b/crates/gannethub-scale/src/record.rs
@@ -3,6 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use gannethub_standin::worker::job_of;
 use serde::Serialize;
 
 use crate::messages::{Happened, TaskEvent};
@@ -74,10 +75,6 @@
     broken: Vec<Broken>,
 }
 
-fn job_of(task: &str) -> &str {
-    task.split('/').next().unwrap_or("")
-}
-
 impl Record {
     /// A record that holds each team to its limits, and cancelled tasks to be gone within `cancel` microseconds.
     pub fn new(limits: Vec<Vec<LimitFrom>>, cancel: u64) -> Record {
--- a/crates/gannethub-scale/src/run/mod.rs
+++ b/crates/gannethub-scale/src/run/mod.rs
@@ -12,6 +12,7 @@
 
 use gannethub::files::FileError;
 use gannethub::http::{Client, Method};
+use gannethub_standin::worker::job_of;
 use indicatif::{ProgressBar, ProgressStyle};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -301,7 +302,7 @@
 
     /// A task of a gang may make it whole, or leave it without one.
     fn on_gang(&mut self, event: &TaskEvent) {
-        let job = event.task.split('/').next().unwrap_or("");
+        let job = job_of(&event.task);
         if let Some((tasks, run)) = self.gang_facts.get(job).copied() {
             let notices = (self.load.workers.gang_peer_s * 1e6) as u64;
             if let Some(step) = self.gangs.event(event, tasks, run, notices) {
--- a/crates/gannethub-standin/src/worker.rs
+++ b/crates/gannethub-standin/src/worker.rs
@@ -44,15 +44,19 @@
     /// How long the next task of a job runs.
     fn run_time(&mut self, job: &JobFacts) -> u64;
     /// Whether a task has completed somewhere, and that it has.
-    fn is_done(&self, task: &str) -> bool;
-    fn done(&mut self, task: &str);
+    fn is_done(&self, _task: &str) -> bool {
+        false
+    }
+    fn done(&mut self, _task: &str) {}
     /// A task starts to count as on its machine; another has failed.
-    fn starts(&mut self, worker: &Worker, task: &str);
-    fn failed(&mut self, task: &str);
+    fn starts(&mut self, _worker: &Worker, _task: &str) {}
+    fn failed(&mut self, _task: &str) {}
     /// The end of a task that is done is forgotten by its worker.
     fn forgets(&mut self, _task: &str) {}
     /// Whether a worker in this zone and a controller can reach each other.
-    fn reaches(&self, node: usize, zone: &str) -> bool;
+    fn reaches(&self, _node: usize, _zone: &str) -> bool {
+        true
+    }
     /// Where a worker takes commands.
     fn addr(&self, worker: &str) -> String {
         let n: u32 = worker.rsplit('-').next().and_then(|n| n.parse().ok()).unwrap_or(0);
@@ -64,7 +68,8 @@
     fn named(&self, name: &str) -> Option<usize>;
 }
 
-fn job_of(task: &str) -> &str {
+/// The job of a task's name.
+pub fn job_of(task: &str) -> &str {
     task.split('/').next().unwrap_or("")
 }
 
--- a/src/dev.rs
+++ b/src/dev.rs
@@ -254,14 +254,6 @@
         self.done.insert(task.into());
     }
 
-    fn starts(&mut self, _: &Worker, _: &str) {}
-
-    fn failed(&mut self, _: &str) {}
-
-    fn reaches(&self, _: usize, _: &str) -> bool {
-        true
-    }
-
     fn send(&mut self, worker: &str, node: usize, body: String) {
         let Some(client) = self.nodes.get(node).cloned() else { return };
         let (worker, sent, queue) = (worker.to_string(), self.now(), self.queue.clone());
