review: usage is not charged when all controllers are away

A case for the review, with the deploy file that keeps a ledger: when all controllers are away for longer than a lease, the attempts that their workers kill are never charged.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -567,11 +567,12 @@
 class World:
     """A small deployment on loopback: the stand-ins, and controllers started with the commands of the deploy file."""
 
-    def __init__(self, folder, limits, workers, teams, zones, quota):
+    def __init__(self, folder, limits, workers, teams, zones, quota, deploy="service.toml"):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.random = random.Random(1)
         self.limits, self.teams, self.zones, self.quota = limits, teams, zones, quota
-        self.worker_settings = workers
+        self.worker_settings, self.deploy = workers, deploy
+        self.usage = {}  # (piece, try_no) -> [host, time on the machine from, until, how it ended]
         self.report_s, self.lease_s = workers["report_s"], workers["lease_s"]
         self.nodes, self.workers, self.tasks = [], [], set()
         self.jobs = {}  # id -> the submission, with the run time of its tasks
@@ -601,11 +602,14 @@
         if holders:
             self.ran_twice.append((now(), task.piece))
         holders.add(worker.name)
+        self.usage[(task.piece, task.try_no)] = [worker.name, round(now(), 3), None, None]
         self.all_starts.append((now(), task.piece, task.reported_at))
         self.record.add("task starts", host=worker.name, piece=task.piece, try_no=task.try_no)
 
     def left(self, worker, task, why):
         self.on_machines.get(task.piece, set()).discard(worker.name)
+        if (task.piece, task.try_no) in self.usage:
+            self.usage[(task.piece, task.try_no)][2:] = [round(now(), 3), why]
         self.record.add("task ends", host=worker.name, piece=task.piece, try_no=task.try_no, why=why)
 
     def reported(self, worker, status, size, live):
@@ -661,14 +665,22 @@
             lines += [f"{name} = {value}" for name, value in values.items()]
         return "\n".join(lines) + "\n"
 
+    def run_command(self):
+        """The command of the deploy file, without the settings file that is its last argument."""
+        with open(os.path.join(ROOT, "deploy", self.deploy), "rb") as file:
+            return shlex.split(tomllib.load(file)["run"])
+
     def start_node(self, node):
-        with open(os.path.join(ROOT, "deploy", "service.toml"), "rb") as file:
-            run = shlex.split(tomllib.load(file)["run"])
         log = open(os.path.join(self.temp, node["name"] + ".log"), "ab")
-        node["process"] = subprocess.Popen([*run, node["file"]], cwd=ROOT, stdin=subprocess.DEVNULL,
+        node["process"] = subprocess.Popen([*self.run_command(), node["file"]], cwd=ROOT, stdin=subprocess.DEVNULL,
                                            stdout=log, stderr=log)
         self.record.add("controller starts", node=node["name"])
 
+    def kill_node(self, node):
+        node["process"].kill()
+        node["process"].wait()
+        self.record.add("controller is killed", node=node["name"])
+
     def stop(self):
         for task in list(self.tasks):
             task.cancel()
