review: a replica is launched for ever where it does not fit

A case for the review: amounts are rounded to thousandths, and when a machine stops, the replica that ran on it is launched again and again on a machine that refuses it, while no machine is rented.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -356,6 +356,12 @@
         self.hires[hire] = {"hosts": names}
         return 200, self.hires[hire]
 
+    def kill(self, name):
+        """The machine stops with all that is on it."""
+        self.world.record.add("machine stops", host=name)
+        self.hosts[name]["died_at"] = now()
+        self.hosts[name]["worker"].remove()
+
     async def boot(self, name):
         await asyncio.sleep(self.boot_s)
         host = self.hosts.get(name)
@@ -372,8 +378,11 @@
             host = self.hosts[name]
             rig, yard, spot = host["kind"]
             worker = host["worker"]
+            died = host.get("died_at")
+            # A machine that dies still appears as running for about 30 s.
+            status = "booting" if not worker else "failed" if died and now() > died + 30 else "running"
             hosts.append({"id": name, "addr": worker.addr if worker else "127.0.0.1:1", "rig": rig, "yard": yard,
-                          "loaners": spot, "status": "running" if worker else "booting",
+                          "loaners": spot, "status": status,
                           "held_s": round(now() - host["at"], 1)})
         return {"hosts": hosts, "truncated": len(names) > page}
 
@@ -416,6 +425,7 @@
 
     def remove(self):
         self.gone = True
+        self.server.server.close()
         self.end_all("machine gone")
         self.wake.set()
 
@@ -479,6 +489,8 @@
         self.tasks[(piece, try_no)] = task
         if refused:
             task.status, task.cause = "ended", refused
+            self.world.refusals.append((now(), piece, refused))
+            self.world.record.add("launch refused", host=self.name, piece=piece, try_no=try_no, cause=refused)
             return
         fetch = job["size_gb"] / self.rig["fetch_gb_per_s"]
         self.images.setdefault(job["build"], now() + fetch)
@@ -567,11 +579,11 @@
 class World:
     """A small deployment on loopback: the stand-ins, and controllers started with the commands of the deploy file."""
 
-    def __init__(self, folder, limits, workers, teams, zones, quota, deploy="service.toml"):
+    def __init__(self, folder, limits, workers, teams, zones, quota, deploy="service.toml", objectives=()):
         self.record = Record(os.path.join(folder, "record.txt"))
         self.random = random.Random(1)
         self.limits, self.teams, self.zones, self.quota = limits, teams, zones, quota
-        self.worker_settings, self.deploy = workers, deploy
+        self.worker_settings, self.deploy, self.objectives = workers, deploy, objectives
         self.usage = {}  # (piece, try_no) -> [host, time on the machine from, until, how it ended]
         self.report_s, self.lease_s = workers["report_s"], workers["lease_s"]
         self.nodes, self.workers, self.tasks = [], [], set()
@@ -579,6 +591,7 @@
         self.done = set()
         self.on_machines = {}  # piece -> workers on which it is
         self.leases_ended, self.ran_twice = [], []
+        self.refusals = []  # (time, piece, cause)
         self.all_starts = []  # (time, piece, sending time of the report whose answer launched it)
         self.starts, self.largest_report, self.refused_reports = 0, 0, {}
         self.temp = tempfile.mkdtemp(prefix="gannethub-review-")
@@ -659,6 +672,9 @@
         for team in self.teams:
             lines += ["[[cluster.teams]]", f'name = "{team["name"]}"', f'cpus = {team["cpus"]}',
                       f'cpus_max = {team["cpus_max"]}', "gpus = 0.0", "gpus_max = 0.0"]
+        for objective in self.objectives:
+            lines.append("[[cluster.objectives]]")
+            lines += [f"{name} = {json.dumps(value)}" for name, value in objective.items()]
         for section, values in (("workers", self.worker_settings), ("state", self.limits),
                                 ("cloud", {"rps": 3.0, "list_lag_s": 3.0}), ("quota", self.quota)):
             lines.append(f"[cluster.{section}]")
