Cancellations: users are told only when no owner can start a task of the job

Cause: a user was told as soon as the cancellation was stored. The leader learned of it only by reading: the message of the change named the job and a version, and the state service refused the read. Votes carry cancellations, but no peer votes while it is served. The same held for a leader that is paused or cut off, for a lost message, and for owners of shards.

Change: the announcement of a change says whether the job was cancelled, and the owner of the job's shard obeys and answers. Heartbeats between controllers say up to which version an owner has applied all changes. A controller answers `cancelled`, to a cancellation, a query or a repeated submission, only when it knows that no owner can start a task of the job any more: by that answer or heartbeat, because it owns the shard, by the owner's key in the state service, by the job's end, or after the time for which an owner can be ignorant of a cancellation. Announcements are repeated every half second; a user whose deadline comes first gets 503. Jobs that wait for upstream jobs are confirmed at once, since nothing of them is launched before their release, which the cancellation makes fail.

Evidence: the checker now compares every launch in every simulation test with the time at which any user was told.

--- a/crates/gannethub-core/src/controller/acceptance.rs
+++ b/crates/gannethub-core/src/controller/acceptance.rs
@@ -15,6 +15,7 @@
 use crate::wire::api::{self, JobStatus, JobView, Submission};
 use crate::wire::budget::Urgency;
 use crate::wire::configuration::CURRENT_VERSION_KEY;
+use crate::wire::peer::JobChangeKind;
 use crate::wire::store::{self, Conflict, JobRecord, Transaction, WaitingRecord};
 
 /// Maximum number of jobs that one transaction accepts.
@@ -195,7 +196,13 @@
                 let view = JobView::new(JobStatus::Pending, 0);
                 outbox.reply(connection, api::job_response(201, &job, &view));
                 let version = committed_version(answer);
-                return self.job_changes.push(JobChange { job, version });
+                let change = JobChange {
+                    job,
+                    version,
+                    kind: JobChangeKind::Accepted,
+                    shard: 0,
+                };
+                return self.job_changes.push(change);
             }
             // Only the guards of the configuration version or of other jobs failed. This job is queued again, and goes
             // into a later transaction.
--- a/crates/gannethub-core/src/controller/cancellations.rs
+++ b/crates/gannethub-core/src/controller/cancellations.rs
@@ -1,15 +1,18 @@
-//! Stores cancellations in the live records of jobs. Users are told of a cancellation only after it has been stored.
-//! The shard owner finds the cancellation in the live record.
+//! Stores cancellations in the live records of jobs. Users are told of a cancellation only after it has been stored
+//! and [confirmed](super::cancellation_confirmation). The shard owner is told of the cancellation, and finds it in the
+//! live record.
 
 use super::job_api::{JobApi, JobChange, LookupReason, LookupWaiter, committed_version};
 use super::job_lookups::LiveJob;
 use super::outbox::Outbox;
-use super::pending_request::JobApiRequest;
+use super::pending_request::{CancellationTarget, JobApiRequest};
 use crate::http::CallResult;
 use crate::model::JobId;
+use crate::state::job_replica::StoredCancellation;
 use crate::wire::api::{self, JobStatus, JobView};
 use crate::wire::budget::Urgency;
-use crate::wire::store::{self, Transaction};
+use crate::wire::peer::JobChangeKind;
+use crate::wire::store::{self, LiveRecord, Transaction};
 
 impl JobApi {
     /// Stores the cancellation of a live job, on the condition that the job has not changed since it was read.
@@ -22,6 +25,12 @@
         done: u32,
     ) {
         let key = store::live_job_key(&job);
+        let target = match &live.record {
+            LiveRecord::Job(record) => CancellationTarget::Released {
+                shard: record.shard,
+            },
+            LiveRecord::Waiting(_) => CancellationTarget::Waiting,
+        };
         let value = live
             .record
             .into_cancelled_value(outbox.settings.max_value_bytes);
@@ -30,6 +39,7 @@
         transaction.put(&key, value, None);
         let pending = JobApiRequest::CancelJob {
             job,
+            target,
             connections,
             view: JobView::new(JobStatus::Cancelled, done),
         };
@@ -41,18 +51,14 @@
         &mut self,
         outbox: &mut Outbox,
         job: JobId,
+        target: CancellationTarget,
         connections: Vec<u64>,
         view: &JobView,
         answer: &CallResult,
     ) {
         if answer.as_ref().is_ok_and(|answer| answer.is_ok()) {
             let version = committed_version(answer);
-            self.job_replica.record_end(job.clone(), view.clone());
-            self.job_replica.record_cancellation(job.clone(), version);
-            for connection in connections {
-                outbox.reply(connection, api::job_response(200, &job, view));
-            }
-            return self.job_changes.push(JobChange { job, version });
+            return self.cancellation_stored(outbox, job, target, connections, view, version);
         }
         // On a conflict the job has changed since it was read; without an answer the outcome is unknown. Only another
         // read tells whether the job is cancelled.
@@ -69,4 +75,40 @@
             }
         }
     }
+
+    /// Announces a cancellation that was stored in this version, and answers its users once it is confirmed.
+    fn cancellation_stored(
+        &mut self,
+        outbox: &mut Outbox,
+        job: JobId,
+        target: CancellationTarget,
+        connections: Vec<u64>,
+        view: &JobView,
+        version: u64,
+    ) {
+        self.job_replica.record_cancellation(job.clone(), version);
+        let shard = match target {
+            CancellationTarget::Released { shard } => {
+                let cancellation = StoredCancellation { version, shard };
+                for connection in connections {
+                    let (job, view) = (job.clone(), view.clone());
+                    self.answer_when_confirmed(outbox, job, cancellation, view, connection);
+                }
+                shard
+            }
+            CancellationTarget::Waiting => {
+                self.job_replica.record_end(job.clone(), view.clone());
+                for connection in connections {
+                    outbox.reply(connection, api::job_response(200, &job, view));
+                }
+                0
+            }
+        };
+        self.job_changes.push(JobChange {
+            job,
+            version,
+            kind: JobChangeKind::Cancelled,
+            shard,
+        });
+    }
 }
--- a/crates/gannethub-core/src/controller/election.rs
+++ b/crates/gannethub-core/src/controller/election.rs
@@ -62,6 +62,8 @@
     /// Whether the records below come from a read of the state service since this controller's last takeover, and since
     /// its last takeover attempt whose outcome is unknown.
     has_observed_store: bool,
+    /// Version of the state service in which the records below were last read.
+    observed_version: u64,
     owner: Option<StoredLease>,
     last_term: Option<StoredLease>,
 }
@@ -83,14 +85,21 @@
             watermark_query_at: 0,
             attempt_in_progress: false,
             has_observed_store: false,
+            observed_version: 0,
             owner: None,
             last_term: None,
         }
     }
 
-    /// Records the state service's answer about the shard's owner and last term.
-    pub fn observe(&mut self, owner: Option<StoredLease>, last_term: Option<StoredLease>) {
+    /// Records the state service's answer about the shard's owner and last term, as of `version`.
+    pub fn observe(
+        &mut self,
+        owner: Option<StoredLease>,
+        last_term: Option<StoredLease>,
+        version: u64,
+    ) {
         self.has_observed_store = true;
+        self.observed_version = version;
         self.term_at_start
             .get_or_insert(last_term.as_ref().map_or(0, |last| last.record.term));
         self.owner = owner;
@@ -156,15 +165,38 @@
 
     /// Whether no known fact forbids a takeover now.
     pub fn is_eligible(&self, now: Micros) -> bool {
-        if !self.has_observed_store || now < self.vote_until || now < self.abstain_until {
-            return false;
+        self.has_observed_store
+            && now >= self.abstain_until
+            && !self.is_bound_by_vote(now)
+            && self.owner.as_ref().is_none_or(|owner| self.is_own(owner))
+    }
+
+    /// Whether no owner that took the shard over before this version of the state service has authority any more: the
+    /// shard was taken over later, or it had no owner and no vote of this controller lets an earlier owner act on.
+    pub fn excludes_owner_before(&self, version: u64, now: Micros) -> bool {
+        match &self.owner {
+            Some(owner) => owner.version > version,
+            None => {
+                self.has_observed_store
+                    && self.observed_version >= version
+                    && !self.is_bound_by_vote(now)
+            }
         }
-        let is_own = |lease: &StoredLease| lease.record.owner == self.name;
+    }
+
+    /// Whether a vote of this process, or of an earlier process of its name, may still be binding.
+    fn is_bound_by_vote(&self, now: Micros) -> bool {
         // If the shard was never owned, or its last owner was this controller itself before a restart, no vote for
         // another owner can still be binding.
-        let had_other_owner = self.last_term.as_ref().is_some_and(|last| !is_own(last));
-        let must_wait = now < self.earlier_votes_until && had_other_owner;
-        !must_wait && self.owner.as_ref().is_none_or(is_own)
+        let had_other_owner = self
+            .last_term
+            .as_ref()
+            .is_some_and(|last| !self.is_own(last));
+        now < self.vote_until || (now < self.earlier_votes_until && had_other_owner)
+    }
+
+    fn is_own(&self, lease: &StoredLease) -> bool {
+        lease.record.owner == self.name
     }
 
     /// Returns the conditions of a takeover, as last observed.
--- a/crates/gannethub-core/src/controller/election/tests.rs
+++ b/crates/gannethub-core/src/controller/election/tests.rs
@@ -19,9 +19,9 @@
         !election.may_campaign(late),
         "no read of the state service yet"
     );
-    election.observe(stored_lease("n0", 3), stored_lease("n0", 3));
+    election.observe(stored_lease("n0", 3), stored_lease("n0", 3), 20);
     assert!(!election.may_campaign(late));
-    election.observe(None, stored_lease("n0", 3));
+    election.observe(None, stored_lease("n0", 3), 20);
     assert!(election.may_campaign(late));
     assert!(election.vote(3, late, VOTE_DURATION));
     assert!(
@@ -64,13 +64,40 @@
 #[test]
 fn restarted_process_waits_unless_it_was_the_leader() {
     let mut election = Election::new("n1", 0);
-    election.observe(None, stored_lease("n0", 3));
+    election.observe(None, stored_lease("n0", 3), 20);
     assert!(!election.may_campaign(SECOND) && election.may_campaign(VOTE_DURATION + SECOND));
-    election.observe(stored_lease("n1", 4), stored_lease("n1", 4));
+    election.observe(stored_lease("n1", 4), stored_lease("n1", 4), 20);
     assert!(
         election.may_campaign(SECOND),
         "the last owner was an earlier process of the same name"
     );
-    election.observe(None, None);
+    election.observe(None, None, 20);
     assert!(election.may_campaign(SECOND), "the shard was never owned");
 }
+
+/// Guards against a cancellation that is confirmed while an owner that does not know of it may still act. Owners that
+/// took over before the cancellation was stored have no authority once a later takeover is seen, or once the owner's
+/// key was gone after that version and no vote of this controller binds.
+#[test]
+fn earlier_owners_are_excluded_by_a_later_takeover_or_an_absent_key() {
+    let mut election = Election::new("n1", 0);
+    let late = 100 * SECOND;
+    assert!(!election.excludes_owner_before(5, late), "nothing is known");
+    // The owner took over in version 13.
+    election.observe(stored_lease("n0", 3), stored_lease("n0", 3), 20);
+    assert!(election.excludes_owner_before(12, late));
+    assert!(!election.excludes_owner_before(13, late) && !election.excludes_owner_before(20, late));
+    election.observe(None, stored_lease("n0", 3), 30);
+    assert!(election.excludes_owner_before(30, late));
+    assert!(
+        !election.excludes_owner_before(31, late),
+        "the read is older"
+    );
+    assert!(
+        !election.excludes_owner_before(30, SECOND),
+        "an earlier process of this name may have voted"
+    );
+    assert!(election.vote(3, late, VOTE_DURATION));
+    assert!(!election.excludes_owner_before(30, late + VOTE_DURATION));
+    assert!(election.excludes_owner_before(30, late + VOTE_DURATION + SECOND));
+}
--- a/crates/gannethub-core/src/controller/job_api.rs
+++ b/crates/gannethub-core/src/controller/job_api.rs
@@ -8,15 +8,18 @@
 //! | [`queries`](super::queries) | answers queries and keeps the replica up to date |
 //! | [`job_lookups`](super::job_lookups) | reads single jobs for which the replica has no answer |
 //! | [`cancellations`](super::cancellations) | stores cancellations |
+//! | [`cancellation_confirmation`](super::cancellation_confirmation) | tells users of cancellations |
 //! | [`dependency_outcomes`](super::dependency_outcomes) | reads the outcomes of upstream jobs |
 //! | [`ledger_queries`](super::ledger_queries) | serves the ledger to users |
 
 use std::collections::{HashMap, VecDeque};
 
+use super::pending_confirmations::PendingConfirmations;
 use crate::http::CallResult;
 use crate::model::{JobId, Micros};
 use crate::state::job_replica::JobReplica;
 use crate::wire::api::{Refusal, Submission};
+use crate::wire::peer::{Body, JobChangeKind, JobChanged};
 use crate::wire::store::Committed;
 
 /// Maximum time in which a query is answered or refused.
@@ -101,6 +104,21 @@
 pub(super) struct JobChange {
     pub job: JobId,
     pub version: u64,
+    pub kind: JobChangeKind,
+    /// The shard in which the tasks of a cancelled job run.
+    pub shard: u32,
+}
+
+impl JobChange {
+    /// Returns the message that announces the change to the shard owners.
+    pub fn to_message(&self) -> Body {
+        Body::JobChanged(JobChanged {
+            job: self.job.to_string(),
+            version: self.version,
+            kind: self.kind.into(),
+            shard: self.shard,
+        })
+    }
 }
 
 /// State of the job API, which its [parts](self) share.
@@ -125,6 +143,8 @@
     /// Requests that the refresh in flight answers; `next_refresh_waiters` are answered by the one after it.
     pub current_refresh_waiters: Vec<RefreshWaiter>,
     pub next_refresh_waiters: Vec<RefreshWaiter>,
+    /// Stored cancellations of which users may not be told yet.
+    pub confirmations: PendingConfirmations,
     /// Changes made by this controller of which the shard owners have not been told yet.
     pub job_changes: Vec<JobChange>,
 }
@@ -135,6 +155,7 @@
     pub fn drop_request(&mut self, connection: u64) {
         self.accepts_in_flight.remove(&connection);
         self.dependency_checks.remove(&connection);
+        self.confirmations.drop_connection(connection);
     }
 }
 
--- a/crates/gannethub-core/src/controller/job_lookups.rs
+++ b/crates/gannethub-core/src/controller/job_lookups.rs
@@ -10,6 +10,7 @@
 use super::pending_request::JobApiRequest;
 use crate::http::{CallResult, Response};
 use crate::model::JobId;
+use crate::state::job_replica::StoredCancellation;
 use crate::wire::api::{self, JobStatus, JobView};
 use crate::wire::budget::Urgency;
 use crate::wire::store::{self, LiveRecord, StoreRequest, StoredValue};
@@ -113,12 +114,19 @@
         view: &JobView,
         live: Option<LiveJob>,
     ) {
-        if matches!(view.status, JobStatus::Done | JobStatus::Cancelled) {
-            self.job_replica.record_end(job.clone(), view.clone());
-        }
         if let Some(live) = live.as_ref().filter(|live| live.record.is_cancelled()) {
             self.job_replica
                 .record_cancellation(job.clone(), live.version);
+            if let LiveRecord::Job(record) = &live.record {
+                let cancellation = StoredCancellation {
+                    version: live.version,
+                    shard: record.shard,
+                };
+                return self.answer_cancelled_lookup(outbox, job, view, cancellation);
+            }
+        }
+        if matches!(view.status, JobStatus::Done | JobStatus::Cancelled) {
+            self.job_replica.record_end(job.clone(), view.clone());
         }
         let live = live.filter(|live| !live.record.is_cancelled());
         let mut cancelling = Vec::new();
@@ -139,6 +147,21 @@
         }
     }
 
+    /// Answers the requests that wait for a job whose stored record says that it is cancelled.
+    fn answer_cancelled_lookup(
+        &mut self,
+        outbox: &mut Outbox,
+        job: JobId,
+        view: &JobView,
+        cancellation: StoredCancellation,
+    ) {
+        for LookupWaiter { connection, .. } in self.take_lookup_waiters(outbox, &job) {
+            let (job, view) = (job.clone(), view.clone());
+            self.answer_when_confirmed(outbox, job, cancellation, view, connection);
+        }
+        self.refresh(outbox);
+    }
+
     fn queue_replica_query(&mut self, outbox: &mut Outbox, connection: u64, job: &JobId) {
         if self.job_replica.version().is_none() {
             return outbox.reply_unavailable(connection);
--- a/crates/gannethub-core/src/controller/lease.rs
+++ b/crates/gannethub-core/src/controller/lease.rs
@@ -8,7 +8,7 @@
 //! would keep running.
 
 use super::end_reason::EndReason;
-use super::lease_validity::{LeaseValidity, VOTE_DURATION};
+use super::lease_validity::{CLOCK_DRIFT_DIVISOR, CLOCK_MARGIN, LeaseValidity, VOTE_DURATION};
 use super::outbox::Outbox;
 use super::pending_request::{AcquiredLease, OwnerRequest, PendingRequest};
 use crate::model::{Micros, SECOND};
@@ -62,6 +62,13 @@
         .max(ttl)
 }
 
+/// Returns how long, by any process's clock, an owner may keep its lease without knowing of a cancellation that the
+/// process knows of.
+pub(super) fn max_unaware_time(outbox: &Outbox) -> Micros {
+    let age = max_cancellation_age(&outbox.settings, outbox.store_lease_ttl());
+    age + age / CLOCK_DRIFT_DIVISOR + CLOCK_MARGIN
+}
+
 impl ShardLease {
     /// Creates the lease of a takeover that was just carried out in this term; `key_version` is the version of the
     /// state service at which it was carried out.
--- a/crates/gannethub-core/src/controller/load_messages.rs
+++ b/crates/gannethub-core/src/controller/load_messages.rs
@@ -35,7 +35,7 @@
     })
 }
 
-/// Encodes the load of a shard that this controller owns.
+/// Encodes the load of a shard that this controller owns, without the version up to which changes are applied.
 pub(super) fn encode_shard_load(machine_types: &[MachineType], load: &ShardLoad) -> ShardStatus {
     let teams = load.teams.iter().map(|team| TeamStatus {
         used_cpu: team.used.cpu,
@@ -53,6 +53,7 @@
         free_cpu: load.free_cpu,
         teams: teams.collect(),
         machine_demand: demand.collect(),
+        applied_version: 0,
     }
 }
 
--- a/crates/gannethub-core/src/controller/membership.rs
+++ b/crates/gannethub-core/src/controller/membership.rs
@@ -14,7 +14,9 @@
 use crate::state::job_replica::JobReplica;
 use crate::state::shard_load::ShardLoad;
 use crate::wire::budget::Urgency;
-use crate::wire::peer::{Body, Heartbeat, OfferAmount, Vote, VoteRequest, WatermarkCheck};
+use crate::wire::peer::{
+    Body, Heartbeat, OfferAmount, ShardStatus, Vote, VoteRequest, WatermarkCheck,
+};
 use crate::wire::store::{
     self, LEADER_KEY, LEADER_PREFIX, LEADER_TERM_KEY, LeaseGranted, LeaseRecord, Listing,
     StoreRequest, TERM_COUNTER_KEY, Transaction,
@@ -41,6 +43,8 @@
     /// Whether the peer leads or can relay workers' heartbeats to the leader.
     pub accepts_heartbeats: bool,
     running_jobs: HashMap<String, JobProgress>,
+    /// Versions up to which the owners of shards have applied all changes of jobs, by shard.
+    applied_versions: BTreeMap<u32, u64>,
     /// Loads of the shards that the peer owns.
     pub shard_loads: Vec<ShardLoad>,
     /// Version of the configuration in force on the peer; `None` if the peer's release does not support configuration
@@ -143,6 +147,14 @@
         loads.into_values().collect()
     }
 
+    /// Returns the version up to which a peer that owns the shard, or owned it, has applied all changes of jobs; 0 if
+    /// no peer has told.
+    pub fn applied_version(&self, shard: u32) -> u64 {
+        let versions = self.peers.iter();
+        let versions = versions.filter_map(|peer| peer.applied_versions.get(&shard).copied());
+        versions.max().unwrap_or(0)
+    }
+
     // ---- Heartbeats between peers ----
 
     /// Returns the time at which the next heartbeat or probe is due.
@@ -181,7 +193,15 @@
     fn heartbeat(&self, outbox: &Outbox, owners: &ShardOwners) -> Heartbeat {
         let leader = owners.get(&0);
         let machine_types = &outbox.machine_types;
-        let encode_load = |load| encode_shard_load(machine_types, load);
+        let applied_version = |shard: u32| {
+            owners
+                .get(&shard)
+                .map_or(0, |owner| owner.applied_version())
+        };
+        let encode_load = |load: &ShardLoad| ShardStatus {
+            applied_version: applied_version(load.shard),
+            ..encode_shard_load(machine_types, load)
+        };
         let running = owners.values().flat_map(|owner| owner.running_jobs());
         Heartbeat {
             leading_term: leader.map_or(0, |leader| leader.lease.term),
@@ -196,6 +216,7 @@
             supports_configuration: true,
             configuration_version: outbox.configuration.version(),
             newest_configuration_version: outbox.configuration.newest_version(),
+            applied_version: applied_version(0),
         }
     }
 
@@ -205,6 +226,10 @@
         outbox
             .configuration
             .record_peer_version(heartbeat.newest_configuration_version);
+        let shards = heartbeat.shards.iter();
+        let applied_versions = shards
+            .map(|shard| (shard.shard, shard.applied_version))
+            .chain([(0, heartbeat.applied_version)]);
         let loads = heartbeat.shards.iter();
         let loads = loads.map(|load| decode_shard_load(&outbox.machine_types, load, peer));
         let running = heartbeat.running_jobs.into_iter().map(|job| {
@@ -215,6 +240,10 @@
             (job.job, progress)
         });
         let status = &mut self.peers[peer];
+        for (shard, version) in applied_versions {
+            let known = status.applied_versions.entry(shard).or_default();
+            *known = version.max(*known);
+        }
         status.shard_loads = loads.collect();
         status.running_jobs = running.collect();
         status.leading_term = heartbeat.leading_term;
@@ -278,7 +307,7 @@
                 _ => {}
             }
         }
-        self.election.observe(leader, last_term);
+        self.election.observe(leader, last_term, listing.version);
         outbox.is_sharded |= counter.is_some();
         self.term_counter = counter;
     }
--- a/crates/gannethub-core/src/controller/mod.rs
+++ b/crates/gannethub-core/src/controller/mod.rs
@@ -16,6 +16,7 @@
 //! [`store_answers`] and [`ownership`] dispatch each input to the part that handles it.
 
 mod acceptance;
+mod cancellation_confirmation;
 mod cancellations;
 mod config_status;
 mod config_watch;
@@ -37,6 +38,7 @@
 mod outbox;
 mod ownership;
 mod peer_messages;
+mod pending_confirmations;
 mod pending_heartbeats;
 mod pending_request;
 mod queries;
@@ -124,6 +126,7 @@
         for command in commands {
             self.handle_command(command);
             self.announce_job_changes();
+            self.confirm_cancellations();
             self.step_down_ended();
             self.answer_deferred_heartbeats();
         }
@@ -131,6 +134,7 @@
             self.next_tick_at = clock.now + TICK_INTERVAL;
             self.store_answered = false;
             self.tick();
+            self.confirm_cancellations();
             self.step_down_ended();
         }
         self.send_kill_orders();
--- a/crates/gannethub-core/src/controller/peer_messages.rs
+++ b/crates/gannethub-core/src/controller/peer_messages.rs
@@ -7,8 +7,8 @@
 use crate::model::{MILLISECOND, Micros, SECOND, is_valid_job_id};
 use crate::state::fleet::Offer;
 use crate::wire::peer::{
-    Body, Envelope, Heartbeat, JobChanged, OfferAmount, UsageRecords, UsageRecordsRequest, Vote,
-    VoteRequest, WatermarkCheck,
+    Body, Envelope, Heartbeat, OfferAmount, UsageRecords, UsageRecordsRequest, Vote, VoteRequest,
+    WatermarkCheck,
 };
 use crate::wire::store;
 
@@ -35,14 +35,19 @@
             Some(Body::RelayAnswer(answer)) => self.handle_relay_answer(peer, answer),
             Some(Body::VoteRequest(request)) => self.handle_vote_request(peer, &request),
             Some(Body::Vote(vote)) => self.handle_vote(peer, &vote),
-            Some(Body::JobChanged(change)) => self.handle_job_change(&change),
+            Some(Body::JobChanged(change)) if is_valid_job_id(&change.job) => {
+                self.handle_job_change(peer, &change);
+            }
+            Some(Body::CancellationApplied(applied)) => {
+                self.handle_applied_cancellation(&applied);
+            }
             Some(Body::UsageRecords(records)) => self.handle_usage_records(peer, records),
             Some(Body::UsageRecordsRequest(request)) => self.resend_usage(peer, &request),
             Some(Body::WatermarkQuery(query)) => self.handle_watermark_query(peer, query),
             Some(Body::WatermarkConfirmation(confirmation)) => {
                 self.handle_watermark_confirmation(&confirmation);
             }
-            None => {}
+            Some(Body::JobChanged(_)) | None => {}
         }
     }
 
@@ -66,17 +71,6 @@
             .handle_heartbeat(&mut self.outbox, peer, heartbeat);
     }
 
-    /// Handles the message that a peer has stored a change of a job. A shard owner reads the job if its watch does
-    /// not report the change soon.
-    fn handle_job_change(&mut self, change: &JobChanged) {
-        if !is_valid_job_id(&change.job) {
-            return;
-        }
-        for owner in self.shard_owners.values_mut() {
-            owner.expect_change(&self.outbox, &change.job, change.version);
-        }
-    }
-
     // ---- Votes ----
 
     /// Returns this controller's eligibility to own a shard, if the shard is known here.
--- a/crates/gannethub-core/src/controller/pending_request.rs
+++ b/crates/gannethub-core/src/controller/pending_request.rs
@@ -115,6 +115,15 @@
     pub job: JobId,
 }
 
+/// State of a job whose cancellation is being stored.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum CancellationTarget {
+    /// The job waits for upstream jobs, so no task of it can be started.
+    Waiting,
+    /// Tasks of the job may be started in this shard.
+    Released { shard: u32 },
+}
+
 /// Requests of [`JobApi`](super::job_api::JobApi).
 #[derive(Debug)]
 pub(super) enum JobApiRequest {
@@ -139,6 +148,7 @@
     /// Cancels a job. `view` is the answer to the users once the cancellation is stored.
     CancelJob {
         job: JobId,
+        target: CancellationTarget,
         connections: Vec<u64>,
         view: JobView,
     },
--- a/crates/gannethub-core/src/controller/queries.rs
+++ b/crates/gannethub-core/src/controller/queries.rs
@@ -81,6 +81,7 @@
             false => MAX_REFRESH_INTERVAL,
         };
         !self.next_refresh_waiters.is_empty()
+            || self.confirmations.is_read_needed(outbox.clock.now)
             || outbox.configuration.is_behind()
             || outbox.clock.now >= self.refresh_at + max_interval
     }
@@ -153,6 +154,9 @@
             RefreshWaiter::Submit(queued) => return self.check_dependencies(outbox, queued),
         };
         match self.job_replica.lookup(&job) {
+            JobLookup::Cancelled(view, cancellation) => {
+                self.answer_when_confirmed(outbox, job, cancellation, view, connection);
+            }
             JobLookup::Job(mut view) => {
                 add_progress(&job, &mut view, progress);
                 outbox.reply(connection, api::job_response(200, &job, &view));
--- a/crates/gannethub-core/src/controller/shard_assignment.rs
+++ b/crates/gannethub-core/src/controller/shard_assignment.rs
@@ -171,7 +171,7 @@
                 records.get(&shard).cloned().unwrap_or_default();
             self.assignment(outbox, shard)
                 .election
-                .observe(owner, last_term);
+                .observe(owner, last_term, listing.version);
         }
     }
 
--- a/crates/gannethub-core/src/controller/shard_owner.rs
+++ b/crates/gannethub-core/src/controller/shard_owner.rs
@@ -165,6 +165,14 @@
         self.load.stage == LoadStage::Loaded
     }
 
+    /// Returns the version up to which this owner has applied all changes of jobs; 0 while it still reads the state.
+    pub fn applied_version(&self) -> u64 {
+        match self.load.stage {
+            LoadStage::Loaded => self.watched_version,
+            _ => 0,
+        }
+    }
+
     /// Whether the machine belongs to this shard.
     pub fn owns_machine(&self, machine: &str) -> bool {
         self.cluster.machines.contains_key(machine)
@@ -362,10 +370,7 @@
             self.end_reason = Some(EndReason::Isolated);
             return;
         }
-        let known_version = match self.load.stage {
-            LoadStage::Loaded => self.watched_version,
-            _ => 0,
-        };
+        let known_version = self.applied_version();
         self.lease.maintain(outbox, known_version);
         if !self.is_loaded() {
             self.retry_load(outbox);
--- a/crates/gannethub-core/src/controller/shard_owner/watch.rs
+++ b/crates/gannethub-core/src/controller/shard_owner/watch.rs
@@ -13,6 +13,7 @@
 use crate::model::{Micros, SECOND};
 use crate::wire::budget::Urgency;
 use crate::wire::configuration::CURRENT_VERSION_KEY;
+use crate::wire::peer::{JobChangeKind, JobChanged};
 use crate::wire::store::{self, Change, ChangeLog, LiveRecord, StoreRequest};
 
 /// Time after a change's announcement by which the watch should have brought the change.
@@ -136,6 +137,16 @@
         self.cluster.passes.needed = true;
     }
 
+    /// Handles the announcement of a peer that it has stored a change of a job, or has read that a job is cancelled. The
+    /// owner obeys a cancellation at once.
+    pub fn handle_announced_change(&mut self, outbox: &Outbox, change: &JobChanged) {
+        let JobChanged { job, version, .. } = change;
+        if change.kind() == JobChangeKind::Cancelled {
+            self.cluster.apply_remote_cancellation(job);
+        }
+        self.expect_change(outbox, job, *version);
+    }
+
     /// Records the announcement that a peer, or a user of this controller, has changed a job in this version of the
     /// state service. The job is reread if the watch does not bring the change within [`WATCH_TIMEOUT`].
     pub fn expect_change(&mut self, outbox: &Outbox, id: &str, version: u64) {
--- a/crates/gannethub-core/src/controller/store_answers.rs
+++ b/crates/gannethub-core/src/controller/store_answers.rs
@@ -123,9 +123,10 @@
             }
             JobApiRequest::CancelJob {
                 job,
+                target,
                 connections,
                 view,
-            } => job_api.handle_cancel_answer(outbox, job, connections, &view, answer),
+            } => job_api.handle_cancel_answer(outbox, job, target, connections, &view, answer),
         }
     }
 
--- a/crates/gannethub-core/src/controller/ticking.rs
+++ b/crates/gannethub-core/src/controller/ticking.rs
@@ -8,7 +8,7 @@
 use crate::model::{Micros, SECOND};
 use crate::state::fleet::CloudCall;
 use crate::wire::cloud::CloudRequest;
-use crate::wire::peer::{Body, JobChanged};
+use crate::wire::peer::Body;
 
 /// Interval between requests to the cloud for its machine types, until the cloud has answered.
 const MACHINE_TYPES_RETRY_INTERVAL: Micros = 2 * SECOND;
@@ -53,8 +53,8 @@
         let overdue = deadlines.filter(|(_, deadline)| **deadline <= now);
         let overdue: BTreeSet<u64> = overdue.map(|(connection, _)| *connection).collect();
         for connection in overdue {
-            self.job_api.drop_request(connection);
-            self.outbox.reply_unavailable(connection);
+            self.job_api
+                .refuse_overdue_request(&mut self.outbox, connection);
         }
         self.heartbeats.drop_expired_relays(now);
     }
@@ -112,23 +112,24 @@
         }
     }
 
-    /// Announces a change to the leader, or to all peers if there are several shards, in case the owner's watch does
-    /// not bring the change: the watch may hang in a network partition.
+    /// Announces a change to the leader, or to all peers if there are several shards or the leader is not known. The
+    /// owner's watch may not bring the change: it may hang, and the state service may refuse the owner.
     fn announce_job_change(&mut self, change: &JobChange) {
+        let now = self.outbox.clock.now;
         for owner in self.shard_owners.values_mut() {
             owner.expect_change(&self.outbox, &change.job, change.version);
         }
-        let message = Body::JobChanged(JobChanged {
-            job: change.job.to_string(),
-            version: change.version,
-        });
-        if self.outbox.is_sharded {
-            self.outbox.send_to_all_peers(&message);
-        } else if self.shard_owners.is_empty()
-            && let Some(leader) = self.membership.leading_peer(&self.outbox)
-        {
-            self.outbox.send_to_peer(leader, message);
+        let message = change.to_message();
+        let leader = self.membership.leading_peer(&self.outbox);
+        match leader {
+            _ if self.outbox.is_sharded => self.outbox.send_to_all_peers(&message),
+            _ if !self.shard_owners.is_empty() => {}
+            Some(leader) => self.outbox.send_to_peer(leader, message),
+            None => self.outbox.send_to_all_peers(&message),
         }
+        self.job_api
+            .confirmations
+            .record_announced(&change.job, now);
     }
 
     // ---- Loads of shards ----
--- a/crates/gannethub-core/src/state/job_replica.rs
+++ b/crates/gannethub-core/src/state/job_replica.rs
@@ -30,6 +30,23 @@
     #[serde(default)]
     cancelled: bool,
     waiting: Option<WaitingSummary>,
+    #[serde(rename = "homed")]
+    sharded: Option<ShardedSummary>,
+}
+
+#[derive(Deserialize)]
+struct ShardedSummary {
+    #[serde(rename = "block")]
+    shard: u32,
+}
+
+/// The stored cancellation of a live job that waits for no other job.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StoredCancellation {
+    /// Version of the record that says that the job is cancelled.
+    pub version: u64,
+    /// The shard in which the job's tasks run.
+    pub shard: u32,
 }
 
 #[derive(Deserialize)]
@@ -52,6 +69,8 @@
     cancelled: bool,
     /// Whether the job waits for other jobs.
     waiting: bool,
+    /// The shard in which the job's tasks run.
+    shard: u32,
 }
 
 /// Result of looking up a job in the copy.
@@ -59,6 +78,8 @@
 pub enum JobLookup {
     /// The job is live, or over for good.
     Job(JobView),
+    /// The job is cancelled, and an owner that does not know of the cancellation may still start tasks of the job.
+    Cancelled(JobView, StoredCancellation),
     /// The job is not live. Whether it is over has not been queried yet.
     NotLive,
     /// The job waits for other jobs, and the end of an upstream job has not been read yet.
@@ -109,8 +130,7 @@
         self.final_views.insert(id, view);
     }
 
-    /// Records that the cancellation of a live job was stored or read here at this version, and that its user is
-    /// told.
+    /// Records that the cancellation of a live job was stored or read here at this version.
     pub fn record_cancellation(&mut self, id: JobId, version: u64) {
         self.new_cancellations.push(id.clone());
         if self.version.is_none_or(|known| known < version) {
@@ -118,7 +138,7 @@
         }
     }
 
-    /// Returns the jobs whose cancellation has become known since the last call. Users are told of a cancellation
+    /// Returns the jobs whose cancellation has become known since the last call. Users may be told of a cancellation
     /// from this time on, so the shards owned by this process must not learn of it last.
     pub fn take_new_cancellations(&mut self) -> Vec<JobId> {
         std::mem::take(&mut self.new_cancellations)
@@ -161,6 +181,13 @@
         }
         match self.live.get_key_value(id) {
             Some((id, job)) if job.waiting && !job.cancelled => self.lookup_waiting(id, job),
+            Some((_, job)) if job.cancelled && !job.waiting => {
+                let cancellation = StoredCancellation {
+                    version: job.version,
+                    shard: job.shard,
+                };
+                JobLookup::Cancelled(job.view(), cancellation)
+            }
             Some((_, job)) => JobLookup::Job(job.view()),
             None if self.never_submitted.contains(id) => JobLookup::NeverSubmitted,
             None => JobLookup::NotLive,
@@ -333,6 +360,7 @@
             done: done.len(),
             cancelled: summary.cancelled,
             waiting: summary.waiting.is_some(),
+            shard: summary.sharded.as_ref().map_or(0, |sharded| sharded.shard),
         }
     }
 
--- a/crates/gannethub-core/src/wire/peer.rs
+++ b/crates/gannethub-core/src/wire/peer.rs
@@ -9,8 +9,9 @@
 
 pub use self::frame::{FrameError, MAX_FRAME_BYTES, decode_frame, encode_frame};
 pub use self::message::{
-    Body, Envelope, Heartbeat, JobChanged, OfferAmount, RelayAnswer, RelayHeartbeat,
-    RunningJobProgress, ShardStatus, TeamStatus, Vote, VoteRequest, WatermarkCheck,
+    Body, CancellationApplied, Envelope, Heartbeat, JobChangeKind, JobChanged, OfferAmount,
+    RelayAnswer, RelayHeartbeat, RunningJobProgress, ShardStatus, TeamStatus, Vote, VoteRequest,
+    WatermarkCheck,
 };
 pub use self::usage::{
     AttemptKey, OpenUsageRecord, UsageAccount, UsageRecords, UsageRecordsRequest,
--- a/crates/gannethub-core/src/wire/peer/message.rs
+++ b/crates/gannethub-core/src/wire/peer/message.rs
@@ -11,7 +11,7 @@
     /// The sender's name.
     #[prost(string, tag = "1")]
     pub from: String,
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -41,6 +41,8 @@
     /// no response.
     #[prost(message, tag = "11")]
     WatermarkConfirmation(WatermarkCheck),
+    #[prost(message, tag = "12")]
+    CancellationApplied(CancellationApplied),
 }
 
 /// A controller's heartbeat, sent to every peer at a fixed interval.
@@ -74,6 +76,9 @@
     /// The newest configuration version that the sender has seen.
     #[prost(uint64, tag = "9")]
     pub newest_configuration_version: u64,
+    /// The version up to which the sender, as the owner of shard 0, has applied all changes of jobs; 0 if not stated.
+    #[prost(uint64, tag = "10")]
+    pub applied_version: u64,
 }
 
 /// The load of a shard. Amounts are in thousandths of a CPU or GPU.
@@ -98,6 +103,9 @@
     /// Machines that the shard's provisioning plan requests.
     #[prost(message, repeated, tag = "7")]
     pub machine_demand: Vec<OfferAmount>,
+    /// The version up to which the shard's owner has applied all changes of jobs; 0 if not stated.
+    #[prost(uint64, tag = "8")]
+    pub applied_version: u64,
 }
 
 /// Resources that a team uses in a shard and waits for, in thousandths of a CPU or GPU.
@@ -220,8 +228,9 @@
     pub shard: u32,
 }
 
-/// A notice that the sender accepted or cancelled a job. The owner of the job's shard reads the job's record if its
-/// watch does not deliver the change soon.
+/// A notice that the sender stored a change of a job, or has read that a job is cancelled. The owner of the job's shard
+/// starts no task of a cancelled job from now on, and reads the job's record if its watch does not deliver the change
+/// soon.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobChanged {
     #[prost(string, tag = "1")]
@@ -229,4 +238,29 @@
     /// The version at which the job changed.
     #[prost(uint64, tag = "2")]
     pub version: u64,
+    #[prost(enumeration = "JobChangeKind", tag = "3")]
+    pub kind: i32,
+    /// The shard in which the job's tasks run, if the job is cancelled.
+    #[prost(uint32, tag = "4")]
+    pub shard: u32,
+}
+
+/// The kind of a job's change.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, prost::Enumeration)]
+#[repr(i32)]
+pub enum JobChangeKind {
+    /// The job was accepted or cancelled: earlier releases do not state which.
+    Unspecified = 0,
+    Accepted = 1,
+    Cancelled = 2,
+}
+
+/// The response of a shard's owner to the notice that a job of the shard is cancelled: the owner starts no task of the
+/// job from now on. An owner of an earlier release sends no response.
+#[derive(Clone, PartialEq, Message)]
+pub struct CancellationApplied {
+    #[prost(string, tag = "1")]
+    pub job: String,
+    #[prost(uint32, tag = "2")]
+    pub shard: u32,
 }
--- a/crates/gannethub-core/tests/simulation/harness/answers.rs
+++ b/crates/gannethub-core/tests/simulation/harness/answers.rs
@@ -53,6 +53,9 @@
             503 if what == "submit" && response.retry_after.is_some() => {
                 self.refusals.push(self.now - asked);
             }
+            503 if what == "cancel" && response.retry_after.is_some() => {
+                self.cancel_refusals.push(self.now - asked);
+            }
             _ => {}
         }
         if self.repeats_requests && before != self.jobs[id].milestones() {
--- a/crates/gannethub-core/tests/simulation/harness/faults.rs
+++ b/crates/gannethub-core/tests/simulation/harness/faults.rs
@@ -69,7 +69,21 @@
     pub overtaken_answers: usize,
 }
 
+/// Maximum delay of a message between controllers, rounded up to whole steps of the clock.
+const MAX_MESSAGE_DELAY: u64 = 2 * STEP;
+
 impl World {
+    /// Returns how long after a confirmation the announcement of the cancellation may still be on its way to the leader;
+    /// `None` if the announcement may never arrive. A controller of this release confirms nothing before the leader
+    /// obeys.
+    pub(super) fn max_announcement_delay(&self) -> Option<u64> {
+        if self.faults.previous_release.is_empty() {
+            return Some(0);
+        }
+        let arrives = self.faults.partitioned.is_empty() && self.faults.lossy_links.is_empty();
+        arrives.then_some(MAX_MESSAGE_DELAY)
+    }
+
     /// Ends the faults of the state service and of the network, except corrupted votes. From this time on, the checker
     /// requires answers about every accepted job.
     pub fn end_faults(&mut self) {
--- a/crates/gannethub-core/tests/simulation/harness/invariants.rs
+++ b/crates/gannethub-core/tests/simulation/harness/invariants.rs
@@ -7,6 +7,7 @@
     pub fn check_start(&mut self, w: &Worker, name: &str) {
         self.starts += 1;
         let id = name.split('/').next().unwrap_or("").to_string();
+        *self.starts_by_job.entry(id.clone()).or_default() += 1;
         let Some(job) = self.jobs.get(&id) else {
             self.violations
                 .push(format!("unknown job started: task {name}"));
@@ -140,6 +141,29 @@
         }
     }
 
+    /// Checks that the answer to a heartbeat launches no task of a job if the heartbeat was sent after a user was told
+    /// that the job is cancelled. Such a launch cannot have been in transit when the user was told. A controller of the
+    /// previous release tells its user while its announcement is still on its way to the leader.
+    pub(super) fn check_launches_after_cancellation(&mut self, sent: u64, response: &Response) {
+        let Some(announcement_delay) = self.max_announcement_delay() else {
+            return;
+        };
+        let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+        for order in body["orders"].as_array().into_iter().flatten() {
+            let task = order["piece"].as_str().unwrap_or("");
+            let job = self.jobs.get(task.split('/').next().unwrap_or(""));
+            let told = job.and_then(|job| job.cancellation_confirmed_at);
+            if order["verb"] == json!("launch")
+                && let Some(told) = told.filter(|told| *told + announcement_delay < sent)
+            {
+                let late = (sent - told) / 1000;
+                self.violations.push(format!(
+                    "launched: {task}, for a heartbeat sent {late} ms after a user was told of the cancellation"
+                ));
+            }
+        }
+    }
+
     /// Sends the kept copies of heartbeats to every controller, within 2 s after a new term begins.
     pub(super) fn send_kept_copies(&mut self) {
         if self.faults.kept_copy_rate == 0.0 && self.kept_copies.is_empty() {
--- a/crates/gannethub-core/tests/simulation/harness/mod.rs
+++ b/crates/gannethub-core/tests/simulation/harness/mod.rs
@@ -26,7 +26,9 @@
 use gannethub_core::policy::Policy;
 use gannethub_core::settings::{LedgerSetup, Settings};
 use gannethub_core::state::cluster::Cluster;
-use gannethub_core::wire::peer::{Body, Envelope, Vote};
+use gannethub_core::wire::peer::{
+    Body, CancellationApplied, Envelope, JobChangeKind, JobChanged, Vote,
+};
 use gannethub_core::wire::store::{
     LEADER_TERM_KEY, StoreRequest, TASKS_PER_PART, assignment_keys, decode_done_part,
 };
@@ -101,6 +103,10 @@
     /// Response times, in microseconds, of submissions that were refused with a time after which to retry.
     pub refusals: Vec<u64>,
     pub starts: usize,
+    /// Number of task starts of each job.
+    starts_by_job: HashMap<String, usize>,
+    /// Response times, in microseconds, of requests to cancel that were refused with a time after which to retry.
+    pub cancel_refusals: Vec<u64>,
     pub gang_peer_timeout: u64,
     /// Number of additional queries about random jobs, on top of the usual polls, in every interval of 50 ms.
     pub extra_queries: usize,
--- a/crates/gannethub-core/tests/simulation/harness/network.rs
+++ b/crates/gannethub-core/tests/simulation/harness/network.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// Clears the fields that the previous release does not write into a message: all fields of a vote except round, term
-/// and shard, and the known version in a vote request.
+/// and shard, the known version in a vote request, the kind and shard of a job's change, and applied versions.
 fn clear_cancellation_fields(message: &mut Envelope) {
     match &mut message.body {
         Some(Body::Vote(vote)) => {
@@ -16,6 +16,18 @@
             };
         }
         Some(Body::VoteRequest(request)) => request.known_version = 0,
+        Some(Body::JobChanged(change)) => {
+            *change = JobChanged {
+                job: std::mem::take(&mut change.job),
+                version: change.version,
+                ..JobChanged::default()
+            };
+        }
+        Some(Body::Heartbeat(heartbeat)) => {
+            heartbeat.applied_version = 0;
+            let shards = heartbeat.shards.iter_mut();
+            shards.for_each(|shard| shard.applied_version = 0);
+        }
         _ => {}
     }
 }
@@ -70,6 +82,10 @@
         mut message: Envelope,
     ) {
         if self.faults.previous_release.contains(&node) {
+            if matches!(message.body, Some(Body::CancellationApplied(_))) {
+                return;
+            }
+            self.confirm_at_once(node, &message);
             clear_cancellation_fields(&mut message);
         }
         if let (true, Some(Body::Vote(vote))) = (
@@ -94,6 +110,35 @@
         );
     }
 
+    /// Makes a controller of the previous release tell its user of a cancellation as soon as it has announced the
+    /// cancellation, whether or not the announcement arrives.
+    fn confirm_at_once(&mut self, node: usize, message: &Envelope) {
+        let Some(Body::JobChanged(change)) = &message.body else {
+            return;
+        };
+        if change.kind() != JobChangeKind::Cancelled {
+            return;
+        }
+        let applied = CancellationApplied {
+            job: change.job.clone(),
+            shard: change.shard,
+        };
+        let answer = Envelope {
+            from: self.settings[node].peers[0].name.clone(),
+            body: Some(Body::CancellationApplied(applied)),
+        };
+        let incarnation = self.nodes[node].incarnation;
+        let command = Command::PeerMessage(answer);
+        self.schedule(
+            0,
+            Event::Command {
+                node,
+                incarnation,
+                command,
+            },
+        );
+    }
+
     /// Delivers a message to a peer. The message is dropped on a lossy link and held on a partitioned one.
     pub(super) fn deliver_peer_message(&mut self, from: usize, to: usize, message: Envelope) {
         if self.faults.lossy_links.contains(&(from, to)) {
--- a/crates/gannethub-core/tests/simulation/harness/setup.rs
+++ b/crates/gannethub-core/tests/simulation/harness/setup.rs
@@ -75,6 +75,8 @@
             violations: Vec::new(),
             refusals: Vec::new(),
             starts: 0,
+            starts_by_job: HashMap::new(),
+            cancel_refusals: Vec::new(),
             gang_peer_timeout: 5 * SECOND,
             extra_queries: 0,
             failures: Vec::new(),
--- a/crates/gannethub-core/tests/simulation/harness/users.rs
+++ b/crates/gannethub-core/tests/simulation/harness/users.rs
@@ -124,6 +124,11 @@
         }
     }
 
+    /// Number of task starts of a job.
+    pub fn starts_of(&self, id: &str) -> usize {
+        self.starts_by_job.get(id).copied().unwrap_or(0)
+    }
+
     pub fn cancel(&mut self, id: u32) {
         let id = format!("j-{id:06}");
         if let Some(j) = self.jobs.get_mut(&id) {
--- a/crates/gannethub-core/tests/simulation/harness/workers.rs
+++ b/crates/gannethub-core/tests/simulation/harness/workers.rs
@@ -80,6 +80,7 @@
         node: usize,
         response: Response,
     ) {
+        self.check_launches_after_cancellation(sent, &response);
         if self.faults.unanswered_workers.contains(&name) {
             return;
         }
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -4,6 +4,7 @@
 mod cancellation_and_failover;
 mod concurrent_failures;
 mod configuration;
+mod confirmed_cancellation;
 mod constrained_processor;
 mod failover;
 mod harness;
