Cancellations: an owner remembers the cancellation of a job that it does not know yet

What callers saw: a job that was cancelled right after its acceptance could be started after the confirmation, for as long as the leader's watch was slow, in a term in which votes had extended the lease once.

Cause: apply_remote_cancellation did nothing for a job that the owner does not know. If the owner then got an answer to its watch that was made before the cancellation, it added the job and launched it until the next answer. The design relied on the launch watermark, whose transaction fails for a cancelled job; after votes have extended a lease, launches need none.

Change: the owner remembers the cancellation, from an announcement, from a vote, or from its own process's users, until a read of changes contains it or the job ends. A record that arrives meanwhile is taken as cancelled.

--- a/crates/gannethub-core/src/controller/peer_messages.rs
+++ b/crates/gannethub-core/src/controller/peer_messages.rs
@@ -104,8 +104,9 @@
             return;
         };
         let cancelled = store::decode_job_ids(&vote.cancelled_jobs);
+        // A vote does not tell in which versions the cancellations were stored.
         for job in &cancelled {
-            owner.cluster.apply_remote_cancellation(job);
+            owner.cluster.apply_remote_cancellation(job, u64::MAX, now);
         }
         // A configuration version newer than the one known here cannot be read now. Nothing is started until it can
         // be read.
@@ -121,7 +122,7 @@
             // The cancellations of this controller's own users are among those that its replica knows of.
             let replica = &self.job_api.job_replica;
             for job in replica.cancelled_since(owner.watched_version) {
-                owner.cluster.apply_remote_cancellation(job);
+                owner.cluster.apply_remote_cancellation(job, u64::MAX, now);
             }
             owner.lease.record_cancellations_known(at);
             self.outbox.configuration.confirm_newest(at);
--- a/crates/gannethub-core/src/controller/shard_owner/watch.rs
+++ b/crates/gannethub-core/src/controller/shard_owner/watch.rs
@@ -110,6 +110,9 @@
         self.cluster
             .store_writes
             .prune_tombstones(self.watched_version);
+        self.cluster
+            .announced_changes
+            .apply_read(self.watched_version, sent_at);
         self.lease.record_cancellations_known(sent_at);
     }
 
@@ -142,7 +145,8 @@
     pub fn handle_announced_change(&mut self, outbox: &Outbox, change: &JobChanged) {
         let JobChanged { job, version, .. } = change;
         if change.kind() == JobChangeKind::Cancelled {
-            self.cluster.apply_remote_cancellation(job);
+            let now = outbox.clock.now;
+            self.cluster.apply_remote_cancellation(job, *version, now);
         }
         self.expect_change(outbox, job, *version);
     }
--- a/crates/gannethub-core/src/controller/ticking.rs
+++ b/crates/gannethub-core/src/controller/ticking.rs
@@ -105,9 +105,10 @@
         }
         // Users get their answers from the job replica, which may be ahead of an owner's watch. From the moment users
         // may be told of a cancellation, this controller must not launch the job.
-        for job in self.job_api.job_replica.take_new_cancellations() {
+        let now = self.outbox.clock.now;
+        for (job, version) in self.job_api.job_replica.take_new_cancellations() {
             for owner in self.shard_owners.values_mut() {
-                owner.cluster.apply_remote_cancellation(&job);
+                owner.cluster.apply_remote_cancellation(&job, version, now);
             }
         }
     }
--- a/crates/gannethub-core/src/reconcile/cancellation.rs
+++ b/crates/gannethub-core/src/reconcile/cancellation.rs
@@ -1,17 +1,21 @@
 //! Cancellations by users.
 
-use crate::model::{AttemptId, TaskSet};
+use crate::model::{AttemptId, Micros, TaskSet};
 use crate::saga::AbortAction;
 use crate::state::attempt::LiveAttempt;
 use crate::state::cluster::Cluster;
 
 impl Cluster {
-    /// Applies the cancellation of a job that another controller has confirmed to its users. The watch of this
-    /// controller may not have delivered the cancellation yet. The job's record is still read, and is applied like any
-    /// other record.
-    pub fn apply_remote_cancellation(&mut self, id: &str) {
+    /// Applies the cancellation of a job, stored in `version` of the state service, of which users may be told from now
+    /// on. The watch of this controller may not have delivered the cancellation yet, nor the job itself. The job's record
+    /// is still read, and is applied like any other record.
+    pub fn apply_remote_cancellation(&mut self, id: &str, version: u64, now: Micros) {
         let is_upstream_only =
             self.pipelines.waiting.contains_key(id) || self.other_shards.jobs.contains_key(id);
+        if !self.jobs.contains_key(id) && !self.store_writes.has_tombstone(id, version) {
+            self.announced_changes
+                .record_cancellation(id.into(), version, now);
+        }
         if self.jobs.get(id).is_some_and(|job| !job.cancelled) {
             self.cancel_job(id);
         } else if is_upstream_only {
--- a/crates/gannethub-core/src/reconcile/stored_records.rs
+++ b/crates/gannethub-core/src/reconcile/stored_records.rs
@@ -49,7 +49,8 @@
             return;
         }
         self.mark_upstream_released(&id.into());
-        let cancelled = record.cancelled;
+        // The record may be older than a cancellation of which users have been told.
+        let cancelled = record.cancelled || self.announced_changes.is_cancelled(id);
         self.add_job(id, record, version);
         if cancelled {
             self.cancel_job(id);
@@ -153,6 +154,7 @@
             return;
         }
         self.store_writes.add_tombstone(id.into(), version);
+        self.announced_changes.remove(id);
         self.other_shards.jobs.remove(id);
         if self.remove_waiting_job(id) {
             return;
--- a/crates/gannethub-core/src/state/cluster.rs
+++ b/crates/gannethub-core/src/state/cluster.rs
@@ -9,6 +9,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
+use super::announced_changes::AnnouncedChanges;
 use super::capacity_index::CapacityIndex;
 use super::fleet::{Fleet, Offer};
 use super::job::Job;
@@ -72,6 +73,8 @@
 
     /// Jobs that wait for no other job. Only these jobs can be placed.
     pub jobs: BTreeMap<JobId, Job>,
+    /// Changes of jobs that were announced to this owner and that it has not read yet.
+    pub announced_changes: AnnouncedChanges,
     /// Jobs that wait for other jobs.
     pub pipelines: Pipelines,
     /// All known machines of the shard, including machines that are still booting or unreachable.
@@ -142,6 +145,7 @@
             now,
             unix_time,
             jobs: BTreeMap::new(),
+            announced_changes: AnnouncedChanges::default(),
             pipelines: Pipelines::default(),
             machines: BTreeMap::new(),
             capacity_index: CapacityIndex::default(),
--- a/crates/gannethub-core/src/state/job_replica.rs
+++ b/crates/gannethub-core/src/state/job_replica.rs
@@ -102,8 +102,9 @@
     never_submitted: HashSet<JobId>,
     /// Cancellations that were stored or read here and that the copy does not reflect yet, with their versions.
     pending_cancellations: BTreeMap<JobId, u64>,
-    /// Cancellations that became known here and that the shards owned by this controller have not been told of.
-    new_cancellations: Vec<JobId>,
+    /// Cancellations that became known here and that the shards owned by this controller have not been told of, with
+    /// their versions.
+    new_cancellations: Vec<(JobId, u64)>,
 }
 
 impl JobReplica {
@@ -132,15 +133,16 @@
 
     /// Records that the cancellation of a live job was stored or read here at this version.
     pub fn record_cancellation(&mut self, id: JobId, version: u64) {
-        self.new_cancellations.push(id.clone());
+        self.new_cancellations.push((id.clone(), version));
         if self.version.is_none_or(|known| known < version) {
             self.pending_cancellations.insert(id, version);
         }
     }
 
-    /// Returns the jobs whose cancellation has become known since the last call. Users may be told of a cancellation
-    /// from this time on, so the shards owned by this process must not learn of it last.
-    pub fn take_new_cancellations(&mut self) -> Vec<JobId> {
+    /// Returns the jobs whose cancellation has become known since the last call, with the versions of their records.
+    /// Users may be told of a cancellation from this time on, so the shards owned by this process must not learn of it
+    /// last.
+    pub fn take_new_cancellations(&mut self) -> Vec<(JobId, u64)> {
         std::mem::take(&mut self.new_cancellations)
     }
 
@@ -272,7 +274,7 @@
         self.dependencies.mark_live(&id);
         let was_cancelled = self.live.get(&id).is_some_and(|job| job.cancelled);
         if summary.cancelled && !was_cancelled {
-            self.new_cancellations.push(id.clone());
+            self.new_cancellations.push((id.clone(), version));
         }
         if let Some(waiting) = &summary.waiting {
             let upstream = decode_job_ids(&waiting.upstream_ids);
--- a/crates/gannethub-core/src/state/mod.rs
+++ b/crates/gannethub-core/src/state/mod.rs
@@ -6,6 +6,7 @@
 //! | [`cluster`] | [`Cluster`](cluster::Cluster): the complete view that a shard owner has of its shard |
 //! | [`machine`], [`attempt`], [`capacity_index`], [`zones`] | machines, their attempts, and where capacity is free |
 //! | [`job`], [`failure_tracking`], [`queue`], [`quota`], [`pass_state`] | jobs, their order, and scheduler state |
+//! | [`announced_changes`] | changes of jobs that were announced and not read yet |
 //! | [`pipeline`], [`dependencies`], [`downstream_demand`] | jobs that wait for other jobs |
 //! | [`unconfirmed`], [`watermarks`] | knowledge of a new leader before all machines have confirmed its term |
 //! | [`shard`], [`shard_load`], [`shard_transfers`] | the shard's durable record, and the other shards |
@@ -14,6 +15,7 @@
 //! | [`usage`] | the leader's side of the usage ledger |
 //! | [`job_replica`], [`usage_replica`] | copies that every controller keeps, whichever controller leads |
 
+pub mod announced_changes;
 pub mod attempt;
 pub mod capacity_index;
 pub mod cluster;
--- a/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
+++ b/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
@@ -165,6 +165,38 @@
     }
 }
 
+/// Guards against a job that the owner learns of only after its cancellation. In an earlier outage votes extended the
+/// lease, so launches need no watermark. The leader's watch is slow: it delivers the job as it was accepted, after the
+/// user was told that the job is cancelled.
+#[test]
+fn cancellation_announced_before_the_job_is_known_is_obeyed() {
+    for seed in 1..=8 {
+        let mut w = world_with_waiting_tasks(seed);
+        let (old, others) = leader_and_others(&w, seed);
+        w.state.down = true;
+        w.run(6);
+        w.state.down = false;
+        w.run(2);
+        assert_eq!(w.leader(), Some(old), "votes extended the lease");
+        // Each replica of a service leaves room for one task on its machine, so that a job is started at once.
+        w.cancel(1);
+        let service = json!({"shape": "service", "vcpus": 3.0, "rigs": ["small"], "yard": "a"});
+        w.submit(job(3, 8, service));
+        w.run_until(60, "the replicas run", |w| started(w, 3) >= 8);
+        w.faults.max_watch_delay = SECOND / 2;
+        for i in 10..30 {
+            w.submit(job(i, 8, json!({"rigs": ["small"], "yard": "a"})));
+            let accepted = |w: &World| w.jobs[&id(i)].accepted.is_some();
+            w.run_until(10, "the job is accepted", accepted);
+            // Also at the leader itself, which owns the shard.
+            let near = [old, others[0], others[1]][i as usize % 3];
+            w.cancel_at(i, near);
+            w.run_micros(SECOND / 10);
+        }
+        outlast(w, seed);
+    }
+}
+
 /// Guards against a confirmation while the leader is paused: a paused leader goes on as before when it resumes. A pause
 /// shorter than the lease delays the confirmation; after a longer one the leader has no lease any more.
 #[test]
