Cancellations: a job whose change has no stated kind is held until the change is read

What callers saw: during an upgrade, with the state service refusing a leader of this version alone, a controller of the version before confirmed a cancellation, and the leader launched tasks of the job until its lease expired.

Cause: the earlier version sends a message with the job and a version, and tells its user without waiting. The leader knew that the job had changed, could not read it, and launched it all the same.

Change: such a message holds the starts of this one job: nothing of it is placed or launched until the owner has read the change, by its watch, by a read of the job, or by a read of changes that was sent later. Votes of all peers that carry all cancellations end the hold as well, so that it does not outlast its reason in an outage. Messages of this version state the kind, so an acceptance holds nothing.

--- a/crates/gannethub-core/src/controller/peer_messages.rs
+++ b/crates/gannethub-core/src/controller/peer_messages.rs
@@ -124,7 +124,7 @@
             for job in replica.cancelled_since(owner.watched_version) {
                 owner.cluster.apply_remote_cancellation(job, u64::MAX, now);
             }
-            owner.lease.record_cancellations_known(at);
+            owner.record_cancellations_known(at);
             self.outbox.configuration.confirm_newest(at);
         }
         let validity = &mut owner.lease.validity;
--- a/crates/gannethub-core/src/controller/pending_request.rs
+++ b/crates/gannethub-core/src/controller/pending_request.rs
@@ -95,7 +95,7 @@
     /// Writes changes of the state in memory.
     Write { batch: WriteBatch },
     /// Reads a key whose stored value is in doubt.
-    Reread { key: String },
+    Reread { key: String, sent_at: Micros },
     /// Reads the outcome of a job that is no longer live.
     ReadFinishedJob { job: JobId },
     /// Reads the owner of a finished job, for the ledger.
--- a/crates/gannethub-core/src/controller/shard_owner.rs
+++ b/crates/gannethub-core/src/controller/shard_owner.rs
@@ -237,7 +237,9 @@
                 self.handle_catch_up_answer(outbox, sent_at, &answer);
             }
             OwnerRequest::Write { batch } => self.handle_write_answer(outbox, batch, answer),
-            OwnerRequest::Reread { key } => self.handle_reread_answer(outbox, key, &answer),
+            OwnerRequest::Reread { key, sent_at } => {
+                self.handle_reread_answer(outbox, key, sent_at, &answer);
+            }
             OwnerRequest::ReadFinishedJob { job } => {
                 self.handle_finished_job_answer(&job, &answer);
             }
--- a/crates/gannethub-core/src/controller/shard_owner/watch.rs
+++ b/crates/gannethub-core/src/controller/shard_owner/watch.rs
@@ -110,9 +110,8 @@
         self.cluster
             .store_writes
             .prune_tombstones(self.watched_version);
-        self.cluster
-            .announced_changes
-            .apply_read(self.watched_version, sent_at);
+        let announced_changes = &mut self.cluster.announced_changes;
+        self.cluster.passes.needed |= announced_changes.apply_read(self.watched_version, sent_at);
         self.lease.record_cancellations_known(sent_at);
     }
 
@@ -140,13 +139,31 @@
         self.cluster.passes.needed = true;
     }
 
+    /// Records that all cancellations confirmed by this time have been applied, although they may not have been read.
+    pub fn record_cancellations_known(&mut self, at: Micros) {
+        self.lease.record_cancellations_known(at);
+        let is_released = self.cluster.announced_changes.release_held_by(at);
+        self.cluster.passes.needed |= is_released;
+    }
+
     /// Handles the announcement of a peer that it has stored a change of a job, or has read that a job is cancelled. The
-    /// owner obeys a cancellation at once.
+    /// owner obeys a cancellation at once, and starts no task of a job whose change may be a cancellation until it has
+    /// read the change.
     pub fn handle_announced_change(&mut self, outbox: &Outbox, change: &JobChanged) {
+        let now = outbox.clock.now;
         let JobChanged { job, version, .. } = change;
-        if change.kind() == JobChangeKind::Cancelled {
-            let now = outbox.clock.now;
-            self.cluster.apply_remote_cancellation(job, *version, now);
+        match change.kind() {
+            JobChangeKind::Accepted => {}
+            JobChangeKind::Cancelled => {
+                self.cluster.apply_remote_cancellation(job, *version, now);
+            }
+            JobChangeKind::Unspecified if self.watched_version < *version => {
+                let id = job.as_str().into();
+                self.cluster
+                    .announced_changes
+                    .record_unread_change(id, *version, now);
+            }
+            JobChangeKind::Unspecified => {}
         }
         self.expect_change(outbox, job, *version);
     }
--- a/crates/gannethub-core/src/controller/shard_owner/writes.rs
+++ b/crates/gannethub-core/src/controller/shard_owner/writes.rs
@@ -120,7 +120,7 @@
         self.writes.rereads_in_flight = keys.len();
         for key in keys {
             let request = StoreRequest::get(&key);
-            let pending = OwnerRequest::Reread { key };
+            let pending = OwnerRequest::Reread { key, sent_at: now };
             self.send_to_store(outbox, Urgency::Transaction, request, pending);
         }
     }
@@ -129,6 +129,7 @@
         &mut self,
         outbox: &mut Outbox,
         key: String,
+        sent_at: Micros,
         answer: &CallResult,
     ) {
         self.writes.rereads_in_flight = self.writes.rereads_in_flight.saturating_sub(1);
@@ -150,13 +151,26 @@
             self.cluster.ledger_page_reread(page);
         } else {
             let id = JobId::from(key.trim_start_matches(store::LIVE_JOB_PREFIX));
-            self.handle_job_reread(outbox, id, &read);
+            self.handle_job_reread(outbox, id, sent_at, &read);
         }
     }
 
-    /// Handles the reread of a job whose record was in doubt. A job without a live record has ended, and its outcome
-    /// is read next.
-    fn handle_job_reread(&mut self, outbox: &mut Outbox, id: JobId, read: &KeyRead) {
+    /// Handles the reread of a job whose record was in doubt, by a request that was sent at `sent_at`. A job without a
+    /// live record has ended, and its outcome is read next.
+    fn handle_job_reread(
+        &mut self,
+        outbox: &mut Outbox,
+        id: JobId,
+        sent_at: Micros,
+        read: &KeyRead,
+    ) {
+        let version = match read {
+            KeyRead::Found(item) => item.version,
+            _ => 0,
+        };
+        self.cluster
+            .announced_changes
+            .release(&id, version, sent_at);
         if let KeyRead::Found(item) = read {
             if let Some(record) = item.as_live_record() {
                 self.cluster.apply_live_record(&id, record, item.version);
--- a/crates/gannethub-core/src/scheduling/limits.rs
+++ b/crates/gannethub-core/src/scheduling/limits.rs
@@ -34,9 +34,10 @@
         limit - self.quota.team_usage[team] - unconfirmed
     }
 
-    /// Returns how many more of the job's tasks its team's limit allows. Memory is not limited.
+    /// Returns how many more of the job's tasks its team's limit allows; none while its starts are paused. Memory is not
+    /// limited.
     pub fn tasks_within_quota(&self, job: &Job) -> i64 {
-        let Some(team) = job.team.filter(|_| !self.starts_paused) else {
+        let Some(team) = job.team.filter(|_| !self.are_starts_paused(job)) else {
             return 0;
         };
         let free = Resources {
--- a/crates/gannethub-core/src/state/cluster/attempts.rs
+++ b/crates/gannethub-core/src/state/cluster/attempts.rs
@@ -101,11 +101,17 @@
         self.adjust_usage(machine_id, team, resources, now);
     }
 
-    /// Whether the launch of a task may be sent: starts are not paused, and either the job's durable watermark covers
-    /// the task or no successor relies on watermarks.
+    /// Whether the launch of a task may be sent: starts of the job are not paused, and either its durable watermark
+    /// covers the task or no successor relies on watermarks.
     pub fn may_launch(&self, job: &Job, index: u32) -> bool {
         let is_covered = index < job.persistence.durable_watermark;
-        !self.starts_paused && (is_covered || self.watermarks.not_required)
+        !self.are_starts_paused(job) && (is_covered || self.watermarks.not_required)
+    }
+
+    /// Whether no task of the job may be placed or launched now: a newer configuration than the known one may exist, or
+    /// the job may be cancelled.
+    pub fn are_starts_paused(&self, job: &Job) -> bool {
+        self.starts_paused || self.announced_changes.is_held(&job.id)
     }
 
     /// Returns a number that no other attempt of the same task has, in this term or another.
--- a/crates/gannethub-core/src/wire/peer/message.rs
+++ b/crates/gannethub-core/src/wire/peer/message.rs
@@ -229,8 +229,8 @@
 }
 
 /// A notice that the sender stored a change of a job, or has read that a job is cancelled. The owner of the job's shard
-/// starts no task of a cancelled job from now on, and reads the job's record if its watch does not deliver the change
-/// soon.
+/// reads the job's record if its watch does not deliver the change soon. Until it has done so, it starts no task of the
+/// job if the change is a cancellation, or if the kind of the change is not stated.
 #[derive(Clone, PartialEq, Message)]
 pub struct JobChanged {
     #[prost(string, tag = "1")]
--- a/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
+++ b/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
@@ -401,6 +401,48 @@
     }
 }
 
+/// Guards against launches after the confirmation by a controller of the previous release, which announces that the job
+/// changed, but not how, and tells its user at once. The refused leader holds the job until it has read the change, and
+/// only this job.
+#[test]
+fn job_announced_by_the_previous_release_is_held_until_it_is_read() {
+    for seed in 1..=6 {
+        let mut w = world_with_waiting_tasks(seed);
+        let (old, others) = leader_and_others(&w, seed);
+        w.faults.previous_release.extend(others.iter().copied());
+        w.faults.store_refuses.insert(old);
+        w.run_micros(SECOND / 10);
+        w.cancel_at(1, others[0]);
+        confirmed_under(&mut w, old, 1, PROMPT);
+        other_job_goes_on(&mut w, old);
+        outlast(w, seed);
+    }
+}
+
+/// Guards against jobs that stay held after their change was read. Controllers of the previous release accept jobs,
+/// while the leader's watch hangs for a while: all of them run.
+#[test]
+fn jobs_accepted_by_the_previous_release_are_not_held_for_long() {
+    for seed in 1..=3 {
+        let mut w = World::new(3, seed);
+        w.run(2);
+        let (old, others) = leader_and_others(&w, seed);
+        w.faults.previous_release.extend(others.iter().copied());
+        for i in 1..=12 {
+            match i % 4 {
+                0 => drop(w.faults.hung_watches.insert(old)),
+                2 => w.faults.hung_watches.clear(),
+                _ => {}
+            }
+            w.submit(job(i, 4, json!({})));
+            w.run(2);
+        }
+        w.faults.hung_watches.clear();
+        w.run_until(90, "all jobs are done", World::all_jobs_ended);
+        w.finish();
+    }
+}
+
 /// Guards against a leader of the previous release, which confirms nothing: users are told once the job has ended or the
 /// leader's lease is over, and never wait without a bound.
 #[test]
