Tests: one reading of seeds from the environment; confirmations after owners that ended have stepped down

Three tests parsed a range of seeds from a variable each in its own way. Controllers confirm cancellations after they have stepped down from shards whose ownership ended with the same command, so that an owner that is about to end counts as none.

--- a/crates/gannethub-core/src/controller/cancellation_confirmation.rs
+++ b/crates/gannethub-core/src/controller/cancellation_confirmation.rs
@@ -124,7 +124,7 @@
             0 => Some(&self.membership.election),
             shard => self.shard_assignments.election(shard),
         };
-        // An owner here has applied the cancellation by now.
+        // An owner here has a valid lease and has applied the cancellation by now.
         if self.shard_owners.contains_key(&shard) {
             Some(ConfirmationReason::OwnShard)
         } else if pending.is_applied {
--- a/crates/gannethub-core/src/controller/mod.rs
+++ b/crates/gannethub-core/src/controller/mod.rs
@@ -126,16 +126,16 @@
         for command in commands {
             self.handle_command(command);
             self.announce_job_changes();
-            self.confirm_cancellations();
             self.step_down_ended();
+            self.confirm_cancellations();
             self.answer_deferred_heartbeats();
         }
         if clock.now >= self.next_tick_at {
             self.next_tick_at = clock.now + TICK_INTERVAL;
             self.store_answered = false;
             self.tick();
-            self.confirm_cancellations();
             self.step_down_ended();
+            self.confirm_cancellations();
         }
         self.send_kill_orders();
         if self
--- a/crates/gannethub-core/src/controller/pending_confirmations.rs
+++ b/crates/gannethub-core/src/controller/pending_confirmations.rs
@@ -78,16 +78,15 @@
         &mut self,
         reason: impl Fn(&JobId, &PendingConfirmation) -> Option<R>,
     ) -> Vec<(JobId, PendingConfirmation, R)> {
-        let mut confirmed = Vec::new();
-        for (job, pending) in std::mem::take(&mut self.pending) {
-            match reason(&job, &pending) {
-                Some(reason) => confirmed.push((job, pending, reason)),
-                None => {
-                    self.pending.insert(job, pending);
-                }
-            }
-        }
-        confirmed
+        let pending = self.pending.iter();
+        let confirmed: Vec<(JobId, R)> = pending
+            .filter_map(|(job, pending)| Some((job.clone(), reason(job, pending)?)))
+            .collect();
+        let removed = confirmed.into_iter().filter_map(|(job, reason)| {
+            let pending = self.pending.remove(&job)?;
+            Some((job, pending, reason))
+        });
+        removed.collect()
     }
 
     /// Records that a job's cancellation is announced now.
--- a/crates/gannethub-core/tests/simulation/concurrent_failures.rs
+++ b/crates/gannethub-core/tests/simulation/concurrent_failures.rs
@@ -558,16 +558,11 @@
 /// Plays concurrent random faults against the checker; the variable `MEETINGS` selects other seeds, see `play_seeds`.
 #[test]
 fn concurrent_faults_at_random_break_no_invariant() {
-    let more = std::env::var("MEETINGS").unwrap_or_default();
-    let range = more
-        .split_once("..")
-        .and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    play_seeds(
-        range
-            .or_else(|| Some(1000..1000 + more.parse::<u64>().ok()?))
-            .unwrap_or(1..13),
-        false,
-    );
+    let count = std::env::var("MEETINGS").ok();
+    let count = count.and_then(|count| count.parse::<u64>().ok());
+    let counted = count.map(|count| 1000..1000 + count);
+    let seeds = seeds_in_variable("MEETINGS").or(counted);
+    play_seeds(seeds.unwrap_or(1..13), false);
 }
 
 /// Plays further seeds of concurrent random faults.
@@ -579,9 +574,5 @@
 /// Plays concurrent random faults while operators change the configuration. `CHANGES=7..90` plays the seeds 7 to 89.
 #[test]
 fn faults_with_configuration_changes_violate_no_invariant() {
-    let more = std::env::var("CHANGES").unwrap_or_default();
-    let range = more
-        .split_once("..")
-        .and_then(|(a, b)| Some(a.parse().ok()?..b.parse().ok()?));
-    play_seeds(range.unwrap_or(1..17), true);
+    play_seeds(seeds_in_variable("CHANGES").unwrap_or(1..17), true);
 }
--- a/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
+++ b/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
@@ -565,11 +565,7 @@
 /// --test simulation random_faults_lead_to -- --nocapture`.
 #[test]
 fn random_faults_lead_to_no_launch_after_a_confirmation() {
-    let range = std::env::var("CANCELLATION_SEEDS").unwrap_or_default();
-    let range = range
-        .split_once("..")
-        .and_then(|(first, end)| Some(first.parse().ok()?..end.parse().ok()?));
-    let seeds: std::ops::Range<u64> = range.unwrap_or(1..13);
+    let seeds = seeds_in_variable("CANCELLATION_SEEDS").unwrap_or(1..13);
     let play = |seed: &u64| {
         let played = std::panic::catch_unwind(|| play_random_cancellations(*seed).finish());
         if played.is_err() {
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -27,6 +27,13 @@
 /// Duration of a store lease under the built-in policy, in microseconds.
 const STORE_LEASE_DURATION: u64 = 3 * SECOND;
 
+/// Returns the seeds that an environment variable names, such as `7..90` for the seeds 7 to 89.
+fn seeds_in_variable(name: &str) -> Option<std::ops::Range<u64>> {
+    let text = std::env::var(name).ok()?;
+    let (first, end) = text.split_once("..")?;
+    Some(first.parse().ok()?..end.parse().ok()?)
+}
+
 /// Returns a world in which an array, a gang and a service run on machines.
 fn world_with_running_jobs(seed: u64) -> World {
     let mut w = World::new(3, seed);
