Takeover: tasks that are found as done raise their job's watermark

Cause: after launches without watermarks (votes had extended the lease), an owner records that watermarks are reliable as soon as all machines have reported and every attempt found is below its job's durable watermark. Attempts that had already ended as done did not count. If their ends could not be stored before the next takeover, the successor took these tasks for never launched and placed them.

Change: a reported task that is done requests the watermark as well, so the record is written only when it is durable.

--- a/crates/gannethub-core/src/reconcile/attempts.rs
+++ b/crates/gannethub-core/src/reconcile/attempts.rs
@@ -147,6 +147,10 @@
         let (task, number) = (&attempt_id.task, attempt_id.number);
         if phase.is_ended() {
             if phase == AttemptPhase::Ended(ExitReason::Done) {
+                // Until the end is stored, only the watermark tells a successor that the task was launched.
+                if let Some(job) = self.jobs.get_mut(&task.job) {
+                    job.request_watermark(task.index + 1);
+                }
                 self.complete_task(task, now);
             }
             return None;
--- a/crates/gannethub-core/tests/simulation/failover.rs
+++ b/crates/gannethub-core/tests/simulation/failover.rs
@@ -326,6 +326,38 @@
     assert_eq!(placed, [0, 1, 6, 7]);
 }
 
+/// Guards against a successor that repeats finished tasks. A leader that cannot rely on watermarks finds a task that was
+/// launched above its job's watermark and has ended; until the end is stored, only a watermark tells a successor about it.
+/// So watermarks must not count as reliable before this one is durable.
+#[test]
+fn watermarks_cover_tasks_that_ended_above_them() {
+    let mut view = LeaderView::unread(&[("red", 8.0, 8.0)], None);
+    let member = ShardMember {
+        machine_type: "small".into(),
+        zone: "a".into(),
+        spot: false,
+    };
+    let chunk = ChunkRecord {
+        term: 1,
+        owner: "n9".into(),
+        machines: [("up-1".to_string(), member)].into(),
+    };
+    let mut record = JobRecord::new(spec(Shape::Array, "red", 20, 1.0), 1);
+    record.watermark = Some(0);
+    view.cluster.apply_job_record("j-1", record, 5);
+    view.cluster.apply_shard_chunk("gh/block/0/0", chunk, 6);
+    view.cluster.finish_loading(view.now);
+    view.heartbeat("up-1", "small", "a", &[("j-1/9", 1, true)]);
+    view.cluster.tick(view.now, view.now);
+    assert!(view.cluster.takeover.is_settled);
+    assert!(view.cluster.jobs["j-1"].tasks.done.contains(9));
+    assert!(!view.cluster.watermarks_cover_all_launches());
+    view.write();
+    let persistence = &view.cluster.jobs["j-1"].persistence;
+    assert!(persistence.durable_watermark >= 10 && persistence.durable_done.contains(9));
+    assert!(view.cluster.watermarks_cover_all_launches());
+}
+
 /// Plays losses of leaders, machines, messages and the state service, so frequent that most takeovers begin before
 /// the previous takeover is settled.
 #[test]
