Shards: an owner's record that cannot be parsed does not count as absent

Cause: the probe of the shards other than 0 skipped records that it could not parse, so that such a shard counted as unowned. The takeover that followed was refused by its guard, but an absent owner's key is also a reason to tell users of a cancellation, and the owner may act.

Change: the shard keeps its last known records. The other shards of the answer are observed as before.

Evidence: an_unreadable_owner_record_does_not_count_as_absent fails before and passes now; 62 unit tests of the core pass.

--- a/crates/gannethub-core/src/controller/shard_assignment.rs
+++ b/crates/gannethub-core/src/controller/shard_assignment.rs
@@ -69,6 +69,8 @@
 struct AssignmentRecords {
     owner: Option<StoredLease>,
     last_term: Option<StoredLease>,
+    /// Whether one of the records exists but cannot be parsed.
+    is_unreadable: bool,
 }
 
 /// A term and the version of its key; both are 0 if the key does not exist.
@@ -150,7 +152,8 @@
         outbox.send_to_store(Urgency::Renewal, request, AssignmentRequest::Probe);
     }
 
-    /// Records the owners and terms of all shards from the answer to a probe.
+    /// Records the owners and terms of all shards from the answer to a probe. A shard with a record that cannot be parsed
+    /// keeps its last known records, since a record that is there must not count as absent.
     pub fn handle_probe_answer(&mut self, outbox: &Outbox, answer: &CallResult) {
         self.probe_in_flight = false;
         let Some(listing) = decode_ok::<Listing>(answer) else {
@@ -167,11 +170,15 @@
             .copied()
             .collect();
         for shard in known {
-            let AssignmentRecords { owner, last_term } =
-                records.get(&shard).cloned().unwrap_or_default();
-            self.assignment(outbox, shard)
-                .election
-                .observe(owner, last_term, listing.version);
+            let AssignmentRecords {
+                owner,
+                last_term,
+                is_unreadable,
+            } = records.get(&shard).cloned().unwrap_or_default();
+            let election = &mut self.assignment(outbox, shard).election;
+            if !is_unreadable {
+                election.observe(owner, last_term, listing.version);
+            }
         }
     }
 
@@ -183,14 +190,18 @@
             return;
         };
         // Shard 0 belongs to the leader, which has keys of its own.
-        let Some(record) = item.decode::<LeaseRecord>().filter(|_| shard > 0) else {
+        if shard == 0 {
+            return;
+        }
+        let records = records.entry(shard).or_default();
+        let Some(record) = item.decode::<LeaseRecord>() else {
+            records.is_unreadable = true;
             return;
         };
         let lease = Some(StoredLease {
             record,
             version: item.version,
         });
-        let records = records.entry(shard).or_default();
         match kind {
             "holder" => records.owner = lease,
             "term" => records.last_term = lease,
@@ -441,3 +452,6 @@
     let (shard, kind) = rest.split_once('/')?;
     Some((shard.parse().ok()?, kind))
 }
+
+#[cfg(test)]
+mod tests;
