--- a/crates/gannethub-core/src/controller/cancellation_confirmation.rs
+++ b/crates/gannethub-core/src/controller/cancellation_confirmation.rs
@@ -165,3 +165,6 @@
             .record_applied(&applied.job, applied.shard);
     }
 }
+
+#[cfg(test)]
+mod tests;
