--- a/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
+++ b/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
@@ -32,8 +32,11 @@
     w
 }
 
-fn world_with_waiting_tasks(seed: u64) -> World {
-    begin_waiting_tasks(World::new(3, seed))
+/// Returns a world of three controllers with waiting tasks, its leader, and the other controllers.
+fn waiting_tasks(seed: u64) -> (World, usize, Vec<usize>) {
+    let w = begin_waiting_tasks(World::new(3, seed));
+    let (leader, others) = leader_and_others(&w, seed);
+    (w, leader, others)
 }
 
 fn started(w: &World, job: u32) -> usize {
@@ -93,8 +96,7 @@
 #[test]
 fn refused_leader_starts_no_task_after_a_confirmed_cancellation() {
     for seed in 1..=6 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.faults.store_refuses.insert(old);
         w.run_micros(SECOND / 10);
         w.cancel_at(1, others[0]);
@@ -110,8 +112,7 @@
 #[test]
 fn lost_announcement_delays_the_confirmation_until_the_lease_is_over() {
     for seed in 1..=6 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         let links: Vec<(usize, usize)> = others.iter().map(|other| (*other, old)).collect();
         let back = links.iter().map(|(from, to)| (*to, *from));
         match seed % 3 {
@@ -134,8 +135,7 @@
 #[test]
 fn leader_that_reads_the_cancellation_confirms_it_by_heartbeat() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.faults.lossy_links.insert((others[0], old));
         w.cancel_at(1, others[0]);
         confirmed_under(&mut w, old, 1, PROMPT);
@@ -149,8 +149,7 @@
 #[test]
 fn late_and_repeated_announcements_are_obeyed_once() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         let links = others.iter().map(|other| (*other, old));
         w.faults.partitioned.extend(links);
         w.faults.store_refuses.insert(old);
@@ -171,8 +170,7 @@
 #[test]
 fn cancellation_announced_before_the_job_is_known_is_obeyed() {
     for seed in 1..=8 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.state.down = true;
         w.run(6);
         w.state.down = false;
@@ -202,8 +200,7 @@
 #[test]
 fn paused_leader_starts_no_cancelled_task_when_it_resumes() {
     for (seed, pause) in [(1, 5), (2, 12), (3, 20), (4, 28), (5, 45), (6, 120)] {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         let resumes_at = w.now + pause * SECOND / 10;
         w.faults.frozen_until.insert(old, resumes_at);
         w.cancel_at(1, others[0]);
@@ -222,8 +219,7 @@
 #[test]
 fn isolated_leader_delays_the_confirmation_until_its_lease_is_over() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.isolate(old);
         w.run_micros(seed * SECOND / 4);
         w.cancel_at(1, others[0]);
@@ -237,8 +233,7 @@
 #[test]
 fn relayed_heartbeats_launch_no_cancelled_task() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         for zone in ["a", "b"] {
             w.faults.unreachable_zones.insert((old, zone.into()));
         }
@@ -287,8 +282,7 @@
 #[test]
 fn new_leader_starts_no_task_cancelled_during_the_takeover() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         for i in 10..50 {
             w.submit(job(i, 60, json!({"rigs": ["small"], "crew": "blue"})));
         }
@@ -311,8 +305,7 @@
 #[test]
 fn vote_without_the_cancellation_launches_no_task_after_the_confirmation() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         let near = others[0];
         w.faults.commit_answer_delays.insert(near, SECOND * 19 / 10);
         w.faults.store_refuses.insert(old);
@@ -332,8 +325,7 @@
 #[test]
 fn pipeline_of_a_cancelled_upstream_job_is_not_started() {
     for seed in 1..=8 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.submit(job(10, 4, json!({"crew": "red"})));
         let accepted = |i| move |w: &World| w.jobs[&id(i)].accepted.is_some();
         w.run_until(10, "accepted", accepted(10));
@@ -363,7 +355,7 @@
 #[test]
 fn lost_and_preempted_tasks_of_cancelled_jobs_are_not_replaced() {
     for seed in 1..=6 {
-        let mut w = world_with_waiting_tasks(seed);
+        let mut w = begin_waiting_tasks(World::new(3, seed));
         w.cancel(1);
         w.cancel(2);
         w.run_time_range = (60 * SECOND, 90 * SECOND);
@@ -407,8 +399,7 @@
 #[test]
 fn job_announced_by_the_previous_release_is_held_until_it_is_read() {
     for seed in 1..=6 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.faults.previous_release.extend(others.iter().copied());
         w.faults.store_refuses.insert(old);
         w.run_micros(SECOND / 10);
@@ -448,8 +439,7 @@
 #[test]
 fn leader_of_the_previous_release_delays_confirmations_for_a_bounded_time() {
     for seed in 1..=4 {
-        let mut w = world_with_waiting_tasks(seed);
-        let (old, others) = leader_and_others(&w, seed);
+        let (mut w, old, others) = waiting_tasks(seed);
         w.faults.previous_release.insert(old);
         if seed % 2 == 0 {
             w.faults.store_refuses.insert(old);
