Cancellations: a request that was refused before its cancellation was stored does not wait

Its connection was kept among those that wait for the confirmation, which made the controller read changes of jobs beside the announcements until the confirmation came. The cancellation is still announced. Unit test: a_refused_request_does_not_wait_for_the_confirmation.

--- a/crates/gannethub-core/src/controller/cancellation_confirmation.rs
+++ b/crates/gannethub-core/src/controller/cancellation_confirmation.rs
@@ -44,7 +44,8 @@
 }
 
 impl JobApi {
-    /// Answers a user that a job is cancelled, once the cancellation is confirmed.
+    /// Answers a user that a job is cancelled, once the cancellation is confirmed. The cancellation is announced until
+    /// then, even if the user's request has been refused already.
     pub fn answer_when_confirmed(
         &mut self,
         outbox: &Outbox,
@@ -54,8 +55,9 @@
         connection: u64,
     ) {
         let now = outbox.clock.now;
+        let waiting = Some(connection).filter(|connection| outbox.awaits_reply(*connection));
         self.confirmations
-            .add(job, cancellation, view, connection, now);
+            .add(job, cancellation, view, waiting, now);
     }
 
     /// Answers the users who wait for the confirmation of a cancellation, and all later ones at once.
--- a/crates/gannethub-core/src/controller/cancellation_confirmation/tests.rs
+++ b/crates/gannethub-core/src/controller/cancellation_confirmation/tests.rs
@@ -55,6 +55,20 @@
     assert_eq!(replies_at(&mut controller, START + bound), [200]);
 }
 
+/// Guards against reads for a user who no longer waits: the cancellation was stored after the request had been refused.
+#[test]
+fn a_refused_request_does_not_wait_for_the_confirmation() {
+    let mut controller = controller_with_cancellation();
+    let view = JobView::new(JobStatus::Cancelled, 0);
+    let outbox = &controller.outbox;
+    let job: JobId = "j-000002".into();
+    controller
+        .job_api
+        .answer_when_confirmed(outbox, job, CANCELLATION, view, 8);
+    let confirmations = &controller.job_api.confirmations;
+    assert!(confirmations.is_waiting(7) && !confirmations.is_waiting(8));
+}
+
 /// Guards against users who get no answer until the confirmation: a request whose deadline has passed is refused, and a
 /// later confirmation does not answer it a second time.
 #[test]
--- a/crates/gannethub-core/src/controller/pending_confirmations.rs
+++ b/crates/gannethub-core/src/controller/pending_confirmations.rs
@@ -43,13 +43,14 @@
         self.pending.is_empty()
     }
 
-    /// Adds a cancellation, unless it is pending already, and a user who waits for its confirmation.
+    /// Adds a cancellation, unless it is pending already. `waiting` is the connection of a user who waits for its
+    /// confirmation.
     pub fn add(
         &mut self,
         job: JobId,
         cancellation: StoredCancellation,
         view: JobView,
-        connection: u64,
+        waiting: Option<u64>,
         now: Micros,
     ) {
         let pending = self
@@ -63,7 +64,7 @@
                 is_applied: false,
                 announced_at: None,
             });
-        pending.waiting.push(connection);
+        pending.waiting.extend(waiting);
     }
 
     /// Records that the owner of a job's shard obeys the job's cancellation.
--- a/crates/gannethub-core/src/controller/pending_confirmations/tests.rs
+++ b/crates/gannethub-core/src/controller/pending_confirmations/tests.rs
@@ -10,7 +10,7 @@
     let mut pending = PendingConfirmations::default();
     for connection in connections {
         let view = JobView::new(JobStatus::Cancelled, 0);
-        pending.add("j-1".into(), CANCELLATION, view, *connection, 1000);
+        pending.add("j-1".into(), CANCELLATION, view, Some(*connection), 1000);
     }
     pending
 }
