--- a/crates/gannethub-core/src/state/job_replica.rs
+++ b/crates/gannethub-core/src/state/job_replica.rs
@@ -123,7 +123,8 @@
         self.live.contains_key(id)
     }
 
-    /// Records a job's final state that was read or written.
+    /// Records a job's final state, which users are told at once from now on. The state service holds the job's end, or
+    /// no task of the cancelled job can be started any more.
     pub fn record_end(&mut self, id: JobId, view: JobView) {
         if self.final_views.len() >= MAX_REMEMBERED {
             self.final_views.clear();
--- a/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
+++ b/crates/gannethub-core/tests/simulation/confirmed_cancellation.rs
@@ -350,8 +350,8 @@
 }
 
 /// Guards against a cancelled task that is started again because it was lost, stopped or refused: replicas of a service,
-/// a gang that is not complete, and tasks that were told to save for a preemption notice. Their machines die after the
-/// cancellation while the state service refuses the leader.
+/// a gang that is not complete, and tasks that were told to save for a preemption notice. The machines of the replicas and
+/// of the gang hang for longer than a lease after the cancellation, while the state service refuses the leader.
 #[test]
 fn lost_and_preempted_tasks_of_cancelled_jobs_are_not_replaced() {
     for seed in 1..=6 {
