Review: a gang is started in the same way again and never runs

Cause: all tasks of a gang attempt are launched at once, whichever machines have the image, and the next attempt repeats the choice after `alone`.

The stand-in workers end the other tasks of a running gang with `mates_gone`.

--- a/review/stand-ins/cluster.py
+++ b/review/stand-ins/cluster.py
@@ -690,6 +690,8 @@
         self.record("task ends", host=worker.name, piece=task.piece, try_no=task.attempt, cause=cause)
         for listener in self.listeners:
             listener("end", worker, task, cause)
+        if was_on_machine and task.job["shape"] == "group" and cause not in ("done", "mates_gone", "alone"):
+            self.background(self.gang_notices(task))
 
     def gang_members(self, task):
         job_id = task.piece.rsplit("/", 1)[0]
@@ -705,6 +707,13 @@
             for member in members:
                 member.state, member.wakes_at = "running", wakes
 
+    async def gang_notices(self, task):
+        """The running tasks of a gang exit once they notice that one of them is gone."""
+        await asyncio.sleep(self.site["workers"]["gang_peer_s"] / 2)
+        for worker, member in self.gang_members(task):
+            if member.state == "running":
+                worker.end(member, "mates_gone")
+
     def gang_done(self, task):
         for worker, member in self.gang_members(task):
             worker.end(member, "done")
