Review: a case that cannot start ends with code 2

Cause: an error before the stand-ins run, such as an old Python, ended a script with code 1, which says that the rule was broken; start and case together had no common limit of time.

Result: without the built program, and when it is stopped, a script ends its processes and says that it could not run.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -27,7 +27,7 @@
     if status != 201:
         raise CannotRun("the gang was not accepted: %s %s" % (status, answer))
     idle = idle_vault_nodes(cluster)
-    await cluster.wait_for(lambda: len(idle()) == 2 or len(cluster.done) == 2, 20, "no vault-nodes came up")
+    await cluster.wait_for(lambda: len(idle()) == 2 or len(cluster.done) == 2, 30, "no vault-nodes came up")
     # Another team's job of one task, urgent and well within that team's guarantee of 32 vCPUs.
     other = new_job(2, jobclass="ticket-import", crew="compliance", rank="urgent", vcpus=8.0, mem_gb=8.0, guess_s=5.0)
     status, answer = await cluster.submit(other)
--- a/review/stand-ins/cluster.py
+++ b/review/stand-ins/cluster.py
@@ -889,33 +889,45 @@
                                               ("vault-node", False, 1), ("vault-node", True, 1))}
 
 
-def main(folder, case, limit_s=115.0, **options):
-    """Runs `case(cluster, trouble)`, a coroutine function that returns a list of broken rules, and exits."""
+def main(folder, case, limit_s=116.0, **options):
+    """Runs `case(cluster, trouble)`, a coroutine function that returns a list of broken rules, and exits. Start and case
+    together may take `limit_s` seconds."""
     random.seed(int(os.environ.get("SEED", "1")))
     trouble = os.environ.get("TROUBLE", "1") != "0"
 
-    async def run():
+    async def run(cluster):
+        await cluster.start()
+        return await case(cluster, trouble)
+
+    async def guarded():
         stopped = asyncio.current_task()
         for number in (signal.SIGTERM, signal.SIGINT):
             asyncio.get_running_loop().add_signal_handler(number, stopped.cancel)
-        site = options.pop("site", SMALL_SITE)
-        cluster = Cluster(site, options.pop("rigs", SMALL_RIGS), options.pop("capacity", SMALL_CAPACITY), folder,
-                          **options)
+        cluster = Cluster(options.pop("site", SMALL_SITE), options.pop("rigs", SMALL_RIGS),
+                          options.pop("capacity", SMALL_CAPACITY), folder, **options)
         try:
             cluster.record("case", trouble=trouble, seed=os.environ.get("SEED", "1"))
-            await cluster.start()
-            broken = await asyncio.wait_for(case(cluster, trouble), limit_s)
-            code = 1 if broken else 0
+            broken = await asyncio.wait_for(run(cluster), limit_s)
             for text in broken or ["the rule held"]:
                 cluster.record("result", text=text)
                 print(text)
+            return 1 if broken else 0
         except (Exception, asyncio.CancelledError) as error:
             cluster.record("could not run", error=repr(error))
             print("could not run: %r" % error)
-            code = 2
+            return 2
         finally:
             cluster.close()
-        sys.stdout.flush()
-        os._exit(code)
 
-    asyncio.run(run())
+    async def run_and_exit():
+        code = 2
+        try:
+            code = await guarded()
+        except (Exception, asyncio.CancelledError) as error:
+            print("could not run: %r" % error)
+        finally:
+            sys.stdout.flush()
+            # Connections that are still open need no orderly end.
+            os._exit(code)
+
+    asyncio.run(run_and_exit())
