A gang reserves capacity only if it will soon be complete

Cause: gather_capacity reserved whatever part of a gang's capacity there was, and each pass renewed it. Placement counts the reservation as used, the autoscaler does not return a reserved machine, and the plan gave the machines to the gang as well. The same cause stood on related paths: the end of a service's task counted as a time to wait for, an attempt that overruns its estimate always ended soon, reserve_for_stage kept machines that a service occupies, and reserve_on_confirmed_machines asked for no whole gang.

Change: a gang reserves only if all tasks find capacity within a horizon (60 s plus the time waited, 240 s at most); attempts without a foreseeable end do not count; a stage and a failover ask the same; the plan undoes a gang that is not complete. Capacity that smaller jobs use meanwhile becomes free as they end, so the gang gets its missing machine when it comes.

--- a/crates/gannethub-core/src/scheduling/capacity_timeline.rs
+++ b/crates/gannethub-core/src/scheduling/capacity_timeline.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
-use crate::model::{JobId, JobSpec, MachineId, Micros, Resources};
+use crate::model::{JobId, JobSpec, MachineId, Micros, Resources, Shape};
 use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed, zone_allowance};
 use crate::state::cluster::Cluster;
 use crate::state::machine::Machine;
@@ -85,6 +85,17 @@
         self.zones.entry(zone.clone()).or_default()
     }
 
+    /// Returns the number of tasks for which each zone has capacity at or before `until`.
+    pub fn tasks_until(&self, until: Micros) -> BTreeMap<Arc<str>, i64> {
+        let in_zone = |list: &VecDeque<TaskCapacity>| {
+            list.partition_point(|capacity| capacity.at <= until) as i64
+        };
+        let zones = self.zones.iter();
+        zones
+            .map(|(zone, list)| (zone.clone(), in_zone(list)))
+            .collect()
+    }
+
     /// Sorts the entries of each zone by time.
     pub fn sort(&mut self) {
         for list in self.zones.values_mut() {
@@ -122,8 +133,8 @@
     }
 
     /// Removes from a timeline the earliest capacity that the job's zone constraints let it use together, and returns
-    /// this capacity. Returns `None` if the job must be in a single zone, has no zone yet, and no zone has enough
-    /// capacity.
+    /// this capacity. Returns `None` and leaves the timeline as it is if the job must be in a single zone, has no zone
+    /// yet, and no zone has enough capacity, or if the job is a gang that finds too little capacity.
     pub(super) fn choose_earliest_capacity(
         &self,
         timeline: &mut CapacityTimeline,
@@ -149,6 +160,9 @@
             *tasks_by_machine.entry(next.capacity.machine).or_default() += 1;
             taken.push((zone, next.position));
         }
+        if spec.shape == Shape::Gang && taken.len() < tasks {
+            return None;
+        }
         // Later positions of a zone are removed first, so that the earlier positions stay valid.
         for (zone, position) in taken.into_iter().rev() {
             if let Some(list) = timeline.zones.get_mut(&zone) {
@@ -217,8 +231,14 @@
             .is_some_and(|other| other.scheduling.last_queued_pass == self.passes.count)
     }
 
-    /// Returns the times at which a machine will have capacity for the first, the second, ... of a job's tasks.
-    fn capacity_times(&self, machine: &Machine, spec: &JobSpec, now: Micros) -> Vec<Micros> {
+    /// Returns the times at which a machine will have capacity for the first, the second, ... of a job's tasks. Capacity
+    /// whose release nothing foretells is left out: nobody can wait for it.
+    pub(super) fn capacity_times(
+        &self,
+        machine: &Machine,
+        spec: &JobSpec,
+        now: Micros,
+    ) -> Vec<Micros> {
         let max_tasks = spec
             .resources
             .times_fitting_in(&machine.capacity)
@@ -236,7 +256,10 @@
             .attempts
             .iter()
             .filter(|(_, attempt)| attempt.holds_capacity)
-            .map(|(id, attempt)| (self.expected_end(&id.task, attempt, now), attempt.resources))
+            .filter_map(|(id, attempt)| {
+                let end = self.foreseeable_end(&id.task, attempt, now)?;
+                Some((end, attempt.resources))
+            })
             .collect();
         ends.sort_by_key(|(end, _)| *end);
         let mut ends = ends.into_iter();
--- a/crates/gannethub-core/src/scheduling/estimates.rs
+++ b/crates/gannethub-core/src/scheduling/estimates.rs
@@ -15,6 +15,11 @@
 /// Minimum remaining boot time that is assumed for a machine whose boot is overdue.
 const MIN_OVERDUE_BOOT: Micros = 2 * SECOND;
 
+/// An attempt that has run for this many times its expected run time, plus [`OVERRUN_ALLOWANCE`], has no foreseeable
+/// end.
+const MAX_OVERRUN_FACTOR: Micros = 4;
+const OVERRUN_ALLOWANCE: Micros = 60 * SECOND;
+
 /// Times of day at which a job was accepted and at which it was, or will be, released.
 #[derive(Clone, Copy, Debug)]
 pub struct JobTimes {
@@ -181,6 +186,24 @@
         // Run times vary: every attempt is assumed to run for at least another quarter of its progress so far.
         now + remaining.max(progress / 4)
     }
+
+    /// Returns the expected end of an attempt on which other work may wait. Returns `None` for a task of a service,
+    /// unless the task was told to stop, and for an attempt that has run far longer than expected.
+    pub(super) fn foreseeable_end(
+        &self,
+        task: &TaskId,
+        attempt: &Attempt,
+        now: Micros,
+    ) -> Option<Micros> {
+        if let Some(grace) = attempt.stop_grace {
+            return Some(now + grace);
+        }
+        let job = self.jobs.get(&task.job);
+        let expected_run_time = job.map_or(0, |job| self.expected_run_time(&job.spec));
+        let max_run_time = MAX_OVERRUN_FACTOR * expected_run_time + OVERRUN_ALLOWANCE;
+        let end = self.expected_end(task, attempt, now);
+        (end < Micros::MAX && running_time(attempt, now) <= max_run_time).then_some(end)
+    }
 }
 
 /// Returns the time for which an attempt has been running: 0 for an attempt that has not begun to run or is saving.
--- a/crates/gannethub-core/src/scheduling/failover.rs
+++ b/crates/gannethub-core/src/scheduling/failover.rs
@@ -11,6 +11,7 @@
 //! separate change in the state service.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use crate::model::{JobId, JobSpec, Micros, Resources, SECOND, Shape, TaskSet};
 use crate::state::capacity_index::MachineKind;
@@ -54,6 +55,23 @@
             .fold(0, i64::saturating_add)
     }
 
+    /// Returns the maximum number of a job's tasks that the unconfirmed machines of each zone could hold if they were
+    /// empty.
+    pub(super) fn max_unconfirmed_tasks_by_zone(&self, spec: &JobSpec) -> BTreeMap<Arc<str>, i64> {
+        let mut tasks_by_zone: BTreeMap<Arc<str>, i64> = BTreeMap::new();
+        for (kind, machines) in &self.takeover.unconfirmed.machine_counts {
+            let Some(kind) = kind else { continue };
+            if !self.is_eligible_bucket(spec, kind) {
+                continue;
+            }
+            let capacity = &self.machine_types[kind.machine_type].capacity;
+            let tasks = spec.resources.times_fitting_in(capacity);
+            let in_zone = tasks_by_zone.entry(kind.zone.clone()).or_default();
+            *in_zone = in_zone.saturating_add(tasks.saturating_mul(*machines));
+        }
+        tasks_by_zone
+    }
+
     /// Updates the unconfirmed tasks and their possible usage, as machines have sent heartbeats or are known to hold
     /// nothing. Returns the number of machines that may still hold unconfirmed tasks.
     pub fn update_unconfirmed(&mut self, now: Micros) -> usize {
--- a/crates/gannethub-core/src/scheduling/forecast.rs
+++ b/crates/gannethub-core/src/scheduling/forecast.rs
@@ -17,7 +17,15 @@
 /// Fraction by which the expected wait for the end of several tasks grows with each doubling of their number.
 const LAST_END_DELAY: f64 = 0.25;
 
+/// Less than any task needs.
+const NO_CAPACITY: Resources = Resources {
+    cpu: -1,
+    gpu: -1,
+    memory: -1,
+};
+
 /// Work of a job for which there is no free capacity.
+#[derive(Clone)]
 pub(super) struct PendingWork {
     pub spec: Arc<JobSpec>,
     /// Number of tasks that have not been planned yet.
@@ -31,6 +39,13 @@
     pub latest_start: Micros,
 }
 
+impl PendingWork {
+    /// Whether the tasks need their capacity together.
+    pub fn needs_capacity_together(&self) -> bool {
+        self.tasks > 1 && self.spec.shape == Shape::Gang
+    }
+}
+
 /// Capacity that becomes free on a machine.
 #[derive(Clone, Copy)]
 pub(super) struct Release {
@@ -41,6 +56,7 @@
 }
 
 /// The forecast of one machine: its free capacity, and the times at which more capacity becomes free.
+#[derive(Clone)]
 pub(super) struct MachineForecast {
     pub group: usize,
     pub zone: Arc<str>,
@@ -111,6 +127,13 @@
         work.tasks -= tasks;
     }
 
+    /// Makes a machine useless for every task. The machine keeps its position, to which indexes refer.
+    fn retire(&mut self) {
+        self.version += 1;
+        self.releases.clear();
+        self.free = NO_CAPACITY;
+    }
+
     /// Applies the releases up to `start`, until a task fits.
     fn release_until(&mut self, start: Micros, resources: &Resources) {
         while let Some(release) = self.releases.last().copied() {
@@ -229,6 +252,14 @@
     }
 }
 
+/// A change of a forecast that can be undone.
+enum ForecastChange {
+    /// A machine was added at this position.
+    Added(usize),
+    /// Capacity of the machine at this position was reserved. The forecast is the one before.
+    Reserved(usize, MachineForecast),
+}
+
 /// The machines that are up, booting, requested or planned, and the indexes over them.
 #[derive(Default)]
 pub(super) struct Forecast {
@@ -237,6 +268,8 @@
     pub now: Micros,
     /// Number of scheduling steps taken.
     pub steps: u64,
+    /// Changes since [`Forecast::begin_trial`], the newest last; `None` outside a trial.
+    trial: Option<Vec<ForecastChange>>,
     group_index: HashMap<MachineGroupKey, usize>,
     shape_indexes: HashMap<Resources, ShapeIndex>,
 }
@@ -278,6 +311,9 @@
 
     pub fn add_machine(&mut self, machine: MachineForecast) {
         let position = self.machines.len();
+        if let Some(changes) = &mut self.trial {
+            changes.push(ForecastChange::Added(position));
+        }
         self.groups[machine.group].members.push(position);
         self.machines.push(machine);
         self.index_machine(position);
@@ -310,10 +346,38 @@
         candidates: &mut Candidates,
     ) {
         candidates.by_group[choice.group].pop();
+        if let Some(changes) = &mut self.trial {
+            let before = self.machines[choice.machine].clone();
+            changes.push(ForecastChange::Reserved(choice.machine, before));
+        }
         self.machines[choice.machine].reserve_tasks(work, choice.start);
         self.index_machine(choice.machine);
     }
 
+    /// Begins to record the changes, so that they can be undone.
+    pub fn begin_trial(&mut self) {
+        self.trial = Some(Vec::new());
+    }
+
+    /// Keeps the changes since the trial began.
+    pub fn keep_trial(&mut self) {
+        self.trial = None;
+    }
+
+    /// Undoes the changes since the trial began. The candidates of the trial must have been returned.
+    pub fn undo_trial(&mut self) {
+        for change in self.trial.take().into_iter().flatten().rev() {
+            match change {
+                ForecastChange::Added(position) => self.machines[position].retire(),
+                ForecastChange::Reserved(position, before) => {
+                    let version = self.machines[position].version + 1;
+                    self.machines[position] = MachineForecast { version, ..before };
+                    self.index_machine(position);
+                }
+            }
+        }
+    }
+
     /// Reads from a group's index until no entry can be earlier than the earliest candidate.
     fn read_group(&mut self, group: usize, work: &PendingWork, candidates: &mut Candidates) {
         let shape = candidates.shape;
--- a/crates/gannethub-core/src/scheduling/gang.rs
+++ b/crates/gannethub-core/src/scheduling/gang.rs
@@ -1,7 +1,9 @@
 //! Gang scheduling: all tasks of a gang are placed at the same time, or none.
 //!
 //! A gang that finds too little capacity gathers it: the machines that will have capacity soonest are reserved for
-//! it. All waiting gangs gather in the same passes, in queue order, so no gang is offered capacity that an earlier
+//! it, but only if they will be enough for the whole gang, and soon. Capacity that a gang would hold while the rest
+//! is missing is left to other jobs; once the missing part is in sight, the gang reserves all of it, and what other
+//! jobs use of it becomes free as their tasks end. All waiting gangs gather in the same passes, in queue order, so no gang is offered capacity that an earlier
 //! gang has reserved. If waiting would take too long, capacity is freed by preemption
 //! ([`preemption`](crate::scheduling::preemption)).
 
@@ -18,7 +20,7 @@
     placed_tasks,
 };
 use crate::scheduling::preemption::PreemptionPass;
-use crate::scheduling::zones::ZoneTaskCounts;
+use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed, zone_allowance};
 use crate::state::attempt::GangAttempt;
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
@@ -30,6 +32,13 @@
 /// reservations are renewed before they expire.
 const MAX_GATHER_INTERVAL: Micros = 500_000;
 
+/// A gang reserves capacity if all of it will be free within this time. Other jobs may wait for about as long beside
+/// capacity that is free already.
+const MIN_GATHER_HORIZON: Micros = 60 * SECOND;
+/// The horizon grows by the time for which the gang has waited, up to this limit, so that a gang also finds capacity
+/// beside a stream of longer tasks.
+const MAX_GATHER_HORIZON: Micros = 240 * SECOND;
+
 /// A gang's reservation expires after this time unless a pass renews it.
 const GATHERED_RESERVATION: Micros = 2 * SECOND;
 
@@ -99,7 +108,7 @@
         if self.takeover.is_settled {
             self.gather_or_preempt(id, missing.len(), gangs, now);
         } else {
-            self.reserve_on_confirmed_machines(id, &spec, missing.len(), now);
+            self.reserve_on_confirmed_machines(id, &spec, &zones, missing.len(), gangs, now);
         }
     }
 
@@ -170,15 +179,75 @@
     /// Reserves confirmed machines for a gang, in the zone with capacity for the most tasks. After a failover
     /// a gang rarely finds capacity for all its tasks at once, as machines are confirmed one by one. Without the
     /// reservations, smaller tasks would take the confirmed capacity bit by bit and hold it for as long as they run.
+    /// Nothing is reserved if the whole gang would not fit within its horizon even if all unconfirmed machines were
+    /// empty.
     fn reserve_on_confirmed_machines(
         &mut self,
         id: &JobId,
         spec: &JobSpec,
+        zones: &ZoneTaskCounts,
         tasks: usize,
+        gangs: &mut GangPass,
         now: Micros,
     ) {
+        let timeline = gangs
+            .timelines
+            .entry(PlacementConstraints::from(spec))
+            .or_insert_with(|| self.capacity_timeline(spec, now));
+        let mut attainable = timeline.tasks_until(now + self.reservation_horizon(id));
+        for (zone, unconfirmed) in self.max_unconfirmed_tasks_by_zone(spec) {
+            let in_zone = attainable.entry(zone).or_default();
+            *in_zone = in_zone.saturating_add(unconfirmed);
+        }
+        if !is_enough_for_gang(&attainable, spec, zones, tasks) {
+            return;
+        }
+        let total = |machines: &Vec<ConfirmedMachine<'_>>| -> i64 {
+            machines.iter().map(|machine| machine.max_tasks).sum()
+        };
+        let is_candidate = |zone: &Arc<str>| {
+            !spec.single_zone || attainable.get(zone).is_some_and(|max| *max >= tasks as i64)
+        };
+        let confirmed = self.confirmed_machines(id, spec, zones, now);
+        let mut machines = confirmed
+            .into_iter()
+            .filter(|(zone, _)| is_candidate(zone))
+            .map(|(_, machines)| machines)
+            .max_by_key(total)
+            .unwrap_or_default();
+        machines.sort_unstable();
+        let mut remaining = tasks as i64;
+        let mut reservations: Vec<(MachineId, i64)> = Vec::new();
+        for machine in machines {
+            if remaining <= 0 {
+                break;
+            }
+            reservations.push((machine.machine.clone(), machine.max_tasks.min(remaining)));
+            remaining -= machine.max_tasks;
+        }
+        for (machine, tasks) in reservations {
+            let reservation = Reservation {
+                job: id.clone(),
+                tasks,
+                expires_at: now + STAGE_RESERVATION,
+            };
+            self.reserve(&machine, reservation);
+        }
+    }
+
+    /// Returns, by zone, the confirmed machines that have capacity for a gang and are not reserved for another job.
+    fn confirmed_machines(
+        &self,
+        id: &JobId,
+        spec: &JobSpec,
+        allowed_zones: &ZoneTaskCounts,
+        now: Micros,
+    ) -> BTreeMap<&Arc<str>, Vec<ConfirmedMachine<'_>>> {
         let mut zones: BTreeMap<&Arc<str>, Vec<ConfirmedMachine<'_>>> = BTreeMap::new();
         for bucket in self.eligible_buckets(spec) {
+            if !is_zone_allowed(spec, allowed_zones, &bucket.kind.zone) {
+                continue;
+            }
             let machines = bucket
                 .with_cpu(spec.resources.cpu)
                 .take(CANDIDATES_PER_BUCKET);
@@ -200,28 +269,7 @@
                 }
             }
         }
-        let total = |machines: &Vec<ConfirmedMachine<'_>>| -> i64 {
-            machines.iter().map(|machine| machine.max_tasks).sum()
-        };
-        let mut machines = zones.into_values().max_by_key(total).unwrap_or_default();
-        machines.sort_unstable();
-        let mut remaining = tasks as i64;
-        let mut reservations: Vec<(MachineId, i64)> = Vec::new();
-        for machine in machines {
-            if remaining <= 0 {
-                break;
-            }
-            reservations.push((machine.machine.clone(), machine.max_tasks.min(remaining)));
-            remaining -= machine.max_tasks;
-        }
-        for (machine, tasks) in reservations {
-            let reservation = Reservation {
-                job: id.clone(),
-                tasks,
-                expires_at: now + STAGE_RESERVATION,
-            };
-            self.reserve(&machine, reservation);
-        }
+        zones
     }
 
     /// Gathers capacity for a gang that found none, and preempts for the gang if waiting would take too long.
@@ -247,7 +295,8 @@
     /// Reserves the machines that will soonest have capacity for a waiting gang: capacity that becomes free on them,
     /// or that boots, is kept for the gang. No machine is reserved for two gangs, and all of a gang's capacity lies
     /// where its zone constraints let it be used together, so gangs never each hold half of the capacity that they
-    /// need. Returns the time at which the last task will have capacity, or `None` if not all tasks find capacity.
+    /// need. Nothing is reserved unless all tasks find capacity within the gang's horizon. Returns the time at which the
+    /// last task will have capacity, or `None` if not all tasks find capacity.
     fn gather_capacity(
         &mut self,
         id: &JobId,
@@ -263,11 +312,13 @@
             .entry(PlacementConstraints::from(&*spec))
             .or_insert_with(|| self.capacity_timeline(&spec, now));
         let chosen = self.choose_earliest_capacity(timeline, id, &spec, zones, tasks, now)?;
-        let is_complete = chosen.tasks() == tasks as i64;
         let ChosenCapacity {
             tasks_by_machine,
             complete_at,
         } = chosen;
+        if complete_at > now + self.reservation_horizon(id) {
+            return Some(complete_at);
+        }
         for (machine, tasks) in tasks_by_machine {
             let Some(state) = self.machines.get(&machine) else {
                 continue;
@@ -281,10 +332,36 @@
             };
             self.reserve(&machine, reservation);
         }
-        is_complete.then_some(complete_at)
+        Some(complete_at)
+    }
+
+    /// Returns the maximum time until a job's capacity is free for which capacity is reserved for the job.
+    pub(super) fn reservation_horizon(&self, id: &JobId) -> Micros {
+        let ready_at = self.jobs.get(id).map_or(self.unix_time, |job| job.ready_at);
+        let waited = self.unix_time.saturating_sub(ready_at);
+        (MIN_GATHER_HORIZON + waited).min(MAX_GATHER_HORIZON)
     }
 }
 
+/// Whether the zones that a gang may use have capacity for all its missing tasks together. `attainable`: the number of
+/// tasks for which each zone may have capacity.
+fn is_enough_for_gang(
+    attainable: &BTreeMap<Arc<str>, i64>,
+    spec: &JobSpec,
+    zones: &ZoneTaskCounts,
+    tasks: usize,
+) -> bool {
+    let allowed = attainable
+        .iter()
+        .map(|(zone, max)| (*max).min(i64::from(zone_allowance(spec, zones, zone))));
+    let total = if spec.single_zone {
+        allowed.max().unwrap_or(0)
+    } else {
+        allowed.fold(0, i64::saturating_add)
+    };
+    total >= tasks as i64
+}
+
 /// Whether tasks of a gang may be placed now, if there is capacity.
 fn may_place_gang(job: &Job, now: Micros) -> bool {
     // The next attempt begins only when no task of the last attempt is on a machine any more.
--- a/crates/gannethub-core/src/scheduling/placement.rs
+++ b/crates/gannethub-core/src/scheduling/placement.rs
@@ -377,8 +377,8 @@
         machine.placement.reservation = Some(reservation);
     }
 
-    /// Reserves machines that have too little free capacity yet for a stage of a pipeline. The machines with the most
-    /// attempts that can end come first. Without the reservations, smaller tasks further down the queue would take all
+    /// Reserves machines that have too little free capacity yet, and will have enough soon, for a stage of a pipeline.
+    /// The machines with the most attempts come first. Without the reservations, smaller tasks further down the queue would take all
     /// capacity bit by bit as it becomes free, and a task that needs more would never find enough.
     pub(super) fn reserve_for_stage(&mut self, id: &JobId, tasks: usize, now: Micros) {
         let Some(job) = self.jobs.get(id) else { return };
@@ -387,6 +387,7 @@
         }
         let spec = job.spec.clone();
         let no_zones = ZoneTaskCounts::new();
+        let free_by = now + self.reservation_horizon(id);
         let mut candidates: Vec<(Reverse<usize>, &MachineId)> = Vec::new();
         for bucket in self.eligible_buckets(&spec) {
             for machine in bucket.with_cpu(1).filter_map(|id| self.machines.get(id)) {
@@ -394,6 +395,10 @@
                 if !spec.resources.fits(&machine.free())
                     && machine.active_reservation(now).is_none()
                     && self.can_host(machine, id, &spec, &no_zones, now)
+                    && self
+                        .capacity_times(machine, &spec, now)
+                        .first()
+                        .is_some_and(|at| *at <= free_by)
                 {
                     candidates.push((Reverse(machine.attempts.len()), &machine.id));
                 }
--- a/crates/gannethub-core/src/scheduling/provisioning_plan.rs
+++ b/crates/gannethub-core/src/scheduling/provisioning_plan.rs
@@ -4,6 +4,8 @@
 //! requested. Work that would start too late in the simulation gets a new machine, of the offer with the lowest price
 //! for the capacity that this work and the jobs behind it use.
 
+mod whole_job;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashSet};
 
@@ -67,6 +69,18 @@
     planned_machines: HashSet<MachineId>,
 }
 
+/// What the tasks of a job need in the plan.
+#[derive(Default)]
+struct TaskPlan {
+    /// The offer of each new machine.
+    new_machines: Vec<Offer>,
+    /// Present machines on which upcoming work is planned.
+    planned_machines: Vec<MachineId>,
+    last_start: Micros,
+    /// Whether tasks start late because there is no offer for them.
+    is_late: bool,
+}
+
 /// The best offer for a job, if it is known.
 enum BestOffer<'a> {
     Unknown,
@@ -364,7 +378,25 @@
 
     /// Simulates a job's tasks. `behind`: the jobs after it in the queue.
     fn add_work(&mut self, work: &mut PendingWork, behind: &[PendingWork]) {
+        if work.needs_capacity_together() {
+            return self.add_whole_job(work, behind);
+        }
+        let plan = self.add_tasks(work, behind);
+        self.keep(plan);
+    }
+
+    /// Adds what the tasks of a job need to the demand.
+    fn keep(&mut self, plan: TaskPlan) {
+        for offer in plan.new_machines {
+            *self.wanted.entry(offer).or_default() += 1;
+        }
+        self.planned_machines.extend(plan.planned_machines);
+    }
+
+    /// Simulates a job's tasks one by one, as far as they find capacity.
+    fn add_tasks(&mut self, work: &mut PendingWork, behind: &[PendingWork]) -> TaskPlan {
         let now = self.forecast.now;
+        let mut plan = TaskPlan::default();
         let shape = match self.has_exact_shapes {
             true => work.spec.resources,
             false => coarse_shape(&work.spec.resources),
@@ -393,8 +425,10 @@
                 if new_machine_at.is_none_or(|at| choice.start <= at) {
                     if work.earliest_start > now {
                         let machine = &self.forecast.machines[choice.machine];
-                        self.planned_machines.extend(machine.machine.clone());
+                        plan.planned_machines.extend(machine.machine.clone());
                     }
+                    plan.is_late |= is_late && offer.is_none();
+                    plan.last_start = plan.last_start.max(choice.start);
                     self.forecast.take(choice, work, &mut candidates);
                     continue;
                 }
@@ -404,7 +438,9 @@
                 BestOffer::Unknown => self.best_offer(work, behind),
             };
             let Some(offer) = offer else { break };
-            self.add_new_machine(offer, work, &mut candidates);
+            let available_at = self.add_new_machine(offer, work, &mut candidates);
+            plan.new_machines.push(offer.offer.clone());
+            plan.last_start = plan.last_start.max(available_at);
             // While the job's own tasks fill a whole machine, another machine of the same offer is just as good.
             let capacity = &self.cluster.machine_types[offer.offer.machine_type].capacity;
             if !work.spec.is_zone_constrained()
@@ -414,6 +450,7 @@
             }
         }
         self.forecast.return_candidates(candidates);
+        plan
     }
 
     /// Returns the groups of machines that may run a job's tasks.
@@ -430,13 +467,14 @@
             .collect()
     }
 
-    /// Plans a new machine, and on it as many of the job's remaining tasks as fit.
+    /// Plans a new machine, and on it as many of the job's remaining tasks as fit. Returns the time at which the machine
+    /// is available.
     fn add_new_machine(
         &mut self,
         priced: &PricedOffer,
         work: &mut PendingWork,
         candidates: &mut Candidates,
-    ) {
+    ) -> Micros {
         let (cluster, offer) = (self.cluster, &priced.offer);
         let boot_end = cluster.expected_boot_end(offer, self.forecast.now);
         let available_at = boot_end.max(work.earliest_start);
@@ -446,7 +484,7 @@
         let mut machine = cluster.empty_machine(group, &key, available_at);
         machine.reserve_tasks(work, available_at);
         self.forecast.add_machine(machine);
-        *self.wanted.entry(offer.clone()).or_default() += 1;
+        available_at
     }
 
     /// Returns the offer that serves a job at the lowest price for the capacity that the job and the jobs behind it
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -13,6 +13,7 @@
 mod one_way_partition;
 mod operations;
 mod pipelines;
+mod reserved_capacity;
 mod scheduling_cost;
 mod sharding;
 mod unseen_cancellation;
--- a/crates/gannethub-emulators/src/cloud.rs
+++ b/crates/gannethub-emulators/src/cloud.rs
@@ -13,6 +13,9 @@
     pub flavors: Value,
     /// Maximum number of machines at the same time.
     pub capacity: usize,
+    /// Maximum number of machines of each offer at the same time, as machine type, zone and whether the machine is a
+    /// spot machine. Offers that are not listed have no machines. `None`: only `capacity` limits the machines.
+    pub offer_capacity: Option<BTreeMap<(String, String, bool), usize>>,
     /// Minimum and maximum boot time of a machine, in microseconds.
     pub boot: (u64, u64),
     /// Probability that a machine never boots; 0 if all machines boot.
@@ -40,6 +43,7 @@
                  "fetch_gb_per_s": 1.0, "price": 1.0, "spot_price": 0.4, "boot_s": 3,
                  "yards": ["a", "b"]}]}),
             capacity: 12,
+            offer_capacity: None,
             boot: (SECOND, 4 * SECOND),
             never_boot_probability: 0.0,
             list_lag: 2 * SECOND,
@@ -99,6 +103,21 @@
         }
     }
 
+    /// Returns the number of machines that the offer of a provision request has left.
+    fn free_capacity(&self, body: &Value, workers: &BTreeMap<String, Worker>) -> usize {
+        let in_total = self.capacity.saturating_sub(workers.len());
+        let Some(capacities) = &self.offer_capacity else {
+            return in_total;
+        };
+        let text = |field: &str| body[field].as_str().unwrap_or("").to_string();
+        let offer = (text("rig"), text("yard"), body["loaners"] == json!(true));
+        let same_offer =
+            |w: &&Worker| (&w.flavor, &w.zone, w.spot) == (&offer.0, &offer.1, offer.2);
+        let provisioned = workers.values().filter(same_offer).count();
+        let capacity = capacities.get(&offer).copied().unwrap_or(0);
+        capacity.saturating_sub(provisioned).min(in_total)
+    }
+
     fn provision(
         &mut self,
         body: &Value,
@@ -109,7 +128,7 @@
         if let Some(hosts) = self.machines_by_request.get(&request_id) {
             return (200, json!({"hosts": hosts}));
         }
-        let free_capacity = self.capacity.saturating_sub(workers.len());
+        let free_capacity = self.free_capacity(body, workers);
         let count = (body["how_many"].as_u64().unwrap_or(0) as usize).min(free_capacity);
         if count == 0 {
             return (503, json!({"error": "no capacity"}));
