A job avoids a machine on which it failed for a time, and so does the plan

Cause: placement left out a machine on which the job had failed until some task succeeded there, which the tasks of a service never do. The plan did not know of it, found room for the task on that very machine and rented nothing. On the region's only machine the exclusion alone was enough. A waiting replica was also recorded as unplaceable although it avoided machines, so that similar jobs did not search.

Change: the exclusion ends 60 s after the last failure, and the forecast of a machine carries the jobs that avoid it. Machines on which a job has failed come last among equally good ones. Job::avoids_machines replaces the set of failed machines as the test of whether a result holds for similar jobs.

--- a/crates/gannethub-core/src/scheduling/capacity_timeline.rs
+++ b/crates/gannethub-core/src/scheduling/capacity_timeline.rs
@@ -202,9 +202,7 @@
                         list.remove(position);
                         continue;
                     }
-                    if machine
-                        .is_some_and(|machine| !machine.placement.failures_by_job.contains_key(job))
-                    {
+                    if machine.is_some_and(|machine| !machine.is_avoided_by(job, now)) {
                         candidates.push_back(IndexedCapacity {
                             capacity: capacity.clone(),
                             position,
--- a/crates/gannethub-core/src/scheduling/failure_tracking.rs
+++ b/crates/gannethub-core/src/scheduling/failure_tracking.rs
@@ -5,6 +5,8 @@
 //! *crash-looping*: one task of the job, or the whole gang, is probed at growing intervals on free capacity. No
 //! capacity is reserved or preempted for the job, the job claims no guarantee, and no machine is blamed for its
 //! failures. The first finished task clears the job, and then the machines on which the job failed are reviewed again.
+//! A job avoids the machines on which it has failed for a time, in placement and in the provisioning plan alike, and
+//! prefers other machines afterwards.
 //! A machine is quarantined when a job that succeeds elsewhere fails on it twice, or when several jobs that are not
 //! crash-looping fail on it.
 
@@ -22,6 +24,10 @@
 /// Maximum number of doublings of the delay of a task.
 const MAX_TASK_BACKOFF_DOUBLINGS: u32 = 5;
 
+/// Time for which a job avoids a machine after one of its tasks failed there: long enough for another machine to be
+/// provisioned. The machine may be the only one that the job can get, so it is tried again afterwards.
+const FAILED_MACHINE_AVOIDANCE: Micros = 60 * SECOND;
+
 /// Delay before the next probe of a crash-looping job, doubled with each failed probe: about two minutes at most.
 const FIRST_PROBE_DELAY: Micros = 4 * SECOND;
 /// Maximum number of doublings of the delay between probes.
@@ -56,6 +62,8 @@
         let is_first = job.failure_tracking.failed_machines.is_empty();
         let was_crash_looping = job.is_crash_looping();
         job.failure_tracking.failed_machines.insert(machine.clone());
+        let avoid_until = now + FAILED_MACHINE_AVOIDANCE;
+        job.scheduling.avoids_machines_until = avoid_until;
         let backoff = job.tasks.backoff.entry(task.index).or_default();
         let doublings = backoff.failures.min(MAX_TASK_BACKOFF_DOUBLINGS);
         backoff.until = now + (FIRST_TASK_BACKOFF << doublings);
@@ -79,7 +87,9 @@
         tracing::debug!(%task, %machine, "task failed");
         if let Some(state) = self.machines.get_mut(machine) {
             let failures = &mut state.placement.failures_by_job;
-            *failures.entry(task.job.clone()).or_default() += 1;
+            let failures = failures.entry(task.job.clone()).or_default();
+            failures.count += 1;
+            failures.avoid_until = avoid_until;
         }
         self.quarantine_if_faulty(machine, now);
     }
@@ -133,7 +143,7 @@
             .placement
             .failures_by_job
             .iter()
-            .filter_map(|(job, failures)| Some((self.jobs.get(job)?, *failures)))
+            .filter_map(|(job, failures)| Some((self.jobs.get(job)?, failures.count)))
             .filter(|(job, _)| !job.is_crash_looping())
             .collect();
         credible.len() >= FAILURES_TO_QUARANTINE
--- a/crates/gannethub-core/src/scheduling/forecast.rs
+++ b/crates/gannethub-core/src/scheduling/forecast.rs
@@ -10,7 +10,7 @@
 use std::collections::{BinaryHeap, HashMap};
 use std::sync::Arc;
 
-use crate::model::{JobSpec, MachineId, Micros, Resources, SECOND, Shape};
+use crate::model::{JobId, JobSpec, MachineId, Micros, Resources, SECOND, Shape};
 use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed};
 use crate::state::fleet::Offer;
 
@@ -27,6 +27,8 @@
 /// Work of a job for which there is no free capacity.
 #[derive(Clone)]
 pub(super) struct PendingWork {
+    /// The job, if it avoids machines on which it has failed.
+    pub job: Option<JobId>,
     pub spec: Arc<JobSpec>,
     /// Number of tasks that have not been planned yet.
     pub tasks: i64,
@@ -66,6 +68,8 @@
     pub releases: Vec<Release>,
     /// The machine's ID; `None` for a machine that is not up yet.
     pub machine: Option<MachineId>,
+    /// Jobs whose tasks may not be placed on the machine because they have failed there.
+    pub avoided_by: Vec<JobId>,
     /// Number of reservations made so far. Index entries of an earlier version are out of date.
     pub version: u32,
 }
@@ -96,6 +100,11 @@
         Micros::MAX
     }
 
+    fn is_avoided_by(&self, work: &PendingWork) -> bool {
+        let mut jobs = self.avoided_by.iter();
+        jobs.any(|job| work.job.as_ref() == Some(job))
+    }
+
     /// Reserves capacity for all the tasks that can start at `start`, at least one.
     pub fn reserve_tasks(&mut self, work: &mut PendingWork, start: Micros) {
         self.version += 1;
@@ -419,7 +428,11 @@
             }
             // A machine that never has capacity for this job may have some for the next job of its shape, so it is
             // returned to the index with the others.
-            let start = machine.earliest_start(&work.spec.resources, self.now);
+            let start = if machine.is_avoided_by(work) {
+                Micros::MAX
+            } else {
+                machine.earliest_start(&work.spec.resources, self.now)
+            };
             read.push(Reverse(Candidate {
                 start: start.max(work.earliest_start),
                 machine: entry.machine,
--- a/crates/gannethub-core/src/scheduling/forecast/tests.rs
+++ b/crates/gannethub-core/src/scheduling/forecast/tests.rs
@@ -71,6 +71,7 @@
             available_at: forecast.now + seconds * SECOND,
             releases,
             machine: None,
+            avoided_by: Vec::new(),
             version: 0,
         });
     }
@@ -99,6 +100,7 @@
             let job_shape = if gang { Shape::Gang } else { Shape::Array };
             let from = if from < 15 { now } else { now + from * SECOND };
             let mut work = PendingWork {
+                job: None,
                 spec: job(job_shape, tasks as u32, resources),
                 tasks,
                 zones: ZoneTaskCounts::new(),
--- a/crates/gannethub-core/src/scheduling/gang.rs
+++ b/crates/gannethub-core/src/scheduling/gang.rs
@@ -93,8 +93,7 @@
             return;
         }
         let zones = self.zones_in_use(job);
-        let is_typical =
-            job.tasks.gang_attempt.is_none() && job.failure_tracking.failed_machines.is_empty();
+        let is_typical = job.tasks.gang_attempt.is_none() && !job.avoids_machines(now);
         let is_known_unplaceable =
             is_typical && !self.has_reservation(id) && unplaceable.contains(&spec, missing.len());
         if !is_known_unplaceable {
--- a/crates/gannethub-core/src/scheduling/placement.rs
+++ b/crates/gannethub-core/src/scheduling/placement.rs
@@ -80,6 +80,8 @@
 /// A machine that may take tasks of a job.
 #[derive(Clone, Copy)]
 struct Candidate<'a> {
+    /// Whether tasks of the job have failed on the machine.
+    has_failures: bool,
     lacks_image: bool,
     machine: &'a Machine,
     max_tasks: i64,
@@ -119,7 +121,7 @@
         now: Micros,
     ) -> bool {
         machine.is_schedulable(now, self.settings.heartbeat_interval)
-            && !machine.placement.failures_by_job.contains_key(job)
+            && !machine.is_avoided_by(job, now)
             && self.is_eligible_machine(machine, spec)
             && is_zone_allowed(spec, zones, &machine.zone)
     }
@@ -150,8 +152,8 @@
     ) -> i64 {
         self.passes.add_steps(1);
         // A crash-looping job is probed on any machine, since it may have failed on faulty machines only.
-        let failed_here = !crash_looping && machine.placement.failures_by_job.contains_key(job);
-        if failed_here || !machine.is_schedulable(now, self.settings.heartbeat_interval) {
+        let is_avoided = !crash_looping && machine.is_avoided_by(job, now);
+        if is_avoided || !machine.is_schedulable(now, self.settings.heartbeat_interval) {
             return 0;
         }
         let mut free = machine.free();
@@ -186,8 +188,7 @@
             return 0;
         }
         let wanted = self.tasks_to_place(job, now);
-        let is_typical =
-            !spec.is_zone_constrained() && job.failure_tracking.failed_machines.is_empty();
+        let is_typical = !spec.is_zone_constrained() && !job.avoids_machines(now);
         let is_known_unplaceable =
             || is_typical && !self.has_reservation(id) && unplaceable.contains(&spec, 1);
         if wanted == 0 || is_known_unplaceable() {
@@ -278,6 +279,7 @@
         }
         let crash_looping = self.jobs.get(id).is_some_and(Job::is_crash_looping);
         let candidate = Candidate {
+            has_failures: false,
             lacks_image: false,
             machine,
             max_tasks: self.tasks_that_fit(machine, id, spec, crash_looping, now),
@@ -288,7 +290,8 @@
     }
 
     /// Finds capacity for up to `wanted` tasks of a job by first-fit in the order of tiers. Among the machines of a
-    /// tier, which are equally preferred, machines that hold the job's image come first.
+    /// tier, which are equally preferred, machines that hold the job's image come first, and machines on which the job
+    /// has failed come last.
     pub(super) fn first_fit(
         &self,
         id: &JobId,
@@ -305,7 +308,8 @@
             }
             let mut candidates = self.tier_candidates(tier, id, spec, zones, remaining, now);
             candidates.sort_unstable_by(|a, b| {
-                (a.lacks_image, &a.machine.id).cmp(&(b.lacks_image, &b.machine.id))
+                let key = |c: &Candidate<'_>| (c.has_failures, c.lacks_image);
+                (key(a), &a.machine.id).cmp(&(key(b), &b.machine.id))
             });
             for candidate in candidates {
                 remaining -= take_candidate(candidate, spec, zones, remaining, &mut placements);
@@ -346,6 +350,7 @@
                     continue;
                 }
                 candidates.push(Candidate {
+                    has_failures: machine.placement.failures_by_job.contains_key(id),
                     lacks_image: !machine.placement.cached_images.contains(&spec.image),
                     machine,
                     max_tasks,
--- a/crates/gannethub-core/src/scheduling/preemption.rs
+++ b/crates/gannethub-core/src/scheduling/preemption.rs
@@ -277,9 +277,8 @@
             tasks: if preemptor.is_gang { tasks } else { 1 },
         };
         // The result for a typical job also holds for similar jobs.
-        let is_typical = zones.is_empty()
-            && job.scheduling.reserved_until <= now
-            && job.failure_tracking.failed_machines.is_empty();
+        let is_typical =
+            zones.is_empty() && job.scheduling.reserved_until <= now && !job.avoids_machines(now);
         let mut infeasible = pass.infeasible.iter();
         if is_typical && infeasible.any(|known| known.implies_infeasible(&request)) {
             return None;
--- a/crates/gannethub-core/src/scheduling/provisioning_plan.rs
+++ b/crates/gannethub-core/src/scheduling/provisioning_plan.rs
@@ -137,6 +137,7 @@
                 continue;
             }
             pending.push(PendingWork {
+                job: (!job.is_crash_looping()).then(|| id.clone()),
                 spec: job.spec.clone(),
                 tasks,
                 zones: self.zones_in_use(job),
@@ -198,6 +199,7 @@
             let latest_start = self.latest_start_for(spec, times, demand, false);
             let slack = latest_start.map_or(0, |start| start.saturating_sub(ready_at));
             pending.push(PendingWork {
+                job: None,
                 spec: spec.clone(),
                 tasks,
                 zones: ZoneTaskCounts::new(),
@@ -300,6 +302,11 @@
         let mut machine_forecast = self.empty_machine(group, &key, now);
         machine_forecast.free = machine.free();
         machine_forecast.machine = Some(machine.id.clone());
+        let failures = machine.placement.failures_by_job.iter();
+        machine_forecast.avoided_by = failures
+            .filter(|(_, failures)| now < failures.avoid_until)
+            .map(|(job, _)| job.clone())
+            .collect();
         let holding = machine
             .attempts
             .iter()
@@ -337,6 +344,7 @@
             available_at,
             releases: Vec::new(),
             machine: None,
+            avoided_by: Vec::new(),
             version: 0,
         }
     }
--- a/crates/gannethub-core/src/state/job.rs
+++ b/crates/gannethub-core/src/state/job.rs
@@ -86,6 +86,8 @@
     pub within_guarantee: bool,
     /// Whether gang placement has been tried for the job. It is tried again only in the rounds for all gangs.
     pub gang_placement_tried: bool,
+    /// Time until which the job avoids some machines because its tasks have failed there.
+    pub avoids_machines_until: Micros,
     /// Time at which other work was last preempted for the job.
     pub last_preemption_at: Option<Micros>,
     /// Time at which the last of the job's reservations expires. No capacity is reserved for the job after this time.
@@ -202,6 +204,12 @@
         self.tasks.live_attempts.len() as u32
     }
 
+    /// Whether the job avoids machines on which its tasks have failed. What holds for the job's capacity then need not
+    /// hold for similar jobs.
+    pub fn avoids_machines(&self, now: Micros) -> bool {
+        now < self.scheduling.avoids_machines_until
+    }
+
     /// Whether the job seems to fail on every machine, most likely because of a user's mistake: the job has finished no
     /// task, and has failed on `CRASH_LOOP_MACHINES` machines or is crash-looping according to its stored record.
     pub fn is_crash_looping(&self) -> bool {
--- a/crates/gannethub-core/src/state/machine.rs
+++ b/crates/gannethub-core/src/state/machine.rs
@@ -106,8 +106,8 @@
 pub struct PlacementState {
     /// Time at which the last attempt released its capacity.
     pub idle_since: Micros,
-    /// Number of failures on this machine since a task last succeeded on it, by job.
-    pub failures_by_job: HashMap<JobId, u32>,
+    /// Failures on this machine since a task last succeeded on it, by job.
+    pub failures_by_job: HashMap<JobId, MachineFailures>,
     /// Images that the worker has fetched.
     pub cached_images: HashSet<String>,
     /// Capacity reserved for a waiting job. The reservation may have expired: see [`Machine::active_reservation`].
@@ -126,6 +126,14 @@
     pub indexed_free_cpu: Option<i64>,
 }
 
+/// Failures of a job's tasks on a machine.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct MachineFailures {
+    pub count: u32,
+    /// Time until which no task of the job is placed on the machine.
+    pub avoid_until: Micros,
+}
+
 /// Capacity of a machine that is reserved for a number of tasks of one job.
 #[derive(Debug, Clone)]
 pub struct Reservation {
@@ -190,6 +198,12 @@
         free
     }
 
+    /// Whether a job's tasks have failed on the machine and may not be placed on it yet.
+    pub fn is_avoided_by(&self, job: &JobId, now: Micros) -> bool {
+        let failures = self.placement.failures_by_job.get(job);
+        failures.is_some_and(|failures| now < failures.avoid_until)
+    }
+
     /// Returns the machine's reservation, unless the reservation has expired.
     pub fn active_reservation(&self, now: Micros) -> Option<&Reservation> {
         self.placement
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -6,6 +6,7 @@
 mod configuration;
 mod confirmed_cancellation;
 mod constrained_processor;
+mod failed_machines;
 mod failover;
 mod harness;
 mod large_clusters;
