A job in one zone is planned in a zone that can take all of it

Cause: the plan gave out the tasks one by one, so the room for the first one fixed the zone. When the second found neither room nor an offer, the plan gave up and the next one began in the same place. Placement chose the zone of services and arrays in the same way, by the room of the moment.

Change: jobs that have to choose a zone are planned as a trial, which is undone if not all tasks find capacity in time, and the other zones are tried. The plan's choice is kept for services and arrays, and placement follows it instead of starting one task where the others cannot follow.

--- a/crates/gannethub-core/src/scheduling/forecast.rs
+++ b/crates/gannethub-core/src/scheduling/forecast.rs
@@ -34,6 +34,8 @@
     pub tasks: i64,
     /// Zones of the job's other tasks, if the job has zone constraints.
     pub zones: ZoneTaskCounts,
+    /// Zones that the plan has tried and found to lack capacity for the whole job.
+    pub excluded_zones: Vec<Arc<str>>,
     pub run_time: Micros,
     /// Earliest start of the tasks; for a job that waits for others, the time of its release.
     pub earliest_start: Micros,
@@ -44,7 +46,18 @@
 impl PendingWork {
     /// Whether the tasks need their capacity together.
     pub fn needs_capacity_together(&self) -> bool {
-        self.tasks > 1 && self.spec.shape == Shape::Gang
+        self.tasks > 1 && (self.spec.shape == Shape::Gang || self.chooses_zone())
+    }
+
+    /// Whether all tasks have to be in one zone, which is still open.
+    pub fn chooses_zone(&self) -> bool {
+        self.spec.single_zone && self.zones.is_empty()
+    }
+
+    /// Whether tasks may be planned in `zone`.
+    pub fn is_zone_allowed(&self, zone: &str) -> bool {
+        let mut excluded = self.excluded_zones.iter();
+        is_zone_allowed(&self.spec, &self.zones, zone) && !excluded.any(|other| **other == *zone)
     }
 }
 
@@ -451,7 +464,7 @@
         let mut best: Option<((bool, u64, u64, usize), PlacementChoice)> = None;
         for position in 0..candidates.eligible_groups.len() {
             let group = candidates.eligible_groups[position];
-            if !is_zone_allowed(&work.spec, &work.zones, &self.groups[group].key.zone) {
+            if !work.is_zone_allowed(&self.groups[group].key.zone) {
                 continue;
             }
             self.read_group(group, work, candidates);
--- a/crates/gannethub-core/src/scheduling/forecast/tests.rs
+++ b/crates/gannethub-core/src/scheduling/forecast/tests.rs
@@ -104,6 +104,7 @@
                 spec: job(job_shape, tasks as u32, resources),
                 tasks,
                 zones: ZoneTaskCounts::new(),
+                excluded_zones: Vec::new(),
                 run_time: 20 * SECOND,
                 earliest_start: from,
                 latest_start: from + limit * SECOND,
--- a/crates/gannethub-core/src/scheduling/placement.rs
+++ b/crates/gannethub-core/src/scheduling/placement.rs
@@ -11,7 +11,7 @@
 use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed, zone_allowance};
 use crate::state::capacity_index::{CapacityBucket, MachineKind};
 use crate::state::cluster::Cluster;
-use crate::state::job::Job;
+use crate::state::job::{Job, PlannedZone, ZoneChoice};
 use crate::state::machine::{Machine, Reservation};
 
 /// Number of machines with free capacity among which a job chooses in each bucket, the machines with the least free
@@ -24,6 +24,9 @@
 /// unless a pass renews it.
 pub(super) const STAGE_RESERVATION: Micros = 2 * SECOND;
 
+/// A new job waits at most this long for the provisioning plan to choose its zone.
+const MAX_WAIT_FOR_PLAN: Micros = 10 * SECOND;
+
 /// A number of tasks to place on one machine.
 #[derive(Clone, Debug)]
 pub(super) struct Placement {
@@ -196,7 +199,7 @@
         }
         let mut zones = self.zones_in_use(job);
         if spec.single_zone && zones.is_empty() {
-            let Some(zone) = self.zone_with_most_capacity(id, &spec, only, now) else {
+            let Some(zone) = self.choose_zone(job, wanted, only, now) else {
                 return wanted;
             };
             zones.insert(zone, 0);
@@ -236,14 +239,43 @@
             .min(limit.max(0) as usize)
     }
 
-    /// Returns the zone with the most free capacity for a job.
+    /// Chooses the zone for all tasks of a job. A zone that has capacity for some tasks only may never have any for the
+    /// others, so the choice is left to the provisioning plan, which knows what can be provisioned. `None`: there is no
+    /// capacity, or the plan has not decided yet.
+    fn choose_zone(
+        &self,
+        job: &Job,
+        wanted: usize,
+        only: Option<&MachineId>,
+        now: Micros,
+    ) -> Option<Arc<str>> {
+        let (zone, tasks) = self.zone_with_most_capacity(&job.id, &job.spec, only, now)?;
+        // Capacity that was freed or reserved for the job was chosen for all of its tasks.
+        if tasks >= wanted as i64 || self.has_reservation(&job.id) {
+            return Some(zone);
+        }
+        let plan = job.scheduling.planned_zone.as_ref();
+        match plan.filter(|plan| now < plan.expires_at) {
+            Some(PlannedZone { choice, .. }) => match choice {
+                ZoneChoice::Zone(planned) => Some(planned.clone()),
+                ZoneChoice::Undecided => None,
+                ZoneChoice::NoZone => Some(zone),
+            },
+            None => {
+                let waited = self.unix_time.saturating_sub(job.ready_at);
+                (waited >= MAX_WAIT_FOR_PLAN).then_some(zone)
+            }
+        }
+    }
+
+    /// Returns the zone with the most free capacity for a job, and the number of tasks that fit there.
     fn zone_with_most_capacity(
         &self,
         id: &JobId,
         spec: &JobSpec,
         only: Option<&MachineId>,
         now: Micros,
-    ) -> Option<Arc<str>> {
+    ) -> Option<(Arc<str>, i64)> {
         let mut tasks_by_zone: HashMap<&Arc<str>, i64> = HashMap::new();
         for bucket in self.eligible_buckets(spec) {
             let machines = bucket.with_cpu(spec.resources.cpu);
@@ -258,7 +290,7 @@
             .into_iter()
             .filter(|(_, tasks)| *tasks > 0)
             .max_by_key(|(zone, tasks)| (*tasks, Reverse(*zone)));
-        best.map(|(zone, _)| zone.clone())
+        best.map(|(zone, tasks)| (zone.clone(), tasks))
     }
 
     /// Finds capacity for up to `wanted` tasks of a job on one machine.
--- a/crates/gannethub-core/src/scheduling/provisioning_plan.rs
+++ b/crates/gannethub-core/src/scheduling/provisioning_plan.rs
@@ -10,7 +10,7 @@
 use std::collections::{BTreeMap, HashSet};
 
 use crate::model::{
-    JobSpec, MachineId, Micros, Resources, SECOND, Shape, UNLIMITED, micros_from_seconds,
+    JobId, JobSpec, MachineId, Micros, Resources, SECOND, Shape, UNLIMITED, micros_from_seconds,
 };
 use crate::policy::Setting;
 use crate::scheduling::autoscaler::max_boot_time;
@@ -18,10 +18,10 @@
 use crate::scheduling::forecast::{
     Candidates, Forecast, MachineForecast, MachineGroupKey, PendingWork, Release, coarse_shape,
 };
-use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed};
+use crate::scheduling::zones::ZoneTaskCounts;
 use crate::state::cluster::Cluster;
 use crate::state::fleet::{Offer, PendingProvision};
-use crate::state::job::Job;
+use crate::state::job::{Job, PlannedZone, ZoneChoice};
 use crate::state::machine::Machine;
 
 /// Maximum number of placements of a plan, in queue order. A placement covers all tasks of a job that start on one
@@ -46,6 +46,9 @@
 /// Time for which a machine that the plan needs for upcoming work is kept.
 const PLANNED_WORK: Micros = 2 * SECOND;
 
+/// Time for which placement follows the zone that a plan has chosen for a job, unless a later plan chooses again.
+const PLANNED_ZONE: Micros = 10 * SECOND;
+
 /// An offer with the price that the plan assumes.
 struct PricedOffer {
     offer: Offer,
@@ -67,6 +70,8 @@
     wanted: BTreeMap<Offer, u32>,
     /// Machines on which upcoming work is planned.
     planned_machines: HashSet<MachineId>,
+    /// Choices of zones for jobs whose tasks all have to be in one zone.
+    zone_choices: Vec<(JobId, ZoneChoice)>,
 }
 
 /// What the tasks of a job need in the plan.
@@ -109,6 +114,7 @@
             forecast,
             wanted,
             planned_machines,
+            zone_choices,
             ..
         } = plan;
         self.passes.add_steps(forecast.steps);
@@ -117,6 +123,14 @@
                 machine.placement.planned_work_until = now + PLANNED_WORK;
             }
         }
+        for (id, choice) in zone_choices {
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.scheduling.planned_zone = Some(PlannedZone {
+                    choice,
+                    expires_at: now + PLANNED_ZONE,
+                });
+            }
+        }
         wanted
     }
 
@@ -141,6 +155,7 @@
                 spec: job.spec.clone(),
                 tasks,
                 zones: self.zones_in_use(job),
+                excluded_zones: Vec::new(),
                 run_time: self.expected_run_time(&job.spec),
                 earliest_start: now,
                 latest_start: now + self.planned_slack(job, within_guarantee),
@@ -203,6 +218,7 @@
                 spec: spec.clone(),
                 tasks,
                 zones: ZoneTaskCounts::new(),
+                excluded_zones: Vec::new(),
                 run_time: self.expected_run_time(spec),
                 earliest_start: release_at,
                 latest_start: release_at + (slack as f64 * UPCOMING_SLACK) as Micros,
@@ -381,6 +397,7 @@
             forecast,
             wanted: BTreeMap::new(),
             planned_machines: HashSet::new(),
+            zone_choices: Vec::new(),
         }
     }
 
@@ -509,7 +526,7 @@
             let spec = &first.spec;
             if !spec.resources.fits(&machine_type.capacity)
                 || !spec.allows(&machine_type.name, zone, *spot)
-                || !is_zone_allowed(spec, &first.zones, zone)
+                || !first.is_zone_allowed(zone)
             {
                 continue;
             }
--- a/crates/gannethub-core/src/state/job.rs
+++ b/crates/gannethub-core/src/state/job.rs
@@ -86,6 +86,8 @@
     pub within_guarantee: bool,
     /// Whether gang placement has been tried for the job. It is tried again only in the rounds for all gangs.
     pub gang_placement_tried: bool,
+    /// The provisioning plan's choice for a job whose tasks all have to be in one zone.
+    pub planned_zone: Option<PlannedZone>,
     /// Time until which the job avoids some machines because its tasks have failed there.
     pub avoids_machines_until: Micros,
     /// Time at which other work was last preempted for the job.
@@ -96,6 +98,25 @@
     pub last_queued_pass: u64,
 }
 
+/// Choice of a zone for a job by the provisioning plan.
+#[derive(Debug, Clone)]
+pub struct PlannedZone {
+    pub choice: ZoneChoice,
+    /// Time after which placement no longer follows the choice.
+    pub expires_at: Micros,
+}
+
+/// Where the tasks of a job find capacity if all of them have to be in one zone.
+#[derive(Debug, Clone)]
+pub enum ZoneChoice {
+    /// The machines that are up or boot in this zone have capacity for the whole job in time.
+    Zone(Arc<str>),
+    /// A zone needs further machines, which the cloud may refuse.
+    Undecided,
+    /// No zone has capacity for the whole job in time.
+    NoZone,
+}
+
 /// State of a job in the state service, and pending writes of the job.
 #[derive(Debug)]
 pub struct JobPersistence {
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -17,6 +17,7 @@
 mod reserved_capacity;
 mod scheduling_cost;
 mod sharding;
+mod single_zone_jobs;
 mod unseen_cancellation;
 mod upgrade;
 mod usage_ledger;
