An answer to a relayed heartbeat reaches no later process

What could happen: an answer to a heartbeat that a follower's earlier process had relayed reaches another machine's heartbeat after the follower is back. The machine then starts tasks of another machine, with a current token: a task runs twice, or one that was cancelled and forgotten runs again; its lease is renewed without its owner's knowledge. No occurrence is known.

Cause: relays and answers were matched by a number that each process counted from 1, and the owner answers over a connection of its own.

Change: numbers begin at a value scattered over 64 bits by the start of the process, and only the peer that was asked may answer.

--- a/crates/gannethub-core/src/controller/heartbeat_routing.rs
+++ b/crates/gannethub-core/src/controller/heartbeat_routing.rs
@@ -124,15 +124,15 @@
 
     fn relay_heartbeat(&mut self, connection: u64, to: usize, heartbeat: Bytes) {
         let outbox = &mut self.outbox;
-        let id = outbox.next_id();
         let deadline = outbox.clock.now + RELAY_TIMEOUT;
         outbox.set_reply_deadline(connection, deadline);
         let relayed = RelayedHeartbeat {
+            peer: to,
             connection,
             deadline,
             heartbeat: heartbeat.clone(),
         };
-        self.heartbeats.add_relayed(id, relayed);
+        let id = self.heartbeats.add_relayed(relayed);
         outbox.send_to_peer(to, Body::RelayHeartbeat(RelayHeartbeat { id, heartbeat }));
     }
 
@@ -221,9 +221,10 @@
         self.outbox.send_to_peer(peer, Body::RelayAnswer(answer));
     }
 
-    /// Handles the answer of a peer to a relayed heartbeat.
+    /// Handles the answer of a peer to a relayed heartbeat. An answer to a heartbeat of an earlier process, or a second
+    /// answer, is dropped.
     pub(super) fn handle_relay_answer(&mut self, from: usize, answer: RelayAnswer) {
-        let Some(relayed) = self.heartbeats.take_relayed(answer.id) else {
+        let Some(relayed) = self.heartbeats.take_relayed(from, answer.id) else {
             return;
         };
         match u16::try_from(answer.status).unwrap_or(503) {
--- a/crates/gannethub-core/src/controller/mod.rs
+++ b/crates/gannethub-core/src/controller/mod.rs
@@ -107,7 +107,7 @@
             job_api: JobApi::default(),
             shard_assignments: ShardAssignments::default(),
             shard_owners: ShardOwners::new(),
-            heartbeats: PendingHeartbeats::default(),
+            heartbeats: PendingHeartbeats::new(clock.unix_time),
             usage_replica: UsageReplica::default(),
             machine_types_request_at: 0,
             next_tick_at: 0,
--- a/crates/gannethub-core/src/controller/outbox.rs
+++ b/crates/gannethub-core/src/controller/outbox.rs
@@ -122,7 +122,7 @@
         outbox
     }
 
-    /// Returns a number that no request or relayed heartbeat of this process has used.
+    /// Returns a number that no request of this process has used.
     pub fn next_id(&mut self) -> u64 {
         self.last_id += 1;
         self.last_id
--- a/crates/gannethub-core/src/controller/pending_heartbeats.rs
+++ b/crates/gannethub-core/src/controller/pending_heartbeats.rs
@@ -33,6 +33,8 @@
 /// A heartbeat that was relayed to a peer.
 #[derive(Debug)]
 pub(super) struct RelayedHeartbeat {
+    /// Index of the peer, which alone may answer.
+    pub peer: usize,
     /// The worker's connection.
     pub connection: u64,
     /// Time until which the peer may answer.
@@ -41,9 +43,42 @@
     pub heartbeat: Bytes,
 }
 
+/// Numbers of relayed heartbeats, none of which an earlier process of this controller has used.
+///
+/// The answer to a heartbeat that an earlier process relayed may arrive long after a restart, and so may a copy of it. Its
+/// orders are for another machine or out of date, so it must match no heartbeat of this process. Peers of every release
+/// repeat the number as it is.
+#[derive(Debug)]
+struct RelayNumbers {
+    last: u64,
+}
+
+impl RelayNumbers {
+    /// Begins at a number that is scattered over the whole range by the time of day, in microseconds, at which the
+    /// process started, so that the ranges of different processes do not meet.
+    fn new(process_started_at: u64) -> RelayNumbers {
+        RelayNumbers {
+            last: scatter(process_started_at),
+        }
+    }
+
+    fn next(&mut self) -> u64 {
+        self.last = self.last.wrapping_add(1);
+        self.last
+    }
+}
+
+/// Maps each number to another one, and close numbers far apart (the finalizer of SplitMix64).
+fn scatter(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
+
 /// Heartbeats without an answer and the routes of machines; see the [module](self).
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct PendingHeartbeats {
+    numbers: RelayNumbers,
     /// Peers that own the shards of machines whose workers have sent heartbeats here, by machine.
     routes: HashMap<String, usize>,
     /// Relayed heartbeats, by their number.
@@ -52,6 +87,16 @@
 }
 
 impl PendingHeartbeats {
+    /// Returns the state of a process that started at this time of day, in microseconds.
+    pub fn new(process_started_at: u64) -> PendingHeartbeats {
+        PendingHeartbeats {
+            numbers: RelayNumbers::new(process_started_at),
+            routes: HashMap::new(),
+            relayed: HashMap::new(),
+            deferred: Vec::new(),
+        }
+    }
+
     /// Returns the last known peer that owned the machine's shard.
     pub fn route(&self, machine: &str) -> Option<usize> {
         self.routes.get(machine).copied()
@@ -70,13 +115,19 @@
         self.routes.remove(machine);
     }
 
-    /// Records a heartbeat that is relayed under this number.
-    pub fn add_relayed(&mut self, id: u64, relayed: RelayedHeartbeat) {
+    /// Records a heartbeat that is relayed, and returns the number under which it is relayed.
+    pub fn add_relayed(&mut self, relayed: RelayedHeartbeat) -> u64 {
+        let id = self.numbers.next();
         self.relayed.insert(id, relayed);
+        id
     }
 
-    /// Removes and returns the heartbeat that was relayed under this number, if its answer is still waited for.
-    pub fn take_relayed(&mut self, id: u64) -> Option<RelayedHeartbeat> {
+    /// Removes and returns the heartbeat that was relayed to `peer` under this number, if its answer is still waited
+    /// for.
+    pub fn take_relayed(&mut self, peer: usize, id: u64) -> Option<RelayedHeartbeat> {
+        self.relayed
+            .get(&id)
+            .filter(|relayed| relayed.peer == peer)?;
         self.relayed.remove(&id)
     }
 
@@ -102,3 +153,6 @@
         self.deferred.extract_if(.., is_ready).collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gannethub-core/src/wire/peer/message.rs
+++ b/crates/gannethub-core/src/wire/peer/message.rs
@@ -150,7 +150,8 @@
 /// A worker's heartbeat, relayed to the owner of the shard that the worker's machine belongs to.
 #[derive(Clone, PartialEq, Message)]
 pub struct RelayHeartbeat {
-    /// The sender's number for the relayed heartbeat, repeated in the response.
+    /// The sender's number for the relayed heartbeat, repeated in the response. No other process of the sender uses the
+    /// number, except that processes of earlier releases count from 1.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     /// The request body as the worker sent it.
--- a/crates/gannethub-core/tests/simulation/harness/faults.rs
+++ b/crates/gannethub-core/tests/simulation/harness/faults.rs
@@ -42,6 +42,15 @@
     pub max_worker_answer_delay: u64,
     /// Fraction of heartbeats of which a copy arrives between 2 s and three leases (30 s) later.
     pub heartbeat_copy_rate: f64,
+    /// Maximum time, in microseconds, for which a relayed heartbeat waits in the owner's queue before it is handled.
+    pub max_relay_wait: u64,
+    /// Fraction of relayed heartbeats, and of the answers to them, of which a copy arrives up to 3 s later.
+    pub relay_copy_rate: f64,
+    /// Whether copies of answers to relayed heartbeats that launch tasks are kept, see
+    /// [`World::send_kept_relay_answers`].
+    pub keeps_relay_answers: bool,
+    /// Whether the kept answers themselves are held back, see [`World::send_matching_relay_answers`].
+    pub holds_relay_answers: bool,
     /// Fraction of heartbeats of which a copy is kept until the next term begins and then sent to every controller.
     pub kept_copy_rate: f64,
 }
@@ -51,6 +60,11 @@
 pub struct Counters {
     /// Copies of old heartbeats that were sent to a controller.
     pub heartbeat_copies_sent: usize,
+    /// Copies of relayed heartbeats and of answers to them that were delivered to a peer.
+    pub relay_copies_sent: usize,
+    /// Answers to relayed heartbeats that reached a later process of the controller than the one that had relayed the
+    /// heartbeat.
+    pub answers_to_earlier_processes: usize,
     /// Kept copies of heartbeats that were sent to a new leader and its peers.
     pub kept_copies_sent: usize,
     /// Transactions that were carried out without additional delay but not answered.
@@ -96,6 +110,8 @@
         self.faults.isolated_workers.clear();
         self.faults.kept_copy_rate = 0.0;
         self.faults.heartbeat_copy_rate = 0.0;
+        self.faults.relay_copy_rate = 0.0;
+        self.faults.max_relay_wait = 0;
         self.faults.store_refuses.clear();
         self.faults.hung_watches.clear();
         self.faults.commit_answer_delays.clear();
--- a/crates/gannethub-core/tests/simulation/harness/invariants.rs
+++ b/crates/gannethub-core/tests/simulation/harness/invariants.rs
@@ -164,6 +164,40 @@
         }
     }
 
+    /// Checks that an answer to a worker launches no attempt that a leader has placed on another machine.
+    pub(super) fn check_launches_are_for(&mut self, worker: &str, response: &Response) {
+        let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
+        let orders = body["orders"].as_array().into_iter().flatten();
+        let launches: Vec<(String, u64)> = orders
+            .filter(|order| order["verb"] == json!("launch"))
+            .filter_map(|order| {
+                Some((
+                    order["piece"].as_str()?.to_string(),
+                    order["try_no"].as_u64()?,
+                ))
+            })
+            .collect();
+        if launches.is_empty() {
+            return;
+        }
+        let controllers = self.nodes.iter().filter_map(|n| n.controller.as_ref());
+        let machines = controllers
+            .flat_map(Controller::clusters)
+            .flat_map(|cluster| cluster.machines.values());
+        let others = machines.filter(|machine| *machine.id != *worker);
+        let misdirected: Vec<String> = others
+            .flat_map(|machine| machine.attempts.keys().map(move |id| (machine, id)))
+            .filter(|(_, id)| launches.contains(&(id.task.to_string(), id.number)))
+            .map(|(machine, id)| {
+                format!(
+                    "misdirected: {} reached {worker} instead of {}",
+                    id.task, machine.id
+                )
+            })
+            .collect();
+        self.violations.extend(misdirected);
+    }
+
     /// Sends the kept copies of heartbeats to every controller, within 2 s after a new term begins.
     pub(super) fn send_kept_copies(&mut self) {
         if self.faults.kept_copy_rate == 0.0 && self.kept_copies.is_empty() {
--- a/crates/gannethub-core/tests/simulation/harness/mod.rs
+++ b/crates/gannethub-core/tests/simulation/harness/mod.rs
@@ -45,6 +45,7 @@
 pub use controllers::Node;
 pub use events::{Event, Origin};
 pub use faults::{Counters, Faults};
+pub use network::KeptRelayAnswer;
 pub use users::{InvalidSubmission, UserJob, job};
 
 /// One second in microseconds, the unit of all times in the harness.
@@ -73,6 +74,10 @@
     pub state: State,
     /// Messages between partitioned peers as sender, recipient and content, held until the partition ends.
     held_messages: Vec<(usize, usize, Envelope)>,
+    /// Answers to relayed heartbeats that launch tasks.
+    pub kept_relay_answers: Vec<KeptRelayAnswer>,
+    /// Relayed heartbeats: the relaying node, its incarnation and the number of the relay.
+    relays: HashSet<(usize, u32, u64)>,
     /// Copies of heartbeats, kept until the next term begins, and the last term seen.
     kept_copies: Vec<String>,
     last_seen_term: u64,
--- a/crates/gannethub-core/tests/simulation/harness/network.rs
+++ b/crates/gannethub-core/tests/simulation/harness/network.rs
@@ -2,6 +2,18 @@
 
 use super::*;
 
+/// An answer to a relayed heartbeat that launches tasks.
+#[derive(Clone)]
+pub struct KeptRelayAnswer {
+    from: usize,
+    to: usize,
+    /// Incarnation of the recipient when the answer was sent.
+    incarnation: u32,
+    /// Number of the relay.
+    relay_id: u64,
+    message: Envelope,
+}
+
 /// Clears the fields that the previous release does not write into a message: all fields of a vote except round, term
 /// and shard, the known version in a vote request, the kind and shard of a job's change, and applied versions.
 fn clear_cancellation_fields(message: &mut Envelope) {
@@ -94,14 +106,17 @@
         ) {
             vote.cancelled_jobs = "6:1-;zz:4;x".into();
         }
-        let name = self.settings[node].peers[to].name.clone();
-        let to = self
-            .settings
-            .iter()
-            .position(|s| s.name == name)
-            .expect("the peer is one of the nodes");
+        let to = self.node_of_peer(node, to);
+        if self.record_relay(delay, node, to, &message) {
+            return;
+        }
+        let is_relay = matches!(message.body, Some(Body::RelayHeartbeat(_)));
+        let wait = match self.faults.max_relay_wait {
+            max if is_relay && max > 0 => self.rng.random_range(0..max),
+            _ => 0,
+        };
         self.schedule(
-            delay,
+            delay + wait,
             Event::Peer {
                 from: node,
                 to,
@@ -110,6 +125,95 @@
         );
     }
 
+    /// Returns the node that is the peer with this index of a controller.
+    fn node_of_peer(&self, node: usize, peer: usize) -> usize {
+        let name = &self.settings[node].peers[peer].name;
+        let mut settings = self.settings.iter();
+        settings
+            .position(|s| s.name == *name)
+            .expect("the peer is one of the nodes")
+    }
+
+    /// Records a relayed heartbeat or the answer to one, and schedules or keeps a copy of the message. Returns whether
+    /// the message itself is held back.
+    fn record_relay(&mut self, delay: u64, from: usize, to: usize, message: &Envelope) -> bool {
+        match &message.body {
+            Some(Body::RelayHeartbeat(relay)) => {
+                let incarnation = self.nodes[from].incarnation;
+                self.relays.insert((from, incarnation, relay.id));
+            }
+            Some(Body::RelayAnswer(answer)) => {
+                let launches = String::from_utf8_lossy(&answer.body).contains("\"launch\"");
+                if launches && self.faults.keeps_relay_answers {
+                    self.kept_relay_answers.push(KeptRelayAnswer {
+                        from,
+                        to,
+                        incarnation: self.nodes[to].incarnation,
+                        relay_id: answer.id,
+                        message: message.clone(),
+                    });
+                    if self.faults.holds_relay_answers {
+                        return true;
+                    }
+                }
+            }
+            _ => return false,
+        }
+        let rate = self.faults.relay_copy_rate;
+        if rate > 0.0 && self.rng.random_bool(rate) {
+            let late = delay + self.rng.random_range(0..3 * SECOND);
+            let message = message.clone();
+            self.counters.relay_copies_sent += 1;
+            self.schedule(late, Event::Peer { from, to, message });
+        }
+        false
+    }
+
+    /// Sends another copy of every kept answer to a relayed heartbeat.
+    pub fn send_kept_relay_answers(&mut self) {
+        for kept in self.kept_relay_answers.clone() {
+            self.counters.relay_copies_sent += 1;
+            self.send_kept_answer(kept);
+        }
+    }
+
+    /// Sends, once, each kept answer whose recipient has been restarted and has relayed a heartbeat under the number
+    /// that the answer carries.
+    pub fn send_matching_relay_answers(&mut self) {
+        let (matching, others): (Vec<_>, Vec<_>) = std::mem::take(&mut self.kept_relay_answers)
+            .into_iter()
+            .partition(|kept| {
+                let incarnation = self.nodes[kept.to].incarnation;
+                let relayed = (kept.to, incarnation, kept.relay_id);
+                incarnation > kept.incarnation && self.relays.contains(&relayed)
+            });
+        self.kept_relay_answers = others;
+        for kept in matching {
+            self.send_kept_answer(kept);
+        }
+    }
+
+    fn send_kept_answer(&mut self, kept: KeptRelayAnswer) {
+        let KeptRelayAnswer {
+            from, to, message, ..
+        } = kept;
+        self.schedule(0, Event::Peer { from, to, message });
+    }
+
+    /// Counts an answer that reaches a later process than the one that had relayed the heartbeat.
+    fn count_answer_to_earlier_process(&mut self, to: usize, message: &Envelope) {
+        let Some(Body::RelayAnswer(answer)) = &message.body else {
+            return;
+        };
+        let earlier = 0..self.nodes[to].incarnation;
+        if earlier
+            .into_iter()
+            .any(|incarnation| self.relays.contains(&(to, incarnation, answer.id)))
+        {
+            self.counters.answers_to_earlier_processes += 1;
+        }
+    }
+
     /// Makes a controller of the previous release tell its user of a cancellation as soon as it has announced the
     /// cancellation, whether or not the announcement arrives.
     fn confirm_at_once(&mut self, node: usize, message: &Envelope) {
@@ -147,6 +251,7 @@
         if self.faults.partitioned.contains(&(from, to)) {
             self.held_messages.push((from, to, message));
         } else {
+            self.count_answer_to_earlier_process(to, &message);
             let incarnation = self.nodes[to].incarnation;
             self.deliver_command(to, incarnation, Command::PeerMessage(message));
         }
--- a/crates/gannethub-core/tests/simulation/harness/setup.rs
+++ b/crates/gannethub-core/tests/simulation/harness/setup.rs
@@ -56,6 +56,8 @@
                 .collect(),
             state: State::new(16 * 1024, 8),
             held_messages: Vec::new(),
+            kept_relay_answers: Vec::new(),
+            relays: HashSet::new(),
             kept_copies: Vec::new(),
             last_seen_term: 0,
             repeats_requests: false,
--- a/crates/gannethub-core/tests/simulation/harness/workers.rs
+++ b/crates/gannethub-core/tests/simulation/harness/workers.rs
@@ -81,6 +81,7 @@
         response: Response,
     ) {
         self.check_launches_after_cancellation(sent, &response);
+        self.check_launches_are_for(&name, &response);
         if self.faults.unanswered_workers.contains(&name) {
             return;
         }
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -10,6 +10,7 @@
 mod failover;
 mod harness;
 mod large_clusters;
+mod late_relay_answers;
 mod leader_view;
 mod one_way_partition;
 mod operations;
