A gang that cannot run leaves its team's limit to other jobs

Callers of the same team would see a job wait for ever while the cloud has a machine for it: a gang that cannot be complete was deducted from the team's limit in the provisioning plan, so nothing was planned for the team's jobs behind it, while placement counted nothing for the gang.

Change: a plan that undoes a gang of a team whose limit keeps other jobs out is made again without the gang. Trials that come to nothing also give back the plan's placements, so that the jobs behind are reached. The plan's work and its machines move to modules of their own.

--- a/crates/gannethub-core/src/scheduling/forecast.rs
+++ b/crates/gannethub-core/src/scheduling/forecast.rs
@@ -27,7 +27,7 @@
 /// Work of a job for which there is no free capacity.
 #[derive(Clone)]
 pub(super) struct PendingWork {
-    /// The job, if it avoids machines on which it has failed.
+    /// The job; `None` for work that is not released yet.
     pub job: Option<JobId>,
     pub spec: Arc<JobSpec>,
     /// Number of tasks that have not been planned yet.
--- a/crates/gannethub-core/src/scheduling/provisioning_plan.rs
+++ b/crates/gannethub-core/src/scheduling/provisioning_plan.rs
@@ -4,25 +4,20 @@
 //! requested. Work that would start too late in the simulation gets a new machine, of the offer with the lowest price
 //! for the capacity that this work and the jobs behind it use.
 
+mod machines;
 mod whole_job;
+mod work;
 
-use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashSet};
 
-use crate::model::{
-    JobId, JobSpec, MachineId, Micros, Resources, SECOND, Shape, UNLIMITED, micros_from_seconds,
-};
-use crate::policy::Setting;
+use crate::model::{JobId, JobSpec, MachineId, Micros, Resources, SECOND};
 use crate::scheduling::autoscaler::max_boot_time;
-use crate::scheduling::estimates::JobTimes;
 use crate::scheduling::forecast::{
-    Candidates, Forecast, MachineForecast, MachineGroupKey, PendingWork, Release, coarse_shape,
+    Candidates, Forecast, MachineGroupKey, PendingWork, coarse_shape,
 };
-use crate::scheduling::zones::ZoneTaskCounts;
 use crate::state::cluster::Cluster;
-use crate::state::fleet::{Offer, PendingProvision};
-use crate::state::job::{Job, PlannedZone, ZoneChoice};
-use crate::state::machine::Machine;
+use crate::state::fleet::Offer;
+use crate::state::job::{PlannedZone, ZoneChoice};
 
 /// Maximum number of placements of a plan, in queue order. A placement covers all tasks of a job that start on one
 /// machine at one time. Work that a plan does not reach is left to the next plans, which are computed all the time.
@@ -37,12 +32,6 @@
 /// Maximum number of different shapes with indexes of their own; with more shapes, similar shapes share an index.
 const MAX_EXACT_SHAPES: usize = 24;
 
-/// Upcoming work may wait in the plan for this fraction of the time between its release and its latest start.
-const UPCOMING_SLACK: f64 = 0.2;
-
-/// Tasks whose remaining backoff exceeds this time are not planned.
-const MAX_PLANNED_BACKOFF: Micros = 10 * SECOND;
-
 /// Time for which a machine that the plan needs for upcoming work is kept.
 const PLANNED_WORK: Micros = 2 * SECOND;
 
@@ -67,11 +56,22 @@
     /// all other jobs of its shape.
     has_exact_shapes: bool,
     placements_left: usize,
+    result: PlanResult,
+}
+
+/// The result of a plan.
+#[derive(Default)]
+struct PlanResult {
+    /// Number of further machines of each offer.
     wanted: BTreeMap<Offer, u32>,
     /// Machines on which upcoming work is planned.
     planned_machines: HashSet<MachineId>,
     /// Choices of zones for jobs whose tasks all have to be in one zone.
     zone_choices: Vec<(JobId, ZoneChoice)>,
+    /// Gangs for which there is too little capacity.
+    unplannable: HashSet<JobId>,
+    /// Whether a team's limit, of which unplannable gangs have a part, keeps other jobs out of the plan.
+    is_limited_by_unplannable: bool,
 }
 
 /// What the tasks of a job need in the plan.
@@ -97,27 +97,20 @@
     /// booting or requested.
     pub fn compute_machine_demand(&mut self, now: Micros) -> BTreeMap<Offer, u32> {
         self.update_queue_order(now);
-        let mut pending = self.pending_work(now);
-        if pending.is_empty() {
-            return BTreeMap::new();
-        }
         let offers = self.available_offers(now);
-        let mut plan = Plan::new(self, &pending, &offers, now);
-        for position in 0..pending.len() {
-            if plan.placements_left == 0 {
-                break;
-            }
-            let (head, behind) = pending.split_at_mut(position + 1);
-            plan.add_work(&mut head[position], behind);
+        let none = HashSet::new();
+        let mut result = self.plan_queue(&offers, &none, now);
+        if result.is_limited_by_unplannable && !offers.is_empty() {
+            // Gangs that cannot run must not use up what their teams' limits leave for other jobs.
+            let unplannable = std::mem::take(&mut result.unplannable);
+            result = self.plan_queue(&offers, &unplannable, now);
         }
-        let Plan {
-            forecast,
+        let PlanResult {
             wanted,
             planned_machines,
             zone_choices,
             ..
-        } = plan;
-        self.passes.add_steps(forecast.steps);
+        } = result;
         for id in planned_machines {
             if let Some(machine) = self.machines.get_mut(&id) {
                 machine.placement.planned_work_until = now + PLANNED_WORK;
@@ -134,111 +127,32 @@
         wanted
     }
 
-    /// Returns the work, in queue order, that has no capacity now and may run under its team's limit, and the work
-    /// that will be released before a new machine is up.
-    fn pending_work(&self, now: Micros) -> Vec<PendingWork> {
-        let teams = 0..self.quota.team_usage.len();
-        let mut quota: Vec<Resources> = teams.map(|team| self.remaining_quota(team)).collect();
-        let mut pending = Vec::new();
-        for (id, within_guarantee) in self.queue.jobs() {
-            self.passes.add_steps(1);
-            let Some(job) = self.jobs.get(id) else {
-                continue;
-            };
-            let Some(team) = job.team else { continue };
-            let tasks = tasks_to_plan(job, &mut quota[team], now);
-            if tasks == 0 {
-                continue;
-            }
-            pending.push(PendingWork {
-                job: (!job.is_crash_looping()).then(|| id.clone()),
-                spec: job.spec.clone(),
-                tasks,
-                zones: self.zones_in_use(job),
-                excluded_zones: Vec::new(),
-                run_time: self.expected_run_time(&job.spec),
-                earliest_start: now,
-                latest_start: now + self.planned_slack(job, within_guarantee),
-            });
-        }
-        self.add_upcoming_work(&mut pending, &mut quota, now);
-        pending
-    }
-
-    /// Returns the time that a job's tasks may wait before a new machine is worth its price. Estimates are rough, so
-    /// only a part of the time that the job's objectives leave is used.
-    fn planned_slack(&self, job: &Job, within_guarantee: bool) -> Micros {
-        let latest_start = self.latest_start(job, within_guarantee);
-        let inputs = self.policy_inputs(job, within_guarantee, latest_start);
-        let policy = &self.settings.policy;
-        match latest_start {
-            Some(start) => {
-                let fraction = policy.number(Setting::PlanSlack, &inputs);
-                (start.saturating_sub(self.unix_time) as f64 * fraction) as Micros
-            }
-            None => {
-                let patience = micros_from_seconds(policy.number(Setting::Patience, &inputs));
-                (job.ready_at + patience).saturating_sub(self.unix_time)
-            }
-        }
-    }
-
-    /// Adds the work of waiting jobs that will be released before a machine provisioned now is up.
-    fn add_upcoming_work(
+    /// Plans the queue without the jobs that are known to be unplannable.
+    fn plan_queue(
         &self,
-        pending: &mut Vec<PendingWork>,
-        quota: &mut [Resources],
+        offers: &[PricedOffer],
+        unplannable: &HashSet<JobId>,
         now: Micros,
-    ) {
-        let boot_times = self.machine_types.iter().map(|kind| 2 * kind.boot_time);
-        let horizon = now + boot_times.max().unwrap_or(0);
-        for (release_at, _, waiting) in self.upcoming_releases(now, horizon) {
-            let spec = &waiting.spec;
-            let boot_time = self.expected_boot_time_for(spec, now);
-            if boot_time.is_none_or(|boot_time| release_at > now + boot_time) {
-                continue;
-            }
-            let Some(team) = self.settings.team(&spec.team) else {
-                continue;
-            };
-            let tasks = take_quota(spec, i64::from(spec.tasks), spec.tasks, &mut quota[team]);
-            if tasks == 0 {
-                continue;
+    ) -> PlanResult {
+        let list = self.pending_work(unplannable, now);
+        let mut pending = list.work;
+        if pending.is_empty() {
+            return PlanResult::default();
+        }
+        let mut plan = Plan::new(self, &pending, offers, now);
+        for position in 0..pending.len() {
+            if plan.placements_left == 0 {
+                break;
             }
-            let ready_at = self.unix_time + (release_at - now);
-            let times = JobTimes {
-                accepted_at: waiting.accepted_at,
-                ready_at,
-            };
-            let demand = waiting.downstream_demand.as_ref();
-            let latest_start = self.latest_start_for(spec, times, demand, false);
-            let slack = latest_start.map_or(0, |start| start.saturating_sub(ready_at));
-            pending.push(PendingWork {
-                job: None,
-                spec: spec.clone(),
-                tasks,
-                zones: ZoneTaskCounts::new(),
-                excluded_zones: Vec::new(),
-                run_time: self.expected_run_time(spec),
-                earliest_start: release_at,
-                latest_start: release_at + (slack as f64 * UPCOMING_SLACK) as Micros,
-            });
+            let (head, behind) = pending.split_at_mut(position + 1);
+            plan.add_work(&mut head[position], behind);
         }
-    }
-
-    /// Returns the boot time of the machine that a job would most likely get: a machine of the cheapest type that
-    /// fits its tasks, in the zone with the shortest boot time.
-    fn expected_boot_time_for(&self, spec: &JobSpec, now: Micros) -> Option<Micros> {
-        let price = |index: &usize| self.price_per_millicpu(*index, spec.spot);
-        let index = (0..self.machine_types.len())
-            .filter(|index| spec.resources.fits(&self.machine_types[*index].capacity))
-            .min_by(|a, b| price(a).total_cmp(&price(b)))?;
-        let machine_type = &self.machine_types[index];
-        let times = &self.fleet.provisioning_times;
-        let zones = machine_type.zones.iter();
-        zones
-            .map(|zone| times.expected_boot_time(index, zone, machine_type.boot_time, now))
-            .min()
+        self.passes.add_steps(plan.forecast.steps);
+        let team_of = |id: &JobId| self.jobs.get(id).and_then(|job| job.team);
+        let mut teams = plan.result.unplannable.iter().filter_map(team_of);
+        plan.result.is_limited_by_unplannable =
+            teams.any(|team| list.limited_teams.contains(&team));
+        plan.result
     }
 
     /// Returns the offers that can be provisioned now.
@@ -270,107 +184,6 @@
         }
         offers
     }
-
-    /// Builds the forecast from the present machines and the machines that boot or are requested, with the times at
-    /// which their capacity becomes free.
-    fn forecast(&self, now: Micros) -> Forecast {
-        let mut forecast = Forecast::new(now);
-        for machine in self.machines.values() {
-            self.add_machine_forecast(&mut forecast, machine, now);
-        }
-        for PendingProvision { offer, count } in self.fleet.pending_provisions.values() {
-            let available_at = self.expected_boot_end(offer, now);
-            let key = MachineGroupKey::from(offer);
-            let group = self.forecast_group(&mut forecast, &key);
-            for _ in 0..*count {
-                forecast.add_machine(self.empty_machine(group, &key, available_at));
-            }
-        }
-        forecast
-    }
-
-    fn add_machine_forecast(&self, forecast: &mut Forecast, machine: &Machine, now: Micros) {
-        let Some(machine_type) = machine.machine_type else {
-            return;
-        };
-        let lifecycle = &machine.lifecycle;
-        if lifecycle.deleting
-            || lifecycle.draining
-            || lifecycle.quarantined
-            || lifecycle.preemption_notice
-            || machine.has_lost_responses(now)
-        {
-            return;
-        }
-        forecast.steps += 1 + machine.attempts.len() as u64 / 2;
-        let key = MachineGroupKey {
-            machine_type,
-            zone: machine.zone.clone(),
-            spot: machine.spot,
-        };
-        let group = self.forecast_group(forecast, &key);
-        if !lifecycle.has_booted {
-            if let Some(available_at) = self.expected_up_at(machine, now) {
-                forecast.add_machine(self.empty_machine(group, &key, available_at));
-            }
-            return;
-        }
-        let mut machine_forecast = self.empty_machine(group, &key, now);
-        machine_forecast.free = machine.free();
-        machine_forecast.machine = Some(machine.id.clone());
-        let failures = machine.placement.failures_by_job.iter();
-        machine_forecast.avoided_by = failures
-            .filter(|(_, failures)| now < failures.avoid_until)
-            .map(|(job, _)| job.clone())
-            .collect();
-        let holding = machine
-            .attempts
-            .iter()
-            .filter(|(_, attempt)| attempt.holds_capacity);
-        machine_forecast
-            .releases
-            .extend(holding.map(|(id, attempt)| Release {
-                at: self.expected_end(&id.task, attempt, now),
-                tasks: 1,
-                resources: attempt.resources,
-            }));
-        machine_forecast
-            .releases
-            .sort_by_key(|release| Reverse(release.at));
-        forecast.add_machine(machine_forecast);
-    }
-
-    /// Returns the forecast's group of a kind of machines.
-    fn forecast_group(&self, forecast: &mut Forecast, key: &MachineGroupKey) -> usize {
-        let price = self.price_per_millicpu(key.machine_type, key.spot);
-        forecast.group_for(key, price)
-    }
-
-    /// Returns the forecast of a machine without attempts.
-    fn empty_machine(
-        &self,
-        group: usize,
-        key: &MachineGroupKey,
-        available_at: Micros,
-    ) -> MachineForecast {
-        MachineForecast {
-            group,
-            zone: key.zone.clone(),
-            free: self.machine_types[key.machine_type].capacity,
-            available_at,
-            releases: Vec::new(),
-            machine: None,
-            avoided_by: Vec::new(),
-            version: 0,
-        }
-    }
-
-    /// Returns the time at which a machine provisioned now is expected to be up.
-    fn expected_boot_end(&self, offer: &Offer, now: Micros) -> Micros {
-        let usual = self.machine_types[offer.machine_type].boot_time;
-        let times = &self.fleet.provisioning_times;
-        now + times.expected_boot_time(offer.machine_type, &offer.zone, usual, now)
-    }
 }
 
 impl<'a> Plan<'a> {
@@ -395,9 +208,7 @@
             has_exact_shapes: shapes.len() <= MAX_EXACT_SHAPES,
             placements_left: BASE_PLACEMENTS + PLACEMENTS_PER_MACHINE * forecast.machines.len(),
             forecast,
-            wanted: BTreeMap::new(),
-            planned_machines: HashSet::new(),
-            zone_choices: Vec::new(),
+            result: PlanResult::default(),
         }
     }
 
@@ -413,9 +224,9 @@
     /// Adds what the tasks of a job need to the demand.
     fn keep(&mut self, plan: TaskPlan) {
         for offer in plan.new_machines {
-            *self.wanted.entry(offer).or_default() += 1;
+            *self.result.wanted.entry(offer).or_default() += 1;
         }
-        self.planned_machines.extend(plan.planned_machines);
+        self.result.planned_machines.extend(plan.planned_machines);
     }
 
     /// Simulates a job's tasks one by one, as far as they find capacity.
@@ -552,39 +363,3 @@
         best.map(|(_, priced)| priced)
     }
 }
-
-/// Returns the number of tasks of a job to plan, and deducts them from the team's quota.
-fn tasks_to_plan(job: &Job, quota: &mut Resources, now: Micros) -> i64 {
-    let placeable = job.placeable_count() as i64;
-    if placeable == 0 {
-        return 0;
-    }
-    let backing_off = job
-        .tasks
-        .backoff
-        .values()
-        .filter(|backoff| backoff.until > now + MAX_PLANNED_BACKOFF)
-        .count() as i64;
-    let live = job.tasks.live_attempts.len() as i64;
-    let worth_it = job.tasks_worth_provisioning(now).saturating_sub(live);
-    let tasks = (placeable - backing_off).min(worth_it);
-    // A gang is not planned if some of its tasks are unconfirmed or if it does not fit its team's limit.
-    take_quota(&job.spec, tasks, job.tasks.pending.len(), quota)
-}
-
-/// Deducts up to `tasks` tasks of a job from a team's quota. Returns the number of tasks deducted: for a gang all its
-/// missing tasks or none.
-fn take_quota(spec: &JobSpec, tasks: i64, gang_tasks: u32, quota: &mut Resources) -> i64 {
-    quota.memory = UNLIMITED;
-    let needed = Resources {
-        memory: 0,
-        ..spec.resources
-    };
-    let tasks = tasks.min(needed.times_fitting_in(quota));
-    let is_partial_gang = spec.shape == Shape::Gang && tasks < i64::from(gang_tasks);
-    if tasks <= 0 || is_partial_gang {
-        return 0;
-    }
-    *quota -= needed.scaled_by(tasks);
-    tasks
-}
--- a/crates/gannethub-core/src/scheduling/provisioning_plan/whole_job.rs
+++ b/crates/gannethub-core/src/scheduling/provisioning_plan/whole_job.rs
@@ -25,6 +25,7 @@
     /// takes none, so that the jobs behind it are planned on what it cannot use.
     pub(super) fn add_whole_job(&mut self, work: &mut PendingWork, behind: &[PendingWork]) {
         let can_move = work.chooses_zone() && self.has_offer_for(work);
+        let placements_left = self.placements_left;
         let mut best: Option<ZoneTrial> = None;
         let mut work_in_trial = work.clone();
         loop {
@@ -61,6 +62,10 @@
                 ..work.clone()
             };
         }
+        if work_in_trial.tasks > 0 && work.spec.shape == Shape::Gang {
+            // Trials that come to nothing must not keep the plan from reaching the jobs behind.
+            self.placements_left = placements_left;
+        }
         *work = work_in_trial;
     }
 
@@ -72,6 +77,7 @@
         behind: &[PendingWork],
     ) {
         let Some(ZoneTrial { zone, .. }) = best else {
+            self.result.unplannable.extend(work.job.clone());
             return;
         };
         work.zones.insert(zone, 0);
@@ -81,15 +87,14 @@
         self.record_choice(work, ZoneChoice::NoZone);
     }
 
-    /// Keeps what a trial has planned, unless it is a part of a gang. A plan that has reached its maximum length leaves
-    /// the other part to the next plans.
+    /// Keeps what a trial has planned, unless it is a part of a gang.
     fn finish_trial(&mut self, work: &PendingWork, plan: TaskPlan) {
-        let is_whole = work.tasks == 0 || self.placements_left == 0;
-        if is_whole || work.spec.shape != Shape::Gang {
+        if work.tasks == 0 || work.spec.shape != Shape::Gang {
             self.forecast.keep_trial();
             self.keep(plan);
         } else {
             self.forecast.undo_trial();
+            self.result.unplannable.extend(work.job.clone());
         }
     }
 
@@ -113,7 +118,7 @@
             return;
         }
         if let Some(job) = &work.job {
-            self.zone_choices.push((job.clone(), choice));
+            self.result.zone_choices.push((job.clone(), choice));
         }
     }
 
--- a/crates/gannethub-core/tests/simulation/reserved_capacity.rs
+++ b/crates/gannethub-core/tests/simulation/reserved_capacity.rs
@@ -201,3 +201,25 @@
     w.run_until(30, "the small job starts", |w| has_begun(w, "j-000005"));
     w.finish();
 }
+
+/// Guards against a gang that uses up its team's limit in the provisioning plan although it cannot be complete: nothing
+/// would be provisioned for the team's other jobs.
+#[test]
+fn a_gang_that_cannot_be_complete_leaves_its_teams_limit_to_others() {
+    let mut w = World::new(3, 60);
+    limit_small_machines(&mut w, &[("a", 1), ("b", 1)]);
+    let large = ("gpu".to_string(), "a".to_string(), false);
+    let capacities = w.cloud.offer_capacity.as_mut().expect("limits are set");
+    capacities.insert(large, 1);
+    w.run(2);
+    w.end_faults();
+    let gang = json!({"shape": "group", "vcpus": 4.0, "crew": "red", "rigs": ["small"]});
+    w.submit(job(GANG, 3, gang));
+    w.run(20);
+    // Of the limit of 16 the gang would leave 4.
+    w.submit(job(2, 1, json!({"crew": "red", "vcpus": 6.0})));
+    w.run_until(60, "the large task is done", |w| {
+        w.jobs["j-000002"].done_confirmed_at.is_some()
+    });
+    w.finish();
+}
