Reservations after a failover in a module of their own

gang.rs held the gathering of capacity and the reservations on confirmed machines; the latter move to gang/confirmed_machines.rs unchanged. Tests share World::limit_offers.

--- a/crates/gannethub-core/src/scheduling/gang.rs
+++ b/crates/gannethub-core/src/scheduling/gang.rs
@@ -7,20 +7,19 @@
 //! gang has reserved. If waiting would take too long, capacity is freed by preemption
 //! ([`preemption`](crate::scheduling::preemption)).
 
-use std::collections::{BTreeMap, HashMap};
+mod confirmed_machines;
+
+use std::collections::HashMap;
 use std::sync::Arc;
 
-use crate::model::{AttemptId, JobId, JobSpec, MachineId, Micros, SECOND};
+use crate::model::{AttemptId, JobId, JobSpec, Micros, SECOND};
 use crate::saga::Saga;
 use crate::scheduling::capacity_timeline::{
     CapacityTimeline, ChosenCapacity, PlacementConstraints,
 };
-use crate::scheduling::placement::{
-    CANDIDATES_PER_BUCKET, Placement, STAGE_RESERVATION, UnplaceableJobs, machine_per_task,
-    placed_tasks,
-};
+use crate::scheduling::placement::{Placement, UnplaceableJobs, machine_per_task, placed_tasks};
 use crate::scheduling::preemption::PreemptionPass;
-use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed, zone_allowance};
+use crate::scheduling::zones::ZoneTaskCounts;
 use crate::state::attempt::GangAttempt;
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
@@ -51,15 +50,6 @@
     pub(super) preemption: PreemptionPass,
 }
 
-/// A confirmed machine on which a gang may reserve capacity. In sorted order, machines reserved for this gang already
-/// come before unreserved machines.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct ConfirmedMachine<'a> {
-    is_unreserved: bool,
-    machine: &'a MachineId,
-    max_tasks: i64,
-}
-
 impl Cluster {
     /// Prepares the gang state of a pass that begins now.
     pub(super) fn begin_gang_pass(&mut self, now: Micros) -> GangPass {
@@ -175,102 +165,6 @@
         zones
     }
 
-    /// Reserves confirmed machines for a gang, in the zone with capacity for the most tasks. After a failover
-    /// a gang rarely finds capacity for all its tasks at once, as machines are confirmed one by one. Without the
-    /// reservations, smaller tasks would take the confirmed capacity bit by bit and hold it for as long as they run.
-    /// Nothing is reserved if the whole gang would not fit within its horizon even if all unconfirmed machines were
-    /// empty.
-    fn reserve_on_confirmed_machines(
-        &mut self,
-        id: &JobId,
-        spec: &JobSpec,
-        zones: &ZoneTaskCounts,
-        tasks: usize,
-        gangs: &mut GangPass,
-        now: Micros,
-    ) {
-        let timeline = gangs
-            .timelines
-            .entry(PlacementConstraints::from(spec))
-            .or_insert_with(|| self.capacity_timeline(spec, now));
-        let mut attainable = timeline.tasks_until(now + self.reservation_horizon(id));
-        for (zone, unconfirmed) in self.max_unconfirmed_tasks_by_zone(spec) {
-            let in_zone = attainable.entry(zone).or_default();
-            *in_zone = in_zone.saturating_add(unconfirmed);
-        }
-        if !is_enough_for_gang(&attainable, spec, zones, tasks) {
-            return;
-        }
-        let total = |machines: &Vec<ConfirmedMachine<'_>>| -> i64 {
-            machines.iter().map(|machine| machine.max_tasks).sum()
-        };
-        let is_candidate = |zone: &Arc<str>| {
-            !spec.single_zone || attainable.get(zone).is_some_and(|max| *max >= tasks as i64)
-        };
-        let confirmed = self.confirmed_machines(id, spec, zones, now);
-        let mut machines = confirmed
-            .into_iter()
-            .filter(|(zone, _)| is_candidate(zone))
-            .map(|(_, machines)| machines)
-            .max_by_key(total)
-            .unwrap_or_default();
-        machines.sort_unstable();
-        let mut remaining = tasks as i64;
-        let mut reservations: Vec<(MachineId, i64)> = Vec::new();
-        for machine in machines {
-            if remaining <= 0 {
-                break;
-            }
-            reservations.push((machine.machine.clone(), machine.max_tasks.min(remaining)));
-            remaining -= machine.max_tasks;
-        }
-        for (machine, tasks) in reservations {
-            let reservation = Reservation {
-                job: id.clone(),
-                tasks,
-                expires_at: now + STAGE_RESERVATION,
-            };
-            self.reserve(&machine, reservation);
-        }
-    }
-
-    /// Returns, by zone, the confirmed machines that have capacity for a gang and are not reserved for another job.
-    fn confirmed_machines(
-        &self,
-        id: &JobId,
-        spec: &JobSpec,
-        allowed_zones: &ZoneTaskCounts,
-        now: Micros,
-    ) -> BTreeMap<&Arc<str>, Vec<ConfirmedMachine<'_>>> {
-        let mut zones: BTreeMap<&Arc<str>, Vec<ConfirmedMachine<'_>>> = BTreeMap::new();
-        for bucket in self.eligible_buckets(spec) {
-            if !is_zone_allowed(spec, allowed_zones, &bucket.kind.zone) {
-                continue;
-            }
-            let machines = bucket
-                .with_cpu(spec.resources.cpu)
-                .take(CANDIDATES_PER_BUCKET);
-            for machine in machines.filter_map(|id| self.machines.get(id)) {
-                let reservation = machine.active_reservation(now);
-                if reservation.is_some_and(|reservation| reservation.job != *id) {
-                    continue;
-                }
-                let max_tasks = self.tasks_that_fit(machine, id, spec, false, now);
-                if max_tasks > 0 {
-                    zones
-                        .entry(&machine.zone)
-                        .or_default()
-                        .push(ConfirmedMachine {
-                            is_unreserved: reservation.is_none(),
-                            machine: &machine.id,
-                            max_tasks,
-                        });
-                }
-            }
-        }
-        zones
-    }
-
     /// Gathers capacity for a gang that found none, and preempts for the gang if waiting would take too long.
     fn gather_or_preempt(&mut self, id: &JobId, tasks: usize, gangs: &mut GangPass, now: Micros) {
         let Some(job) = self.jobs.get_mut(id).filter(|job| !job.is_crash_looping()) else {
@@ -342,25 +236,6 @@
     }
 }
 
-/// Whether the zones that a gang may use have capacity for all its missing tasks together. `attainable`: the number of
-/// tasks for which each zone may have capacity.
-fn is_enough_for_gang(
-    attainable: &BTreeMap<Arc<str>, i64>,
-    spec: &JobSpec,
-    zones: &ZoneTaskCounts,
-    tasks: usize,
-) -> bool {
-    let allowed = attainable
-        .iter()
-        .map(|(zone, max)| (*max).min(i64::from(zone_allowance(spec, zones, zone))));
-    let total = if spec.single_zone {
-        allowed.max().unwrap_or(0)
-    } else {
-        allowed.fold(0, i64::saturating_add)
-    };
-    total >= tasks as i64
-}
-
 /// Whether tasks of a gang may be placed now, if there is capacity.
 fn may_place_gang(job: &Job, now: Micros) -> bool {
     // The next attempt begins only when no task of the last attempt is on a machine any more.
--- a/crates/gannethub-core/tests/simulation/failed_machines.rs
+++ b/crates/gannethub-core/tests/simulation/failed_machines.rs
@@ -11,8 +11,7 @@
 /// `machines`: number of machines that the cloud has.
 fn world_with_failing_machine(seed: u64, machines: usize) -> (World, String) {
     let mut w = World::new(3, seed);
-    let offer = ("small".to_string(), "a".to_string(), false);
-    w.cloud.offer_capacity = Some([(offer, machines)].into());
+    w.limit_offers(&[("small", "a", false, machines)]);
     w.run(2);
     w.end_faults();
     w.submit(job(1, 1, json!({"shape": "service"})));
--- a/crates/gannethub-core/tests/simulation/harness/cloud.rs
+++ b/crates/gannethub-core/tests/simulation/harness/cloud.rs
@@ -6,6 +6,15 @@
 const CLOUD_DELAY: u64 = 20_000;
 
 impl World {
+    /// Limits the cloud to these machines: machine type, zone, whether spot, and number. Other offers have none.
+    pub fn limit_offers(&mut self, offers: &[(&str, &str, bool, usize)]) {
+        let capacity = |(machine_type, zone, spot, count): &(&str, &str, bool, usize)| {
+            let offer = (machine_type.to_string(), zone.to_string(), *spot);
+            (offer, *count)
+        };
+        self.cloud.offer_capacity = Some(offers.iter().map(capacity).collect());
+    }
+
     /// Handles a request that reaches the cloud and schedules the answer.
     pub(super) fn handle_cloud_request(
         &mut self,
--- a/crates/gannethub-core/tests/simulation/late_relay_answers.rs
+++ b/crates/gannethub-core/tests/simulation/late_relay_answers.rs
@@ -31,12 +31,17 @@
     w
 }
 
-/// Restarts both followers and lets copies of the kept answers arrive while they relay heartbeats again.
-fn restart_followers_and_send_copies(w: &mut World) {
+/// Ends the processes of both followers, which are back after a fifth of a second.
+fn restart_followers(w: &mut World) {
     let leader = w.leader().expect("a controller leads");
     (0..3)
         .filter(|node| *node != leader)
         .for_each(|node| w.crash(node, SECOND / 5));
+}
+
+/// Restarts both followers and lets copies of the kept answers arrive while they relay heartbeats again.
+fn restart_followers_and_send_copies(w: &mut World) {
+    restart_followers(w);
     for _ in 0..COPIES_S * 100 {
         w.send_kept_relay_answers();
         w.run_micros(SECOND / 100);
@@ -131,10 +136,7 @@
         w.submit(job(1, 40, json!({"shape": "service"})));
         w.run_until(30, "answers are held", |w| w.kept_relay_answers.len() >= 5);
         w.faults.keeps_relay_answers = false;
-        let leader = w.leader().expect("a controller leads");
-        (0..3)
-            .filter(|node| *node != leader)
-            .for_each(|node| w.crash(node, SECOND / 5));
+        restart_followers(&mut w);
         for _ in 0..COPIES_S * 100 {
             w.send_matching_relay_answers();
             w.run_micros(SECOND / 100);
--- a/crates/gannethub-core/tests/simulation/reserved_capacity.rs
+++ b/crates/gannethub-core/tests/simulation/reserved_capacity.rs
@@ -8,13 +8,6 @@
 /// Number of the gang in all tests.
 const GANG: u32 = 1;
 
-/// Limits the cloud to this many ordinary small machines in each zone.
-fn limit_small_machines(w: &mut World, zones: &[(&str, usize)]) {
-    let offer = |zone: &str| ("small".to_string(), zone.to_string(), false);
-    let capacities = zones.iter().map(|(zone, count)| (offer(zone), *count));
-    w.cloud.offer_capacity = Some(capacities.collect());
-}
-
 /// Returns a gang each of whose tasks needs a whole small machine.
 fn gang_of_whole_machines(tasks: u32) -> Value {
     job(GANG, tasks, json!({"shape": "group", "vcpus": 4.0}))
@@ -23,7 +16,7 @@
 /// Returns a world with a gang of three whole machines and two machines, which are up and idle.
 fn world_with_incomplete_gang(seed: u64) -> World {
     let mut w = World::new(3, seed);
-    limit_small_machines(&mut w, &[("a", 1), ("b", 1)]);
+    w.limit_offers(&[("small", "a", false, 1), ("small", "b", false, 1)]);
     w.run(2);
     w.end_faults();
     w.submit(gang_of_whole_machines(3));
@@ -86,7 +79,7 @@
 #[test]
 fn a_gang_does_not_wait_for_the_machine_of_a_service() {
     let mut w = World::new(3, 20);
-    limit_small_machines(&mut w, &[("a", 2), ("b", 1)]);
+    w.limit_offers(&[("small", "a", false, 2), ("small", "b", false, 1)]);
     w.run(2);
     w.end_faults();
     w.submit(job(2, 1, json!({"shape": "service", "vcpus": 1.0})));
@@ -106,7 +99,7 @@
 fn a_gang_does_not_wait_for_a_task_without_foreseeable_end() {
     let mut w = World::new(3, 21);
     w.run_time_range = (900 * SECOND, 901 * SECOND);
-    limit_small_machines(&mut w, &[("a", 2), ("b", 1)]);
+    w.limit_offers(&[("small", "a", false, 2), ("small", "b", false, 1)]);
     w.run(2);
     w.end_faults();
     w.submit(job(2, 1, json!({"guess_s": 5.0})));
@@ -136,7 +129,7 @@
             submit_small_job(&mut w, &mut next);
         }
         assert!(!has_begun(&w, "j-000001"));
-        limit_small_machines(&mut w, &[("a", 2), ("b", 1)]);
+        w.limit_offers(&[("small", "a", false, 2), ("small", "b", false, 1)]);
         let mut waited = 0;
         while !has_begun(&w, "j-000001") {
             assert!(waited < 180, "the gang does not start in {waited} s");
@@ -189,7 +182,7 @@
 #[test]
 fn a_stage_does_not_keep_the_machine_of_a_service() {
     let mut w = World::new(3, 50);
-    limit_small_machines(&mut w, &[("a", 1)]);
+    w.limit_offers(&[("small", "a", false, 1)]);
     w.run(2);
     w.end_faults();
     w.submit(job(2, 1, json!({"shape": "service"})));
@@ -207,10 +200,11 @@
 #[test]
 fn a_gang_that_cannot_be_complete_leaves_its_teams_limit_to_others() {
     let mut w = World::new(3, 60);
-    limit_small_machines(&mut w, &[("a", 1), ("b", 1)]);
-    let large = ("gpu".to_string(), "a".to_string(), false);
-    let capacities = w.cloud.offer_capacity.as_mut().expect("limits are set");
-    capacities.insert(large, 1);
+    w.limit_offers(&[
+        ("small", "a", false, 1),
+        ("small", "b", false, 1),
+        ("gpu", "a", false, 1),
+    ]);
     w.run(2);
     w.end_faults();
     let gang = json!({"shape": "group", "vcpus": 4.0, "crew": "red", "rigs": ["small"]});
--- a/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
+++ b/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
@@ -7,25 +7,20 @@
 /// A zone with one machine, which a service uses in part.
 const FIRST_ZONE: &str = "a";
 
-/// Number of machines of an offer: zone, whether spot, and the number.
+/// Number of small machines of an offer: zone, whether spot, and the number.
 type OfferCapacity = (&'static str, bool, usize);
 
-/// Limits the cloud to these numbers of small machines.
-fn limit_small_machines(w: &mut World, capacities: &[OfferCapacity]) {
-    let offer = |zone: &str, spot| ("small".to_string(), zone.to_string(), spot);
-    let capacities = capacities
-        .iter()
-        .map(|(zone, spot, count)| (offer(zone, *spot), *count));
-    w.cloud.offer_capacity = Some(capacities.collect());
-}
-
 /// Returns a world in which a service of one small replica runs in each of `zones`, with the cloud's capacity as given.
 fn world_with_services(seed: u64, zones: &[&str], capacities: &[OfferCapacity]) -> World {
     let mut w = World::new(3, seed);
     for machine_type in w.cloud.flavors["rigs"].as_array_mut().into_iter().flatten() {
         machine_type["yards"] = json!(["a", "b", "c"]);
     }
-    limit_small_machines(&mut w, capacities);
+    let offers: Vec<_> = capacities
+        .iter()
+        .map(|(zone, spot, count)| ("small", *zone, *spot, *count))
+        .collect();
+    w.limit_offers(&offers);
     w.run(2);
     w.end_faults();
     for (number, zone) in zones.iter().enumerate() {
