A gang's fetches outlast the wait of its other tasks

Cause: a task that exits with alone aborted the gang's attempt, so the machines that still fetched the image were told to stop and gave the fetch up. The next attempt began with the same fetch on the same machine and had no better chance.

Change: as long as the gang can still be complete, the attempt goes on and the task waits again on its machine under the same number, after its worker has forgotten the end. The attempt ends if a task is missing and no first fetch is under way, or one waiting time after the last task became ready. A new leader records the images that adopted attempts show; a machine that fetches an image again counts as without it.

The simulation's workers can take different times to fetch, and keep images.

--- a/crates/gannethub-core/src/reconcile/attempt_end.rs
+++ b/crates/gannethub-core/src/reconcile/attempt_end.rs
@@ -38,6 +38,7 @@
         self.release_attempt(id, attempt_id, usage::end_reason(reason), now);
         if has_job {
             self.remove_live_attempt(attempt_id, id, Some(reason), now);
+            self.retry_wait_for_gang(id, attempt_id, reason, now);
         }
     }
 
@@ -47,10 +48,6 @@
             return;
         };
         if let Some(machine) = self.machines.get_mut(id) {
-            machine
-                .placement
-                .cached_images
-                .insert(job.spec.image.clone());
             machine.placement.failures_by_job.clear();
         }
         if run_time == 0 || job.spec.run_time_estimate == 0 {
@@ -165,7 +162,7 @@
             }
             _ => {}
         }
-        self.gang_task_lost(task, number, reason);
+        self.gang_task_lost(task, number, reason, now);
     }
 
     /// Backs off the task and the machine of a launch that the worker refused.
@@ -191,9 +188,21 @@
     }
 
     /// Handles the loss of a gang attempt's task that was not done. Before the gang runs, a task that vanished, that
-    /// failed or that found no free resources can be replaced under the same attempt number. Any other loss, and any
-    /// loss after the gang has started to run, aborts the whole gang attempt.
-    fn gang_task_lost(&mut self, task: &TaskId, number: u64, reason: Option<ExitReason>) {
+    /// failed or that found no free resources can be replaced under the same attempt number, and so can a task that
+    /// waited too long for a gang that may still be complete. Any other loss, and any loss after the gang has started
+    /// to run, aborts the whole gang attempt.
+    fn gang_task_lost(
+        &mut self,
+        task: &TaskId,
+        number: u64,
+        reason: Option<ExitReason>,
+        now: Micros,
+    ) {
+        let is_replaceable = match reason {
+            None | Some(ExitReason::InsufficientResources | ExitReason::Error) => true,
+            Some(ExitReason::Alone) => self.may_gang_be_complete(&task.job, now),
+            _ => false,
+        };
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
         };
@@ -201,10 +210,6 @@
         let Some(gang) = gang.filter(|gang| gang.number == number) else {
             return;
         };
-        let is_replaceable = matches!(
-            reason,
-            None | Some(ExitReason::InsufficientResources | ExitReason::Error)
-        );
         let mut aborts = Vec::new();
         if !gang.stopping && (gang.running || !is_replaceable) {
             aborts = gang.saga.abort_element(&task.index);
@@ -247,7 +252,7 @@
             self.release_attempt(id, &attempt_id, reason, now);
             let machine = self.machines.get_mut(id);
             let lost = machine.and_then(|machine| machine.attempts.remove(&attempt_id));
-            if lost.is_some_and(|attempt| !attempt.phase.is_ended()) {
+            if lost.is_some_and(|attempt| attempt.is_live()) {
                 self.remove_live_attempt(&attempt_id, id, None, now);
             }
         }
--- a/crates/gannethub-core/src/reconcile/attempts.rs
+++ b/crates/gannethub-core/src/reconcile/attempts.rs
@@ -6,8 +6,7 @@
 use gannethub_ledger::line::Reason;
 
 use crate::model::{AttemptId, MachineId, Micros, Resources, Shape, TaskId};
-use crate::saga::Saga;
-use crate::state::attempt::{Attempt, AttemptPhase, GangAttempt, LiveAttempt};
+use crate::state::attempt::{Attempt, AttemptPhase, GangAttempt, LiveAttempt, Relaunch};
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
 use crate::state::usage;
@@ -88,7 +87,11 @@
         };
         match attempt.phase {
             // The worker was told to forget the attempt, and did.
-            AttemptPhase::Ended(_) => {}
+            AttemptPhase::Ended(_) if !attempt.is_live() => {}
+            // The task was placed again on the machine.
+            AttemptPhase::Ended(reason) if attempt.stop_grace.is_none() => {
+                return self.begin_relaunch(id, attempt_id, reason, now);
+            }
             // The response with the launch was lost, and workers drop late responses: the launch is sent again.
             AttemptPhase::Starting if attempt.stop_grace.is_none() => return,
             _ => {
@@ -124,11 +127,13 @@
             resources,
             team,
             holds_capacity: !phase.is_ended(),
+            relaunch: Relaunch::None,
             usage_record,
         };
         if let Some(machine) = self.machines.get_mut(id) {
             machine.attempts.insert(attempt_id.clone(), attempt);
         }
+        self.record_image(id, &attempt_id, phase);
         if let AttemptPhase::Ended(reason) = phase {
             self.charge_attempt(id, &attempt_id, usage::end_reason(reason), now);
         } else {
@@ -176,7 +181,7 @@
             return Some(0);
         }
         let is_of_other_gang_attempt =
-            job.spec.shape == Shape::Gang && !join_gang_attempt(job, number, phase);
+            job.spec.shape == Shape::Gang && !join_gang_attempt(job, number, phase, now);
         is_of_other_gang_attempt.then_some(0)
     }
 
@@ -198,16 +203,21 @@
         let old_phase = std::mem::replace(&mut attempt.phase, phase);
         let entered_at = std::mem::replace(&mut attempt.phase_since, now);
         attempt.reported = true;
+        if attempt.relaunch == Relaunch::AwaitsForget {
+            attempt.relaunch = Relaunch::Ready;
+        }
+        let is_first_arrival =
+            attempt.relaunch == Relaunch::None || old_phase == AttemptPhase::Fetching;
         // The worker reports an attempt that it was told to launch, so the responses reach it.
         machine.worker.lost_response_incarnations = 0;
         let run_time = match old_phase {
             AttemptPhase::Running => now.saturating_sub(entered_at),
             _ => 0,
         };
+        self.record_image(id, attempt_id, phase);
         match phase {
-            AttemptPhase::Waiting | AttemptPhase::Running => {
-                self.image_fetched(id, attempt_id, phase)
-            }
+            AttemptPhase::Waiting if is_first_arrival => self.gang_task_ready(attempt_id, now),
+            AttemptPhase::Running => self.gang_task_started(attempt_id),
             AttemptPhase::Saving => {
                 if let Some(job) = self.jobs.get_mut(&attempt_id.task.job) {
                     *job.tasks
@@ -219,42 +229,39 @@
             AttemptPhase::Ended(reason) => {
                 self.attempt_ended(id, attempt_id, reason, run_time, now)
             }
-            AttemptPhase::Starting | AttemptPhase::Fetching => {}
+            AttemptPhase::Starting | AttemptPhase::Fetching | AttemptPhase::Waiting => {}
         }
     }
 
-    /// Records that an attempt's image is on the machine, as the attempt waits for its gang or runs.
-    fn image_fetched(&mut self, id: &MachineId, attempt_id: &AttemptId, phase: AttemptPhase) {
-        let Some(job) = self.jobs.get_mut(&attempt_id.task.job) else {
-            return;
-        };
-        if let Some(machine) = self.machines.get_mut(id) {
-            machine
-                .placement
-                .cached_images
-                .insert(job.spec.image.clone());
+    fn gang_attempt_mut(&mut self, attempt_id: &AttemptId) -> Option<&mut GangAttempt> {
+        let job = self.jobs.get_mut(&attempt_id.task.job)?;
+        let gang = job.tasks.gang_attempt.as_mut();
+        gang.filter(|gang| gang.number == attempt_id.number)
+    }
+
+    /// Records that a task of a gang has its image and waits for the others.
+    fn gang_task_ready(&mut self, attempt_id: &AttemptId, now: Micros) {
+        if let Some(gang) = self.gang_attempt_mut(attempt_id) {
+            gang.last_ready_at = now;
         }
-        if let Some(gang) = job
-            .tasks
-            .gang_attempt
-            .as_mut()
-            .filter(|g| g.number == attempt_id.number)
-        {
-            gang.running |= phase == AttemptPhase::Running;
+    }
+
+    /// Records that a task runs, which means that all tasks of its gang do.
+    fn gang_task_started(&mut self, attempt_id: &AttemptId) {
+        if let Some(gang) = self.gang_attempt_mut(attempt_id) {
+            gang.running = true;
         }
     }
 }
 
 /// Adds an adopted attempt to its job's gang attempt, which is created if there is none. Returns `false` if the job has
 /// another gang attempt.
-fn join_gang_attempt(job: &mut Job, attempt_number: u64, phase: AttemptPhase) -> bool {
+fn join_gang_attempt(job: &mut Job, attempt_number: u64, phase: AttemptPhase, now: Micros) -> bool {
     let tasks = job.spec.tasks;
-    let gang = job.tasks.gang_attempt.get_or_insert_with(|| GangAttempt {
-        number: attempt_number,
-        saga: Saga::independent(tasks),
-        running: false,
-        stopping: false,
-    });
+    let gang = job
+        .tasks
+        .gang_attempt
+        .get_or_insert_with(|| GangAttempt::new(attempt_number, tasks, now));
     gang.running |= matches!(phase, AttemptPhase::Running | AttemptPhase::Saving);
     gang.number == attempt_number
 }
--- a/crates/gannethub-core/src/reconcile/mod.rs
+++ b/crates/gannethub-core/src/reconcile/mod.rs
@@ -3,7 +3,8 @@
 //!
 //! | module | events that the module applies, or output that it prepares |
 //! | --- | --- |
-//! | `heartbeat`, `attempts`, `attempt_end` | worker heartbeats and the attempts that they report |
+//! | `heartbeat`, `attempts`, `attempt_end`, `image_cache` | worker heartbeats and the attempts that they report |
+//! | `gang_wait` | gang tasks that exit because the rest of their gang is not ready |
 //! | `orders`, `kill_delivery` | orders to workers, sent in heartbeat responses or pushed |
 //! | `lease_expiry` | changes that passing time alone causes, such as lease expiry |
 //! | `stored_records`, `cancellation`, `pipelines` | records read from the state service |
@@ -16,7 +17,9 @@
 mod attempts;
 mod cancellation;
 mod configuration;
+mod gang_wait;
 pub mod heartbeat;
+mod image_cache;
 mod job_writes;
 pub mod kill_delivery;
 mod lease_expiry;
--- a/crates/gannethub-core/src/scheduling/gang.rs
+++ b/crates/gannethub-core/src/scheduling/gang.rs
@@ -13,7 +13,6 @@
 use std::sync::Arc;
 
 use crate::model::{AttemptId, JobId, JobSpec, Micros, SECOND};
-use crate::saga::Saga;
 use crate::scheduling::capacity_timeline::{
     CapacityTimeline, ChosenCapacity, PlacementConstraints,
 };
@@ -119,12 +118,9 @@
             None => self.next_attempt_number(),
         };
         if let Some(job) = self.jobs.get_mut(id) {
-            job.tasks.gang_attempt.get_or_insert_with(|| GangAttempt {
-                number: attempt_number,
-                saga: Saga::independent(spec.tasks),
-                running: false,
-                stopping: false,
-            });
+            job.tasks
+                .gang_attempt
+                .get_or_insert_with(|| GangAttempt::new(attempt_number, spec.tasks, now));
         }
         for (index, machine) in missing.iter().zip(machine_per_task(placements)) {
             let attempt = AttemptId::new(id.clone(), *index, attempt_number);
--- a/crates/gannethub-core/src/state/attempt.rs
+++ b/crates/gannethub-core/src/state/attempt.rs
@@ -40,6 +40,20 @@
     }
 }
 
+/// Whether an attempt was placed again on the machine on which it had ended, under the same number. A gang's task is
+/// placed again like this if it ended before the rest of its gang was ready.
+#[derive(Clone, Copy, PartialEq, Eq, Default, Debug)]
+pub enum Relaunch {
+    /// The attempt has been placed once on its machine.
+    #[default]
+    None,
+    /// The attempt was placed again, and is launched once the worker has forgotten the earlier end. A worker that still
+    /// holds the end ignores a launch.
+    AwaitsForget,
+    /// The worker has forgotten the earlier end.
+    Ready,
+}
+
 /// One start of a task on one machine.
 ///
 /// Attempts stay in [`Machine::attempts`](super::machine::Machine::attempts) until the worker no longer reports them,
@@ -59,6 +73,7 @@
     pub team: Option<usize>,
     /// Whether the attempt's resources count in the usage of its machine and of its team.
     pub holds_capacity: bool,
+    pub relaunch: Relaunch,
     /// Usage to be charged for the attempt, if a usage ledger is kept.
     pub usage_record: Option<Box<UsageRecord>>,
 }
@@ -79,9 +94,34 @@
             resources,
             team,
             holds_capacity: true,
+            relaunch: Relaunch::None,
             usage_record,
         }
     }
+
+    /// Makes an attempt that has ended hold capacity for its next launch.
+    pub(crate) fn place_again(&mut self, resources: Resources, team: Option<usize>) {
+        self.resources = resources;
+        self.team = team;
+        self.holds_capacity = true;
+        self.stop_grace = None;
+        self.relaunch = Relaunch::AwaitsForget;
+    }
+
+    /// Whether the attempt is its task's present attempt: it has not ended, or is to be launched again.
+    pub fn is_live(&self) -> bool {
+        !self.phase.is_ended() || self.relaunch == Relaunch::AwaitsForget
+    }
+
+    /// Whether the worker may have to fetch the image before the task is ready. The first launch counts until the
+    /// worker reports the image.
+    pub fn may_fetch(&self) -> bool {
+        match self.phase {
+            AttemptPhase::Fetching => true,
+            AttemptPhase::Starting => self.relaunch == Relaunch::None,
+            _ => false,
+        }
+    }
 }
 
 /// Machine and number of a task's current attempt.
@@ -104,4 +144,19 @@
     pub running: bool,
     /// Whether the whole attempt has been told to stop.
     pub stopping: bool,
+    /// Time at which a task of the attempt was last found to be ready, or at which the attempt became known.
+    pub last_ready_at: Micros,
+}
+
+impl GangAttempt {
+    /// Returns an attempt that is neither running nor stopping.
+    pub fn new(number: u64, tasks: u32, now: Micros) -> GangAttempt {
+        GangAttempt {
+            number,
+            saga: Saga::independent(tasks),
+            running: false,
+            stopping: false,
+            last_ready_at: now,
+        }
+    }
 }
--- a/crates/gannethub-core/src/state/cluster/attempts.rs
+++ b/crates/gannethub-core/src/state/cluster/attempts.rs
@@ -73,9 +73,17 @@
         }
     }
 
-    /// Places a task on a machine. The launch is sent with the response to the machine's next heartbeat.
+    /// Places a task on a machine. The launch is sent with the response to the machine's next heartbeat; if the machine
+    /// still holds an end of the same attempt, its worker has to forget the end first.
     pub fn place_task(&mut self, id: AttemptId, machine_id: &MachineId, now: Micros) {
-        let usage_record = self.open_usage_record(&id, machine_id, now);
+        let held = self.machines.get(machine_id);
+        let has_end = held
+            .and_then(|machine| machine.attempts.get(&id))
+            .is_some_and(|attempt| attempt.phase.is_ended());
+        let usage_record = match has_end {
+            true => None,
+            false => self.open_usage_record(&id, machine_id, now),
+        };
         let TaskId { job: job_id, index } = &id.task;
         let job = self.jobs.get_mut(job_id);
         let machine = self.machines.get_mut(machine_id);
@@ -96,8 +104,13 @@
         }
         machine.placement.use_reservation(job_id);
         machine.worker.heartbeat_digest = None;
-        let attempt = Attempt::starting(resources, team, usage_record, now);
-        machine.attempts.insert(id, attempt);
+        match machine.attempts.get_mut(&id) {
+            Some(ended) if has_end => ended.place_again(resources, team),
+            _ => {
+                let attempt = Attempt::starting(resources, team, usage_record, now);
+                machine.attempts.insert(id, attempt);
+            }
+        }
         self.adjust_usage(machine_id, team, resources, now);
     }
 
--- a/crates/gannethub-core/tests/simulation/harness/mod.rs
+++ b/crates/gannethub-core/tests/simulation/harness/mod.rs
@@ -7,6 +7,7 @@
 mod controllers;
 mod events;
 mod faults;
+mod images;
 mod invariants;
 mod network;
 mod setup;
@@ -91,6 +92,7 @@
     /// Cancellations that a controller has confirmed to a user: node, incarnation of its process and job id.
     confirmed_cancellations: HashSet<(usize, u32, String)>,
     pub faults: Faults,
+    pub images: images::Images,
     pub counters: Counters,
     pub workers: BTreeMap<String, Worker>,
     pub cloud: Cloud,
--- a/crates/gannethub-core/tests/simulation/harness/setup.rs
+++ b/crates/gannethub-core/tests/simulation/harness/setup.rs
@@ -64,6 +64,7 @@
             cancel_at_end: 0.0,
             invalid_submissions: BTreeMap::new(),
             confirmed_cancellations: HashSet::new(),
+            images: Default::default(),
             faults: Faults::default(),
             counters: Counters::default(),
             workers: BTreeMap::new(),
--- a/crates/gannethub-core/tests/simulation/harness/workers.rs
+++ b/crates/gannethub-core/tests/simulation/harness/workers.rs
@@ -181,7 +181,12 @@
         self.request_at_all_nodes(&id);
     }
 
+    fn fetch_time(&self, worker: &Worker, task: &str) -> u64 {
+        self.image_fetch_time(worker, task)
+    }
+
     fn on_task_started(&mut self, worker: &Worker, task: &str) {
+        self.record_kept_image(worker, task);
         self.check_start(worker, task);
     }
 
--- a/crates/gannethub-core/tests/simulation/main.rs
+++ b/crates/gannethub-core/tests/simulation/main.rs
@@ -8,6 +8,7 @@
 mod constrained_processor;
 mod failed_machines;
 mod failover;
+mod gang_image_fetches;
 mod harness;
 mod large_clusters;
 mod late_relay_answers;
--- a/crates/gannethub-emulators/src/worker.rs
+++ b/crates/gannethub-emulators/src/worker.rs
@@ -37,8 +37,8 @@
     fn heartbeat_interval(&self) -> u64 {
         SECOND
     }
-    /// Returns the time that a task takes to fetch its image.
-    fn fetch_time(&self) -> u64 {
+    /// Returns the time that a task, which is launched now, takes to fetch its image.
+    fn fetch_time(&self, _worker: &Worker, _task: &str) -> u64 {
         SECOND
     }
     /// Returns the maximum time that a gang's task waits for the gang's other tasks to start.
@@ -424,7 +424,7 @@
                     name: name.clone(),
                     attempt,
                     phase: Phase::Fetching,
-                    phase_ends_at: environment.now() + environment.fetch_time(),
+                    phase_ends_at: environment.now() + environment.fetch_time(self, &name),
                     gang: facts.gang,
                     service: facts.service,
                     broken: facts.broken,
--- a/crates/gannethub-scale/src/host_role.rs
+++ b/crates/gannethub-scale/src/host_role.rs
@@ -139,7 +139,7 @@
     fn heartbeat_interval(&self) -> u64 {
         self.args.report_us
     }
-    fn fetch_time(&self) -> u64 {
+    fn fetch_time(&self, _worker: &Worker, _task: &str) -> u64 {
         self.args.fetch_us
     }
     fn gang_wait(&self) -> u64 {
