A notice for one machine leaves the other fetches of its gang

Callers: a gang that saves checkpoints and still fetches its image begins all of its fetches again whenever one of its machines is to be taken back; on spot machines it may never run.

Cause: draining the machine preempted the whole gang, as it must once the gang runs.

Change: before the gang runs, only the tasks on the drained machine stop and are replaced under the same attempt number, as after a loss.

Result: a_notice_for_one_machine_leaves_the_fetches_of_the_others fails before (no fetch goes on) and passes now.

--- a/crates/gannethub-core/src/reconcile/attempt_end.rs
+++ b/crates/gannethub-core/src/reconcile/attempt_end.rs
@@ -188,7 +188,7 @@
     }
 
     /// Handles the loss of a gang attempt's task that was not done. Before the gang runs, a task that vanished, that
-    /// failed or that found no free resources can be replaced under the same attempt number, and so can a task that
+    /// failed, that had to leave its machine or that found no free resources can be replaced under the same attempt number, and so can a task that
     /// waited too long for a gang that may still be complete. Any other loss, and any loss after the gang has started
     /// to run, aborts the whole gang attempt.
     fn gang_task_lost(
@@ -199,7 +199,10 @@
         now: Micros,
     ) {
         let is_replaceable = match reason {
-            None | Some(ExitReason::InsufficientResources | ExitReason::Error) => true,
+            None
+            | Some(ExitReason::InsufficientResources | ExitReason::Error | ExitReason::Stopped) => {
+                true
+            }
             Some(ExitReason::Alone) => self.may_gang_be_complete(&task.job, now),
             _ => false,
         };
--- a/crates/gannethub-core/src/state/cluster/attempts.rs
+++ b/crates/gannethub-core/src/state/cluster/attempts.rs
@@ -53,7 +53,8 @@
     }
 
     /// Preempts the tasks on a machine that can move to another machine without losing progress: tasks that save their
-    /// progress, and service tasks.
+    /// progress, and service tasks. Of a gang that has not started, only the tasks on this machine move, so that the
+    /// other tasks keep their fetches.
     pub fn drain_machine(&mut self, id: &MachineId) {
         let Some(machine) = self.machines.get(id) else {
             return;
@@ -62,12 +63,19 @@
             .attempts
             .iter()
             .filter(|(_, attempt)| attempt.holds_capacity && attempt.stop_grace.is_none());
-        let tasks: Vec<TaskId> = running.map(|(id, _)| id.task.clone()).collect();
-        for task in tasks {
+        let attempts: Vec<AttemptId> = running.map(|(id, _)| id.clone()).collect();
+        for attempt in attempts {
+            let task = &attempt.task;
             let Some(job) = self.jobs.get(&task.job) else {
                 continue;
             };
-            if job.spec.checkpoint_interval > 0 || job.spec.shape == Shape::Service {
+            if job.spec.checkpoint_interval == 0 && job.spec.shape != Shape::Service {
+                continue;
+            }
+            let gang = job.tasks.gang_attempt.as_ref();
+            if gang.is_some_and(|gang| !gang.running && !gang.stopping) {
+                self.stop_attempt(id, &attempt, 0);
+            } else {
                 self.preempt(&task.job, task.index);
             }
         }
--- a/crates/gannethub-core/tests/simulation/gang_image_fetches.rs
+++ b/crates/gannethub-core/tests/simulation/gang_image_fetches.rs
@@ -1,10 +1,11 @@
 //! Gangs whose machines fetch the image for longer than a task waits for its gang.
 
+use gannethub_emulators::worker::Phase;
 use rand::Rng;
 use serde_json::{Value, json};
 
 use crate::confirmed_cancellation::inject_random_fault;
-use crate::harness::{SECOND, World, job};
+use crate::harness::{SECOND, Worker, World, job};
 use crate::seeds_in_variable;
 
 const GANG: &str = "j-000001";
@@ -42,7 +43,7 @@
 }
 
 /// Whether a machine holds a task of the gang that has not ended.
-fn is_used(worker: &crate::harness::Worker) -> bool {
+fn is_used(worker: &Worker) -> bool {
     let mut tasks = worker.tasks.values();
     tasks.any(|t| t.name.starts_with(GANG) && !t.ended())
 }
@@ -51,7 +52,7 @@
 fn run_until_a_wait_is_over(w: &mut World) {
     w.run_until(90, "a wait is over", |w| {
         let mut tasks = w.workers.values().flat_map(|m| m.tasks.values());
-        tasks.any(|t| t.phase == gannethub_emulators::worker::Phase::Ended("alone"))
+        tasks.any(|t| t.phase == Phase::Ended("alone"))
     });
 }
 
@@ -121,9 +122,9 @@
         let mut w = world_with_gang(40, 3, &[3, 50, 50], json!({}));
         w.limit_offers(&[("small", "a", false, 5)]);
         run_until_a_wait_is_over(&mut w);
-        let fetches = |m: &crate::harness::Worker| {
+        let fetches = |m: &Worker| {
             let mut tasks = m.tasks.values();
-            tasks.any(|t| t.phase == gannethub_emulators::worker::Phase::Fetching)
+            tasks.any(|t| t.phase == Phase::Fetching)
         };
         let fetching = w.workers.values().find(|m| fetches(m));
         let name = fetching.expect("a machine fetches").name.clone();
@@ -174,6 +175,34 @@
     run_until_done(w, 200);
 }
 
+/// Guards against a gang whose fetches are all given up when one of its machines is to be taken back.
+#[test]
+fn a_notice_for_one_machine_leaves_the_fetches_of_the_others() {
+    let mut w = world_with_gang(
+        80,
+        3,
+        &[3, 40, 80],
+        json!({"stamp_every_s": 2.0, "stamp_s": 1.0}),
+    );
+    w.limit_offers(&[("small", "a", false, 4)]);
+    w.run(30);
+    let fetches_end_at = |w: &World| -> Vec<u64> {
+        let others = w.workers.values().filter(|m| !m.preemption_notice);
+        let tasks = others.flat_map(|m| m.tasks.values());
+        tasks
+            .filter(|t| t.phase == Phase::Fetching)
+            .map(|t| t.phase_ends_at)
+            .collect()
+    };
+    let waits = |m: &&mut Worker| m.tasks.values().any(|t| t.phase == Phase::Waiting);
+    let waiting = w.workers.values_mut().find(waits);
+    waiting.expect("a machine that waits").preemption_notice = true;
+    let before = fetches_end_at(&w);
+    w.run(5);
+    assert_eq!(fetches_end_at(&w), before);
+    run_until_done(w, 130);
+}
+
 /// Begins a random fault of a machine, or evicts all images.
 fn harm_random_machine(w: &mut World) {
     let names: Vec<String> = w.workers.keys().cloned().collect();
