A job waits for the choice of its zone whenever it wants one anew

Cause: its wait for a plan counted from the time at which the job became ready, so that an old job did not wait at all.

Change: the wait counts from the time at which the job began to want a zone; a placed task or a zone known to the plan ends it.

Result: a_service_that_lost_all_replicas_waits_for_a_zone_again fails before and passes now.

--- a/crates/gannethub-core/src/scheduling/placement.rs
+++ b/crates/gannethub-core/src/scheduling/placement.rs
@@ -11,7 +11,7 @@
 use crate::scheduling::zones::{ZoneTaskCounts, is_zone_allowed, zone_allowance};
 use crate::state::capacity_index::{CapacityBucket, MachineKind};
 use crate::state::cluster::Cluster;
-use crate::state::job::{Job, PlannedZone, ZoneChoice};
+use crate::state::job::{Job, ZoneChoice};
 use crate::state::machine::{Machine, Reservation};
 
 /// Number of machines with free capacity among which a job chooses in each bucket, the machines with the least free
@@ -24,7 +24,7 @@
 /// unless a pass renews it.
 pub(super) const STAGE_RESERVATION: Micros = 2 * SECOND;
 
-/// A new job waits at most this long for the provisioning plan to choose its zone.
+/// A job waits at most this long for the provisioning plan to look for a zone for all of its tasks.
 const MAX_WAIT_FOR_PLAN: Micros = 10 * SECOND;
 
 /// A number of tasks to place on one machine.
@@ -199,7 +199,7 @@
         }
         let mut zones = self.zones_in_use(job);
         if spec.single_zone && zones.is_empty() {
-            let Some(zone) = self.choose_zone(job, wanted, only, now) else {
+            let Some(zone) = self.zone_for_all_tasks(id, wanted, only, now) else {
                 return wanted;
             };
             zones.insert(zone, 0);
@@ -214,7 +214,9 @@
         if only.is_none() && is_typical && found == 0 {
             unplaceable.record(&spec, 1);
         }
-        let tasks: Vec<u32> = startable_tasks(job, now).take(found).collect();
+        let job = self.jobs.get(id);
+        let startable = job.into_iter().flat_map(|job| startable_tasks(job, now));
+        let tasks: Vec<u32> = startable.take(found).collect();
         for (index, machine) in tasks.into_iter().zip(machine_per_task(&placements)) {
             let attempt = AttemptId::new(id.clone(), index, self.next_attempt_number());
             self.place_task(attempt, machine, now);
@@ -239,7 +241,25 @@
             .min(limit.max(0) as usize)
     }
 
-    /// Chooses the zone for all tasks of a job. A zone that has capacity for some tasks only may never have any for the
+    /// Chooses the zone for all tasks of a job, and records how long the job has been waiting for the choice. While the
+    /// plan knows a zone, the job does not wait for the choice but for machines that boot.
+    fn zone_for_all_tasks(
+        &mut self,
+        id: &JobId,
+        wanted: usize,
+        only: Option<&MachineId>,
+        now: Micros,
+    ) -> Option<Arc<str>> {
+        let scheduling = &mut self.jobs.get_mut(id)?.scheduling;
+        if let Some(ZoneChoice::Zone(_)) = scheduling.current_zone_choice(now) {
+            scheduling.zone_wanted_since = None;
+        }
+        let wanted_since = *scheduling.zone_wanted_since.get_or_insert(now);
+        let job = self.jobs.get(id)?;
+        self.choose_zone(job, wanted, only, now.saturating_sub(wanted_since), now)
+    }
+
+    /// Chooses the zone for all tasks of a job that has waited for `waited` microseconds. A zone that has capacity for some tasks only may never have any for the
     /// others, so the choice is left to the provisioning plan, which knows what can be provisioned. `None`: there is no
     /// capacity, or the plan has not decided yet.
     fn choose_zone(
@@ -247,6 +267,7 @@
         job: &Job,
         wanted: usize,
         only: Option<&MachineId>,
+        waited: Micros,
         now: Micros,
     ) -> Option<Arc<str>> {
         let (zone, tasks) = self.zone_with_most_capacity(&job.id, &job.spec, only, now)?;
@@ -254,17 +275,11 @@
         if tasks >= wanted as i64 || self.has_reservation(&job.id) {
             return Some(zone);
         }
-        let plan = job.scheduling.planned_zone.as_ref();
-        match plan.filter(|plan| now < plan.expires_at) {
-            Some(PlannedZone { choice, .. }) => match choice {
-                ZoneChoice::Zone(planned) => Some(planned.clone()),
-                ZoneChoice::Undecided => None,
-                ZoneChoice::NoZone => Some(zone),
-            },
-            None => {
-                let waited = self.unix_time.saturating_sub(job.ready_at);
-                (waited >= MAX_WAIT_FOR_PLAN).then_some(zone)
-            }
+        match job.scheduling.current_zone_choice(now) {
+            Some(ZoneChoice::Zone(planned)) => Some(planned.clone()),
+            Some(ZoneChoice::Undecided) => None,
+            Some(ZoneChoice::NoZone) => Some(zone),
+            None => (waited >= MAX_WAIT_FOR_PLAN).then_some(zone),
         }
     }
 
--- a/crates/gannethub-core/src/state/cluster/attempts.rs
+++ b/crates/gannethub-core/src/state/cluster/attempts.rs
@@ -105,6 +105,7 @@
         };
         job.tasks.live_attempts.insert(*index, live_attempt);
         job.request_watermark(*index + 1);
+        job.scheduling.zone_wanted_since = None;
         self.watermarks.launch_rate.record_placed();
         let (team, resources) = (job.team, job.spec.resources);
         if job.effective_priority() >= Priority::High {
--- a/crates/gannethub-core/src/state/job.rs
+++ b/crates/gannethub-core/src/state/job.rs
@@ -88,6 +88,8 @@
     pub gang_placement_tried: bool,
     /// The provisioning plan's choice for a job whose tasks all have to be in one zone.
     pub planned_zone: Option<PlannedZone>,
+    /// Time since which the job waits for the choice of the zone for all of its tasks.
+    pub zone_wanted_since: Option<Micros>,
     /// Time until which the job avoids some machines because its tasks have failed there.
     pub avoids_machines_until: Micros,
     /// Time at which other work was last preempted for the job.
@@ -98,6 +100,15 @@
     pub last_queued_pass: u64,
 }
 
+impl JobScheduling {
+    /// Returns the provisioning plan's choice of a zone, unless the choice has expired.
+    pub fn current_zone_choice(&self, now: Micros) -> Option<&ZoneChoice> {
+        let plan = self.planned_zone.as_ref();
+        plan.filter(|plan| now < plan.expires_at)
+            .map(|plan| &plan.choice)
+    }
+}
+
 /// Choice of a zone for a job by the provisioning plan.
 #[derive(Debug, Clone)]
 pub struct PlannedZone {
--- a/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
+++ b/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
@@ -158,3 +158,29 @@
         w.finish();
     }
 }
+
+/// Guards against a service that loses all replicas at once and then runs in part, in a zone with room for one of them,
+/// because it was accepted long ago.
+#[test]
+fn a_service_that_lost_all_replicas_waits_for_a_zone_again() {
+    for (seed, crashes) in [(22, false), (23, true)] {
+        let mut w = world_with_services(seed, &["a"], &[("a", false, 1), ("b", false, 6)]);
+        w.submit(single_zone_job("service", 3));
+        run_until_all_run(&mut w, 3);
+        let machines = w.workers.values_mut();
+        machines
+            .filter(|m| m.zone == "b")
+            .for_each(|m| m.dead = true);
+        if crashes {
+            w.crash_leader(SECOND);
+        }
+        w.run(60);
+        let is_alive = |w: &World, zone: &str| {
+            w.workers.values().any(|m| {
+                m.zone == zone && !m.dead && m.tasks.keys().any(|t| t.starts_with("j-000001/"))
+            })
+        };
+        assert!(!is_alive(&w, "a") && is_alive(&w, "b"));
+        w.finish();
+    }
+}
