A job does not wait without a bound for the cloud's answers

Callers: an array or service with together waits beside room for some of its tasks, as long as the cloud does not answer requests for the zone that could take all of them.

Cause: placement waits while the plan is undecided, and the plan is undecided while a request is on its way.

Change: after 60 s without a decision the job takes the zone with the most room.

Result: a_job_does_not_wait_for_ever_for_answers_of_the_cloud fails before (no task in 90 s) and passes now.

--- a/crates/gannethub-core/src/scheduling/placement.rs
+++ b/crates/gannethub-core/src/scheduling/placement.rs
@@ -26,6 +26,9 @@
 
 /// A job waits at most this long for the provisioning plan to look for a zone for all of its tasks.
 const MAX_WAIT_FOR_PLAN: Micros = 10 * SECOND;
+/// A job waits at most this long for the cloud's answers about machines in the zone for all of its tasks. No job is to
+/// wait for 90 s beside capacity that it can use.
+const MAX_WAIT_FOR_CLOUD: Micros = 60 * SECOND;
 
 /// A number of tasks to place on one machine.
 #[derive(Clone, Debug)]
@@ -277,7 +280,7 @@
         }
         match job.scheduling.current_zone_choice(now) {
             Some(ZoneChoice::Zone(planned)) => Some(planned.clone()),
-            Some(ZoneChoice::Undecided) => None,
+            Some(ZoneChoice::Undecided) => (waited >= MAX_WAIT_FOR_CLOUD).then_some(zone),
             Some(ZoneChoice::NoZone) => Some(zone),
             None => (waited >= MAX_WAIT_FOR_PLAN).then_some(zone),
         }
--- a/crates/gannethub-core/tests/simulation/harness/cloud.rs
+++ b/crates/gannethub-core/tests/simulation/harness/cloud.rs
@@ -24,6 +24,9 @@
         path: &str,
         body: &Bytes,
     ) {
+        if self.faults.provisioning_unanswered && path == "/rentals" && !body.is_empty() {
+            return;
+        }
         let (status, body) = self.ask_cloud(path, body);
         let answer = Ok(Answer::new(status, body.to_string()));
         self.schedule(
--- a/crates/gannethub-core/tests/simulation/harness/faults.rs
+++ b/crates/gannethub-core/tests/simulation/harness/faults.rs
@@ -7,6 +7,8 @@
 pub struct Faults {
     /// Controllers whose requests the state service refuses.
     pub store_refuses: HashSet<usize>,
+    /// Whether the cloud neither carries out nor answers requests to provision machines.
+    pub provisioning_unanswered: bool,
     /// Controllers whose watches hang, while the state service answers all their other requests.
     pub hung_watches: HashSet<usize>,
     /// Maximum additional delay of the state service's answers, in microseconds.
--- a/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
+++ b/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
@@ -159,6 +159,20 @@
     }
 }
 
+/// Guards against a job that waits without a bound for a zone about which the cloud gives no answer, beside capacity for
+/// some of its tasks.
+#[test]
+fn a_job_does_not_wait_for_ever_for_answers_of_the_cloud() {
+    for (seed, shape) in [(20, "service"), (21, "array")] {
+        let mut w = world_with_services(seed, &["a"], &[("a", false, 1), ("b", false, 2)]);
+        w.faults.provisioning_unanswered = true;
+        w.submit(single_zone_job(shape, 2));
+        w.run_until(90, "some tasks run", |w| !zones_of_job(w).is_empty());
+        w.faults.provisioning_unanswered = false;
+        w.finish();
+    }
+}
+
 /// Guards against a service that loses all replicas at once and then runs in part, in a zone with room for one of them,
 /// because it was accepted long ago.
 #[test]
