--- a/crates/gannethub-emulators/src/state.rs
+++ b/crates/gannethub-emulators/src/state.rs
@@ -13,6 +13,13 @@
     lease: Option<u64>,
 }
 
+impl Entry {
+    /// Returns the entry under its key, as requests for keys are answered.
+    fn to_json(&self, key: &str) -> Value {
+        json!({"k": key, "v": self.value, "stamp": self.version, "permit": self.lease})
+    }
+}
+
 /// The state service. All times are in microseconds.
 #[derive(Default)]
 pub struct State {
@@ -53,6 +60,21 @@
     pub refused_old_watches: usize,
 }
 
+/// The query of a request, as `name=value` pairs.
+struct Query<'a>(&'a str);
+
+impl<'a> Query<'a> {
+    /// Returns the value of a parameter; empty if there is none.
+    fn text(&self, name: &str) -> &'a str {
+        let mut pairs = self.0.split('&').filter_map(|pair| pair.split_once('='));
+        pairs.find(|pair| pair.0 == name).map_or("", |pair| pair.1)
+    }
+
+    fn number(&self, name: &str) -> Option<u64> {
+        self.text(name).parse().ok()
+    }
+}
+
 /// Takes `amount` out of a token bucket that refills at `rate` per second and holds at most one second's worth.
 /// Returns false, and takes nothing, if the bucket holds less than `amount`.
 fn take_tokens(bucket: &mut (f64, u64), rate: f64, amount: f64, now: u64) -> bool {
@@ -194,92 +216,21 @@
             return Outcome::Answer(429, json!({"error": "too many"}));
         }
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
-        let arg = |name: &str| {
-            query
-                .split('&')
-                .filter_map(|p| p.split_once('='))
-                .find(|p| p.0 == name)
-                .map(|p| p.1)
-        };
+        let query = Query(query);
         let body: Value = serde_json::from_slice(body).unwrap_or(Value::Null);
         let (status, answer) = match (method, path) {
-            ("GET", "/follow") => {
-                let prefix = arg("starts").unwrap_or("").to_string();
-                let after = arg("from").and_then(|a| a.parse().ok()).unwrap_or(0);
-                if self.has_dropped_changes(after) {
-                    self.refused_old_watches += 1;
-                    return Outcome::Answer(410, json!({"error": "too old"}));
-                }
-                if let Some(changes) = self.changes(&prefix, after) {
-                    return Outcome::Answer(200, changes);
-                }
-                let block: u64 = arg("block_ms").and_then(|b| b.parse().ok()).unwrap_or(0);
-                return Outcome::Wait {
-                    prefix,
-                    after,
-                    until: now + block * 1000,
-                };
-            }
-            ("GET", "/kv") => {
-                let (prefix, from) = (arg("starts").unwrap_or(""), arg("from").unwrap_or(""));
-                let requested = arg("page")
-                    .and_then(|p| p.parse().ok())
-                    .unwrap_or(usize::MAX);
-                let first = prefix.max(from).to_string();
-                let keys = self
-                    .entries
-                    .range(first..)
-                    .take_while(|(k, _)| k.starts_with(prefix));
-                let mut keys = keys.filter(|(k, _)| k.as_str() > from);
-                let page: Vec<Value> = keys
-                    .by_ref()
-                    .take(self.page.min(requested))
-                    .map(
-                        |(k, e)| json!({"k": k, "v": e.value, "stamp": e.version, "permit": e.lease}),
-                    )
-                    .collect();
-                let more = keys.next().is_some();
-                (
-                    200,
-                    json!({"items": page, "truncated": more, "ledger_no": self.version}),
-                )
-            }
-            ("GET", p) => match self.entries.get(p.trim_start_matches("/kv/")) {
-                Some(entry) => {
-                    let key = p.trim_start_matches("/kv/");
-                    (
-                        200,
-                        json!({"k": key, "v": entry.value, "stamp": entry.version, "permit": entry.lease}),
-                    )
-                }
-                None => (404, json!({"ledger_no": self.version})),
-            },
-            ("POST", "/grants") => {
-                let ttl = body["ttl_ms"].as_u64().unwrap_or(0) * 1000;
-                self.last_lease_id += 1;
-                self.leases.insert(self.last_lease_id, (ttl, now + ttl));
-                (200, json!({"permit": self.last_lease_id}))
-            }
+            ("GET", "/follow") => return self.follow(&query, now),
+            ("GET", "/kv") => (200, self.list(&query)),
+            ("GET", key) => self.read(key.trim_start_matches("/kv/")),
+            ("POST", "/grants") => (200, self.grant_lease(&body, now)),
             ("POST", "/commit") if !self.take_changes(&body, now) => {
                 self.rate_limited += 1;
                 (429, json!({"error": "too many"}))
             }
             ("POST", "/commit") => self.commit(&body),
-            ("POST", p) => {
-                let id = p
-                    .trim_start_matches("/grants/")
-                    .trim_end_matches("/renew")
-                    .parse();
-                match id.ok().and_then(|id: u64| self.leases.get_mut(&id)) {
-                    Some(lease) => {
-                        lease.1 = now + lease.0;
-                        (200, json!({}))
-                    }
-                    None => (404, json!({"error": "no such lease"})),
-                }
-            }
-            ("DELETE", p) => {
-                let id = p.trim_start_matches("/grants/").parse().unwrap_or(0);
+            ("POST", path) => self.renew_lease(path, now),
+            ("DELETE", path) => {
+                let id = path.trim_start_matches("/grants/").parse().unwrap_or(0);
                 let known = self.leases.contains_key(&id);
                 self.end_lease(id);
                 (if known { 200 } else { 404 }, json!({}))
@@ -289,6 +240,66 @@
         Outcome::Answer(status, answer)
     }
 
+    /// Answers a watch: with the changes that there are already, or by waiting for some.
+    fn follow(&mut self, query: &Query<'_>, now: u64) -> Outcome {
+        let prefix = query.text("starts").to_string();
+        let after = query.number("from").unwrap_or(0);
+        if self.has_dropped_changes(after) {
+            self.refused_old_watches += 1;
+            return Outcome::Answer(410, json!({"error": "too old"}));
+        }
+        if let Some(changes) = self.changes(&prefix, after) {
+            return Outcome::Answer(200, changes);
+        }
+        let block_ms = query.number("block_ms").unwrap_or(0);
+        Outcome::Wait {
+            prefix,
+            after,
+            until: now + block_ms * 1000,
+        }
+    }
+
+    /// Returns a page of the keys with a prefix.
+    fn list(&self, query: &Query<'_>) -> Value {
+        let (prefix, from) = (query.text("starts"), query.text("from"));
+        let requested = query.number("page").unwrap_or(u64::MAX);
+        let first = prefix.max(from).to_string();
+        let keys = self.entries.range(first..);
+        let keys = keys.take_while(|(key, _)| key.starts_with(prefix));
+        let mut keys = keys.filter(|(key, _)| key.as_str() > from);
+        let size = self.page.min(requested as usize);
+        let page = keys.by_ref().take(size);
+        let items: Vec<Value> = page.map(|(key, entry)| entry.to_json(key)).collect();
+        let more = keys.next().is_some();
+        json!({"items": items, "truncated": more, "ledger_no": self.version})
+    }
+
+    fn read(&self, key: &str) -> (u16, Value) {
+        match self.entries.get(key) {
+            Some(entry) => (200, entry.to_json(key)),
+            None => (404, json!({"ledger_no": self.version})),
+        }
+    }
+
+    fn grant_lease(&mut self, body: &Value, now: u64) -> Value {
+        let ttl = body["ttl_ms"].as_u64().unwrap_or(0) * 1000;
+        self.last_lease_id += 1;
+        self.leases.insert(self.last_lease_id, (ttl, now + ttl));
+        json!({"permit": self.last_lease_id})
+    }
+
+    fn renew_lease(&mut self, path: &str, now: u64) -> (u16, Value) {
+        let id = path.trim_start_matches("/grants/");
+        let id = id.trim_end_matches("/renew").parse();
+        match id.ok().and_then(|id: u64| self.leases.get_mut(&id)) {
+            Some(lease) => {
+                lease.1 = now + lease.0;
+                (200, json!({}))
+            }
+            None => (404, json!({"error": "no such lease"})),
+        }
+    }
+
     /// Takes a transaction's changes out of the token bucket of changes, and returns whether `change_rate` allows them.
     /// Bursts of up to one second's worth of changes are allowed.
     fn take_changes(&mut self, body: &Value, now: u64) -> bool {
