--- a/crates/gannethub-core/src/scheduling/gang/confirmed_machines.rs
+++ b/crates/gannethub-core/src/scheduling/gang/confirmed_machines.rs
@@ -47,30 +47,12 @@
         if !is_enough_for_gang(&attainable, spec, zones, tasks) {
             return;
         }
-        let total = |machines: &Vec<ConfirmedMachine<'_>>| -> i64 {
-            machines.iter().map(|machine| machine.max_tasks).sum()
-        };
         let is_candidate = |zone: &Arc<str>| {
             !spec.single_zone || attainable.get(zone).is_some_and(|max| *max >= tasks as i64)
         };
-        let confirmed = self.confirmed_machines(id, spec, zones, now);
-        let mut machines = confirmed
-            .into_iter()
-            .filter(|(zone, _)| is_candidate(zone))
-            .map(|(_, machines)| machines)
-            .max_by_key(total)
-            .unwrap_or_default();
-        machines.sort_unstable();
-        let mut remaining = tasks as i64;
-        let mut reservations: Vec<(MachineId, i64)> = Vec::new();
-        for machine in machines {
-            if remaining <= 0 {
-                break;
-            }
-            reservations.push((machine.machine.clone(), machine.max_tasks.min(remaining)));
-            remaining -= machine.max_tasks;
-        }
-        for (machine, tasks) in reservations {
+        let mut by_zone = self.confirmed_machines(id, spec, zones, now);
+        by_zone.retain(|zone, _| is_candidate(zone));
+        for (machine, tasks) in choose_confirmed_machines(by_zone, tasks) {
             let reservation = Reservation {
                 job: id.clone(),
                 tasks,
@@ -136,3 +118,29 @@
     };
     total >= tasks as i64
 }
+
+/// Chooses machines for up to `tasks` tasks of a gang, in the zone with capacity for the most tasks. Returns the number
+/// of tasks on each of them.
+fn choose_confirmed_machines(
+    by_zone: BTreeMap<&Arc<str>, Vec<ConfirmedMachine<'_>>>,
+    tasks: usize,
+) -> Vec<(MachineId, i64)> {
+    let total = |machines: &Vec<ConfirmedMachine<'_>>| -> i64 {
+        machines.iter().map(|machine| machine.max_tasks).sum()
+    };
+    let mut machines = by_zone.into_values().max_by_key(total).unwrap_or_default();
+    machines.sort_unstable();
+    let mut remaining = tasks as i64;
+    let mut chosen = Vec::new();
+    for ConfirmedMachine {
+        machine, max_tasks, ..
+    } in machines
+    {
+        if remaining <= 0 {
+            break;
+        }
+        chosen.push((machine.clone(), max_tasks.min(remaining)));
+        remaining -= max_tasks;
+    }
+    chosen
+}
--- a/crates/gannethub-core/src/scheduling/mod.rs
+++ b/crates/gannethub-core/src/scheduling/mod.rs
@@ -10,7 +10,7 @@
 //! | [`pass`] | when a scheduling pass runs, and the pass over the queue |
 //! | [`queue_order`] | the order in which jobs are served |
 //! | [`limits`] | teams' limits and the remaining quota |
-//! | [`placement`], [`zones`] | first-fit placement of arrays and services under placement constraints |
+//! | [`placement`], [`zones`], [`zone_choice`] | first-fit placement of arrays and services under placement constraints |
 //! | [`gang`], [`capacity_timeline`] | gang scheduling: a gang is placed as a whole, or capacity is gathered for it |
 //! | [`preemption`] | freeing capacity by stopping less important work |
 //! | [`estimates`] | run times, deadlines, prices, boot times |
@@ -38,4 +38,5 @@
 mod provisioning_plan;
 pub mod queue_order;
 pub mod quota_partition;
+mod zone_choice;
 pub mod zones;
