Answers to copies of heartbeats are not checked as launches

The harness delivers such an answer to no worker, so its worker has no name, and each attempt it names seemed to be placed elsewhere.

--- a/crates/gannethub-core/src/state/usage/ends.rs
+++ b/crates/gannethub-core/src/state/usage/ends.rs
@@ -8,7 +8,7 @@
 
 use super::record::{AttemptEnd, ChargeState, to_resource_amounts};
 use crate::model::{AttemptId, JobId, MachineId, Micros, SECOND, Shape};
-use crate::state::attempt::{Attempt, AttemptPhase};
+use crate::state::attempt::AttemptPhase;
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
 use crate::state::machine::Machine;
@@ -197,14 +197,8 @@
     }
 }
 
-/// Whether the same attempt, or another attempt of the same task, waits to be launched on the machine.
-fn is_replaced(machine: &Machine, attempt: &AttemptId) -> bool {
-    let held = machine.attempts.get(attempt);
-    held.is_some_and(Attempt::is_live) || is_followed(machine, attempt)
-}
-
 /// Whether another attempt of the same task waits to be launched on the machine.
-fn is_followed(machine: &Machine, attempt: &AttemptId) -> bool {
+fn is_replaced(machine: &Machine, attempt: &AttemptId) -> bool {
     machine.attempts.iter().any(|(other, entry)| {
         other.task == attempt.task
             && other.number != attempt.number
--- a/crates/gannethub-core/tests/simulation/harness/invariants.rs
+++ b/crates/gannethub-core/tests/simulation/harness/invariants.rs
@@ -175,6 +175,10 @@
     /// that has ended there may be placed here under the same number, and so may a task that a later leader, unlike a
     /// deposed one, knows to be lost.
     pub(super) fn check_launches_are_for(&mut self, worker: &str, response: &Response) {
+        // The answer to a copy of a heartbeat reaches no worker.
+        if worker.is_empty() {
+            return;
+        }
         let body: Value = serde_json::from_slice(&response.body).unwrap_or_default();
         let orders = body["orders"].as_array().into_iter().flatten();
         for launch in orders.filter(|order| order["verb"] == json!("launch")) {
