The waits of a gang's task are one record of the ledger

Change: a task that waits again keeps its capacity and its open record; the meter pauses between the end that a heartbeat reports and the next launch. An attempt that is found running although its number was charged began later than its number says.

--- a/crates/gannethub-core/src/reconcile/attempt_end.rs
+++ b/crates/gannethub-core/src/reconcile/attempt_end.rs
@@ -31,6 +31,9 @@
         run_time: Micros,
         now: Micros,
     ) {
+        if reason == ExitReason::Alone && self.may_wait_again(id, attempt_id, now) {
+            return self.wait_again(id, attempt_id, now);
+        }
         let has_job = self.jobs.contains_key(&attempt_id.task.job);
         if has_job && reason == ExitReason::Done {
             self.record_success(id, &attempt_id.task, run_time);
@@ -38,7 +41,6 @@
         self.release_attempt(id, attempt_id, usage::end_reason(reason), now);
         if has_job {
             self.remove_live_attempt(attempt_id, id, Some(reason), now);
-            self.retry_wait_for_gang(id, attempt_id, reason, now);
         }
     }
 
@@ -203,7 +205,7 @@
             | Some(ExitReason::InsufficientResources | ExitReason::Error | ExitReason::Stopped) => {
                 true
             }
-            Some(ExitReason::Alone) => self.may_gang_be_complete(&task.job, now),
+            Some(ExitReason::Alone) => self.may_gang_be_complete(task, now),
             _ => false,
         };
         let Some(job) = self.jobs.get_mut(&task.job) else {
--- a/crates/gannethub-core/src/reconcile/gang_wait.rs
+++ b/crates/gannethub-core/src/reconcile/gang_wait.rs
@@ -9,7 +9,7 @@
 //! time after the last fetch. The next attempt then finds the images on the machines, so that all of its tasks begin to
 //! wait at about the same time.
 
-use crate::model::{AttemptId, JobId, MachineId, Micros};
+use crate::model::{AttemptId, MachineId, Micros, TaskId};
 use crate::state::attempt::{Attempt, Relaunch};
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
@@ -24,10 +24,9 @@
         })
     }
 
-    /// Whether the other tasks of a gang, one of whose tasks has just been removed, may still become ready while that
-    /// task waits again.
-    pub(super) fn may_gang_be_complete(&self, id: &JobId, now: Micros) -> bool {
-        let Some(job) = self.jobs.get(id) else {
+    /// Whether the other tasks of a gang may still become ready while `task` waits again.
+    pub(super) fn may_gang_be_complete(&self, task: &TaskId, now: Micros) -> bool {
+        let Some(job) = self.jobs.get(&task.job) else {
             return false;
         };
         let Some(gang) = &job.tasks.gang_attempt else {
@@ -38,37 +37,52 @@
         if self.live_attempts_of(job).any(is_first_fetch) {
             return true;
         }
-        let are_others_placed = job.live_count() + 1 >= job.spec.tasks;
-        are_others_placed
+        let mut missing = job
+            .tasks
+            .pending
+            .iter()
+            .filter(|index| *index != task.index);
+        missing.next().is_none()
             && (self.live_attempts_of(job).any(Attempt::may_fetch)
                 || now < gang.last_ready_at + self.settings.gang_wait_timeout)
     }
 
-    /// Places a task that waited too long for its gang again on its machine, if the gang's attempt goes on and the
-    /// machine takes work.
-    pub(super) fn retry_wait_for_gang(
-        &mut self,
+    /// Whether a task that waited too long for its gang may wait again on its machine: the gang's attempt goes on, the
+    /// team is within its limit, and the machine takes work.
+    pub(super) fn may_wait_again(
+        &self,
         machine: &MachineId,
         attempt_id: &AttemptId,
-        reason: ExitReason,
         now: Micros,
-    ) {
-        let (Some(job), Some(state)) = (
-            self.jobs.get(&attempt_id.task.job),
-            self.machines.get(machine),
-        ) else {
-            return;
+    ) -> bool {
+        let AttemptId { task, number } = attempt_id;
+        let (Some(job), Some(state)) = (self.jobs.get(&task.job), self.machines.get(machine))
+        else {
+            return false;
         };
+        let live = job.tasks.live_attempts.get(&task.index);
+        let is_live = live.is_some_and(|live| live.number == *number && live.machine == *machine);
         let gang = job.tasks.gang_attempt.as_ref();
-        let continues = gang.is_some_and(|gang| gang.number == attempt_id.number && !gang.stopping);
-        if reason == ExitReason::Alone
-            && continues
-            && job.tasks.pending.contains(attempt_id.task.index)
-            && self.tasks_within_quota(job) > 0
+        let goes_on = gang.is_some_and(|g| g.number == *number && !g.running && !g.stopping);
+        let attempt = state.attempts.get(attempt_id);
+        is_live
+            && goes_on
+            && !job.cancelled
+            && attempt.is_some_and(|attempt| attempt.stop_grace.is_none())
+            && job.team.is_some_and(|team| self.is_within_limit(team))
             && state.is_schedulable(now, self.settings.heartbeat_interval)
-        {
-            tracing::info!(task = %attempt_id.task, %machine, "gang is not ready, task waits again");
-            self.place_task(attempt_id.clone(), machine, now);
+            && self.may_gang_be_complete(task, now)
+    }
+
+    /// Keeps the place of a task that waited too long for its gang. The task is launched again when its worker has
+    /// forgotten the end.
+    pub(super) fn wait_again(&mut self, machine: &MachineId, attempt_id: &AttemptId, now: Micros) {
+        tracing::info!(task = %attempt_id.task, %machine, "gang is not ready, task waits again");
+        self.pause_usage(machine, attempt_id, now);
+        let machine = self.machines.get_mut(machine);
+        let attempt = machine.and_then(|machine| machine.attempts.get_mut(attempt_id));
+        if let Some(attempt) = attempt {
+            attempt.relaunch = Relaunch::AwaitsForget;
         }
     }
 
@@ -81,7 +95,7 @@
         end: ExitReason,
         now: Micros,
     ) {
-        let usage_record = self.open_usage_record(attempt_id, machine, now);
+        let usage_record = self.relaunched_usage_record(attempt_id, machine, now);
         let Some(machine) = self.machines.get_mut(machine) else {
             return;
         };
--- a/crates/gannethub-core/src/scheduling/limits.rs
+++ b/crates/gannethub-core/src/scheduling/limits.rs
@@ -34,6 +34,12 @@
         limit - self.quota.team_usage[team] - unconfirmed
     }
 
+    /// Whether all that a team may hold on machines is within its limit.
+    pub fn is_within_limit(&self, team: usize) -> bool {
+        let left = self.remaining_quota(team);
+        left.cpu >= 0 && left.gpu >= 0
+    }
+
     /// Returns how many more of the job's tasks its team's limit allows; none while its starts are paused. Memory is not
     /// limited.
     pub fn tasks_within_quota(&self, job: &Job) -> i64 {
--- a/crates/gannethub-core/src/state/usage/ends.rs
+++ b/crates/gannethub-core/src/state/usage/ends.rs
@@ -8,7 +8,7 @@
 
 use super::record::{AttemptEnd, ChargeState, to_resource_amounts};
 use crate::model::{AttemptId, JobId, MachineId, Micros, SECOND, Shape};
-use crate::state::attempt::AttemptPhase;
+use crate::state::attempt::{Attempt, AttemptPhase};
 use crate::state::cluster::Cluster;
 use crate::state::job::Job;
 use crate::state::machine::Machine;
@@ -189,7 +189,9 @@
         let is_durable = match record.map(|record| record.charge) {
             None | Some(ChargeState::ChargedBefore) => true,
             Some(ChargeState::Charged(ticket)) => ledger.book.is_written(ticket),
-            Some(ChargeState::Open | ChargeState::OwnerUnknown) => false,
+            // The record of a task that waits again goes on.
+            Some(ChargeState::Open) => machine.attempts.get(attempt).is_some_and(Attempt::is_live),
+            Some(ChargeState::OwnerUnknown) => false,
         };
         // A worker that still reports the end would refuse the next start of the task on this machine, and a
         // heartbeat must not exceed its size limit. In these cases the end stays only in this leader's memory.
--- a/crates/gannethub-core/src/state/usage/open_records.rs
+++ b/crates/gannethub-core/src/state/usage/open_records.rs
@@ -66,6 +66,21 @@
         }))
     }
 
+    /// Returns the record of an attempt that is launched again on its machine: its open record, or a new one if the end
+    /// was charged.
+    pub(crate) fn relaunched_usage_record(
+        &mut self,
+        attempt: &AttemptId,
+        machine: &MachineId,
+        now: Micros,
+    ) -> Option<Box<UsageRecord>> {
+        let record = self.usage_record_mut(machine, attempt);
+        match record.filter(|record| record.charge == ChargeState::Open) {
+            Some(open) => Some(Box::new(open.clone())),
+            None => self.open_usage_record(attempt, machine, now),
+        }
+    }
+
     /// Returns the record of an attempt that another leader started and that is found on a machine.
     pub(crate) fn adopt_usage_record(
         &mut self,
@@ -127,16 +142,22 @@
         // The release time of a job that is over is not known here.
         let ready_at = job.map_or(0, |job| job.ready_at);
         let EstimatedAge {
-            age,
+            mut age,
             mut uncertainty,
         } = self.estimate_age(attempt.number, ready_at);
         let has_ended = phase.is_ended();
         let key = ledger_key(id, attempt);
-        let charge = match ledger.inherited_tickets.get(&key) {
-            Some(ticket) => ChargeState::Charged(*ticket),
+        let inherited_ticket = ledger.inherited_tickets.get(&key);
+        let was_charged = inherited_ticket.is_some() || ledger.charged_before.contains(&key);
+        if was_charged && !has_ended {
             // A charged attempt has ended. An attempt that still exists is a later start under the same number, for
-            // example a gang's task that was replaced on the same machine.
-            None if has_ended && ledger.charged_before.contains(&key) => ChargeState::ChargedBefore,
+            // example a gang's task that was replaced on the same machine. The number is as old as the first start.
+            uncertainty += age;
+            age = 0;
+        }
+        let charge = match inherited_ticket.filter(|_| has_ended) {
+            Some(ticket) => ChargeState::Charged(*ticket),
+            None if has_ended && was_charged => ChargeState::ChargedBefore,
             None => ChargeState::Open,
         };
         // The delay of the launch is unknown: the launch came with the response to a heartbeat or, if that response was
@@ -211,6 +232,25 @@
         }
     }
 
+    /// Records that an attempt has ended and is to be launched again on its machine.
+    pub(crate) fn pause_usage(&mut self, id: &MachineId, attempt: &AttemptId, now: Micros) {
+        let Some(ledger) = &mut self.usage_ledger else {
+            return;
+        };
+        ledger.replication.mark_changed(id, attempt);
+        let Some(machine) = self.machines.get_mut(id) else {
+            return;
+        };
+        let (previous, missed) = (
+            machine.worker.previous_heartbeat_at,
+            machine.worker.missed_heartbeats,
+        );
+        let attempt = machine.attempts.get_mut(attempt);
+        if let Some(record) = attempt.and_then(|attempt| attempt.usage_record.as_deref_mut()) {
+            record.meter.pause(now, previous, missed);
+        }
+    }
+
     /// Records that the launches pending on a machine are sent with the response to its heartbeat.
     pub(crate) fn launches_sent(&mut self, id: &MachineId, now: Micros) {
         let Some(machine) = self.machines.get(id) else {
--- a/crates/gannethub-core/tests/simulation/usage_ledger.rs
+++ b/crates/gannethub-core/tests/simulation/usage_ledger.rs
@@ -243,6 +243,32 @@
     w.finish();
 }
 
+/// Guards against waits of a gang's task that are not charged, or charged twice, when the task waits again under the same
+/// number, also across a change of leader.
+#[test]
+fn each_wait_of_a_gangs_task_is_charged_once() {
+    for crash_at in std::env::var("CRASH")
+        .ok()
+        .map_or(vec![0, 20, 37, 50], |t| vec![t.parse::<u64>().expect("n")])
+    {
+        let mut w = World::with_ledger(3, 30 + crash_at, &|text| text);
+        w.limit_offers(&[("small", "a", false, 2)]);
+        w.images.fetch_times = vec![3 * SECOND, 70 * SECOND];
+        w.run(2);
+        w.submit(job(1, 2, json!({"shape": "group", "vcpus": 4.0})));
+        w.run(crash_at);
+        if crash_at > 0 {
+            w.crash_leader(5 * SECOND);
+        }
+        w.run_until(150, "the gang is done", World::all_jobs_ended);
+        w.run(25);
+        let audit = audit(&w);
+        assert_eq!(compare(&w, &audit).declared_missing, 0);
+        assert!(w.record.spans.values().any(|span| span.runs >= 2));
+        w.finish();
+    }
+}
+
 /// Guards against unclear answers to ledger requests: a request with an invalid or missing parameter gets status 400
 /// and the name of the parameter, and a cluster without a ledger answers 404.
 #[test]
--- a/crates/gannethub-ledger/src/meter.rs
+++ b/crates/gannethub-ledger/src/meter.rs
@@ -128,6 +128,14 @@
     pub is_estimate: bool,
 }
 
+/// An end as a heartbeat shows it. Both times are in microseconds.
+struct ReportedEnd {
+    /// Estimated time from the end to the heartbeat.
+    delay: Micros,
+    /// Maximum error of the end.
+    max_error: Micros,
+}
+
 impl Meter {
     /// Returns the meter of an attempt that is placed now.
     pub fn new(now: Micros) -> Meter {
@@ -176,6 +184,50 @@
         }
     }
 
+    /// Records that a heartbeat has reported the end of an attempt that is to be launched again. The meter counts no
+    /// time at the worker until it enters another stage.
+    pub fn pause(
+        &mut self,
+        now: Micros,
+        previous_heartbeat_at: Option<Micros>,
+        missed_heartbeats: bool,
+    ) {
+        let now = now.max(self.since);
+        let report = self.reported_end(now, previous_heartbeat_at, missed_heartbeats);
+        self.stage_times.0[self.stage.index()] += now - report.delay - self.since;
+        self.stage_times.0[SILENT_STAGE] += report.delay;
+        self.begin_uncertainty += report.max_error;
+        (self.stage, self.since) = (Stage::Starting, now);
+        self.launch_sent_at = None;
+    }
+
+    /// Returns how long before `now`, at which a heartbeat reports it, the end probably was.
+    fn reported_end(
+        &self,
+        now: Micros,
+        previous_heartbeat_at: Option<Micros>,
+        missed_heartbeats: bool,
+    ) -> ReportedEnd {
+        let gap = previous_heartbeat_at.map_or(MIN_HEARTBEAT_SPACING, |t| now.saturating_sub(t));
+        let max_gap_of_delayed = MIN_HEARTBEAT_SPACING + HEARTBEAT_JITTER;
+        // A heartbeat that came as soon as possible after the previous one may have been delayed by the minimum
+        // spacing, and a heartbeat that follows lost ones reports a change of any time since the previous one: in
+        // both cases the attempt ended, on average, in the middle of the gap.
+        let is_delayed = missed_heartbeats || gap <= max_gap_of_delayed;
+        ReportedEnd {
+            delay: if is_delayed {
+                (gap / 2).min(now - self.since)
+            } else {
+                0
+            },
+            max_error: if missed_heartbeats {
+                gap
+            } else {
+                gap.min(max_gap_of_delayed)
+            },
+        }
+    }
+
     /// Records that the worker reports the attempt in a new stage.
     pub fn enter_stage(&mut self, stage: Stage, now: Micros) {
         let began_at = match (self.stage, self.launch_sent_at) {
@@ -197,27 +249,8 @@
                 previous_heartbeat_at,
                 missed_heartbeats,
             } => {
-                let gap =
-                    previous_heartbeat_at.map_or(MIN_HEARTBEAT_SPACING, |t| now.saturating_sub(t));
-                // A heartbeat that came as soon as possible after the previous one may have been delayed by the minimum
-                // spacing, and a heartbeat that follows lost ones reports a change of any time since the previous one:
-                // in both cases the attempt ended, on average, in the middle of the gap.
-                let is_delayed =
-                    missed_heartbeats || gap <= MIN_HEARTBEAT_SPACING + HEARTBEAT_JITTER;
-                let delay = if is_delayed {
-                    (gap / 2).min(now - self.since)
-                } else {
-                    0
-                };
-                (
-                    now - delay,
-                    if missed_heartbeats {
-                        gap
-                    } else {
-                        gap.min(MIN_HEARTBEAT_SPACING + HEARTBEAT_JITTER)
-                    },
-                    false,
-                )
+                let report = self.reported_end(now, previous_heartbeat_at, missed_heartbeats);
+                (now - report.delay, report.max_error, false)
             }
             EndObservation::Silence {
                 last_heartbeat_at,
