A wait that is over does not end a gang before a new leader knows its fetches

While tasks of the gang may be on machines that are not confirmed, the attempt now goes on. Found by reading; the machines kept fetching in that case, so no test shows a gang that fails. Two comments are wrapped.

--- a/crates/gannethub-core/src/reconcile/attempt_end.rs
+++ b/crates/gannethub-core/src/reconcile/attempt_end.rs
@@ -189,8 +189,8 @@
         }
     }
 
-    /// Handles the loss of a gang attempt's task that was not done. Before the gang runs, a task that vanished, that
-    /// failed, that had to leave its machine or that found no free resources can be replaced under the same attempt number, and so can a task that
+    /// Handles the loss of a gang attempt's task that was not done. Before the gang runs, a task can be replaced under the
+    /// same attempt number if it vanished, failed, had to leave its machine or found no free resources, and also if it
     /// waited too long for a gang that may still be complete. Any other loss, and any loss after the gang has started
     /// to run, aborts the whole gang attempt.
     fn gang_task_lost(
--- a/crates/gannethub-core/src/reconcile/gang_wait.rs
+++ b/crates/gannethub-core/src/reconcile/gang_wait.rs
@@ -34,7 +34,8 @@
         };
         let is_first_fetch =
             |attempt: &Attempt| attempt.relaunch == Relaunch::None && attempt.may_fetch();
-        if self.live_attempts_of(job).any(is_first_fetch) {
+        // After a failover, a task on a machine that is not confirmed yet may be fetching.
+        if !job.tasks.unconfirmed.is_empty() || self.live_attempts_of(job).any(is_first_fetch) {
             return true;
         }
         let mut missing = job
--- a/crates/gannethub-core/src/scheduling/gang.rs
+++ b/crates/gannethub-core/src/scheduling/gang.rs
@@ -3,9 +3,9 @@
 //! A gang that finds too little capacity gathers it: the machines that will have capacity soonest are reserved for
 //! it, but only if they will be enough for the whole gang, and soon. Capacity that a gang would hold while the rest
 //! is missing is left to other jobs; once the missing part is in sight, the gang reserves all of it, and what other
-//! jobs use of it becomes free as their tasks end. All waiting gangs gather in the same passes, in queue order, so no gang is offered capacity that an earlier
-//! gang has reserved. If waiting would take too long, capacity is freed by preemption
-//! ([`preemption`](crate::scheduling::preemption)).
+//! jobs use of it becomes free as their tasks end. All waiting gangs gather in the same passes, in queue order, so no
+//! gang is offered capacity that an earlier gang has reserved. If waiting would take too long, capacity is freed by
+//! preemption ([`preemption`](crate::scheduling::preemption)).
 
 mod confirmed_machines;
 
