A known failing test: jobs beside reservations behind a long fetch

Once all faults are over a job waits 90 s beside free machines. The trace of each: the machines are reserved for earlier gangs, which wait for the machines of one more gang that still fetches; its end is expected at the nominal time of the fetch, so the reservations seem to be of use soon, for up to 240 s.

--- a/crates/gannethub-core/tests/simulation/gang_image_fetches.rs
+++ b/crates/gannethub-core/tests/simulation/gang_image_fetches.rs
@@ -228,3 +228,10 @@
     let failed: Vec<u64> = seeds.filter(play).collect();
     assert!(failed.is_empty(), "failed seeds: {failed:?}");
 }
+
+/// Guards against a job that waits for 90 s beside free capacity which is reserved for gangs that wait for the machines of
+/// another gang, whose fetch takes longer than planned. Seeds 6271 and 6333 of the random test show the same.
+#[test]
+fn no_job_waits_beside_reservations_behind_a_long_fetch() {
+    play_random_fetches(5529);
+}
