Time without capacity does not count as waiting for a zone

Change: the wait counts only beside capacity.

Result: time_without_capacity_does_not_shorten_the_wait_for_a_zone fails before and passes now, as do the other tests of jobs in one zone.

--- a/crates/gannethub-core/src/reconcile/gang_wait.rs
+++ b/crates/gannethub-core/src/reconcile/gang_wait.rs
@@ -5,7 +5,7 @@
 //! continue, and the task is placed again on its machine under the same attempt number, where it waits again. It keeps
 //! its capacity until then.
 //!
-//! The attempt ends if a task is missing and no fetch is under way, or if the tasks do not meet within one waiting
+//! The attempt ends if a task is missing and no first fetch is under way, or if the tasks do not meet within one waiting
 //! time after the last fetch. The next attempt then finds the images on the machines, so that all of its tasks begin to
 //! wait at about the same time.
 
--- a/crates/gannethub-core/src/scheduling/zone_choice.rs
+++ b/crates/gannethub-core/src/scheduling/zone_choice.rs
@@ -6,7 +6,7 @@
 
 use crate::model::{JobId, JobSpec, MachineId, Micros, SECOND};
 use crate::state::cluster::Cluster;
-use crate::state::job::{Job, ZoneChoice};
+use crate::state::job::{JobScheduling, ZoneChoice};
 
 /// A job waits at most this long for the provisioning plan to look for a zone for all of its tasks.
 const MAX_WAIT_FOR_PLAN: Micros = 10 * SECOND;
@@ -16,7 +16,8 @@
 
 impl Cluster {
     /// Chooses the zone for all tasks of a job, and records how long the job has been waiting for the choice. While the
-    /// plan knows a zone, the job does not wait for the choice but for machines that boot.
+    /// plan knows a zone, the job does not wait for the choice but for machines that boot, and while no zone has
+    /// capacity, it waits for capacity.
     pub(super) fn zone_for_all_tasks(
         &mut self,
         id: &JobId,
@@ -24,37 +25,25 @@
         only: Option<&MachineId>,
         now: Micros,
     ) -> Option<Arc<str>> {
-        let scheduling = &mut self.jobs.get_mut(id)?.scheduling;
-        if let Some(ZoneChoice::Zone(_)) = scheduling.current_zone_choice(now) {
-            scheduling.zone_wanted_since = None;
-        }
-        let wanted_since = *scheduling.zone_wanted_since.get_or_insert(now);
         let job = self.jobs.get(id)?;
-        self.choose_zone(job, wanted, only, now.saturating_sub(wanted_since), now)
-    }
-
-    /// Chooses the zone for all tasks of a job that has waited for `waited` microseconds. A zone that has capacity for some tasks only may never have any for the
-    /// others, so the choice is left to the provisioning plan, which knows what can be provisioned. `None`: there is no
-    /// capacity, or the plan has not decided yet.
-    fn choose_zone(
-        &self,
-        job: &Job,
-        wanted: usize,
-        only: Option<&MachineId>,
-        waited: Micros,
-        now: Micros,
-    ) -> Option<Arc<str>> {
-        let (zone, tasks) = self.zone_with_most_capacity(&job.id, &job.spec, only, now)?;
+        let Some((zone, tasks)) = self.zone_with_most_capacity(id, &job.spec, only, now) else {
+            if only.is_none() {
+                self.jobs.get_mut(id)?.scheduling.zone_wanted_since = None;
+            }
+            return None;
+        };
         // Capacity that was freed or reserved for the job was chosen for all of its tasks.
-        if tasks >= wanted as i64 || self.has_reservation(&job.id) {
+        if tasks >= wanted as i64 || self.has_reservation(id) {
             return Some(zone);
         }
-        match job.scheduling.current_zone_choice(now) {
-            Some(ZoneChoice::Zone(planned)) => Some(planned.clone()),
-            Some(ZoneChoice::Undecided) => (waited >= MAX_WAIT_FOR_CLOUD).then_some(zone),
-            Some(ZoneChoice::NoZone) => Some(zone),
-            None => (waited >= MAX_WAIT_FOR_PLAN).then_some(zone),
+        let scheduling = &mut self.jobs.get_mut(id)?.scheduling;
+        if let Some(ZoneChoice::Zone(planned)) = scheduling.current_zone_choice(now) {
+            let planned = planned.clone();
+            scheduling.zone_wanted_since = None;
+            return Some(planned);
         }
+        let wanted_since = *scheduling.zone_wanted_since.get_or_insert(now);
+        may_choose_alone(scheduling, now.saturating_sub(wanted_since), now).then_some(zone)
     }
 
     /// Returns the zone with the most free capacity for a job, and the number of tasks that fit there.
@@ -82,3 +71,15 @@
         best.map(|(zone, tasks)| (zone.clone(), tasks))
     }
 }
+
+/// Whether a job that has waited for `waited` microseconds may choose a zone with capacity for some of its tasks only. Such
+/// a zone may never have any for the others, so the choice is left to the provisioning plan, which knows what can be
+/// provisioned, unless the plan knows no zone or has not decided for too long.
+fn may_choose_alone(scheduling: &JobScheduling, waited: Micros, now: Micros) -> bool {
+    match scheduling.current_zone_choice(now) {
+        Some(ZoneChoice::Zone(_)) => false,
+        Some(ZoneChoice::Undecided) => waited >= MAX_WAIT_FOR_CLOUD,
+        Some(ZoneChoice::NoZone) => true,
+        None => waited >= MAX_WAIT_FOR_PLAN,
+    }
+}
--- a/crates/gannethub-core/src/state/attempt.rs
+++ b/crates/gannethub-core/src/state/attempt.rs
@@ -73,6 +73,7 @@
     pub team: Option<usize>,
     /// Whether the attempt's resources count in the usage of its machine and of its team.
     pub holds_capacity: bool,
+    /// Whether the attempt was placed again on its machine.
     pub relaunch: Relaunch,
     /// Usage to be charged for the attempt, if a usage ledger is kept.
     pub usage_record: Option<Box<UsageRecord>>,
--- a/crates/gannethub-core/src/state/job.rs
+++ b/crates/gannethub-core/src/state/job.rs
@@ -88,7 +88,7 @@
     pub gang_placement_tried: bool,
     /// The provisioning plan's choice for a job whose tasks all have to be in one zone.
     pub planned_zone: Option<PlannedZone>,
-    /// Time since which the job waits for the choice of the zone for all of its tasks.
+    /// Time since which the job waits, beside capacity for some of its tasks, for the choice of the zone for all of them.
     pub zone_wanted_since: Option<Micros>,
     /// Time until which the job avoids some machines because its tasks have failed there.
     pub avoids_machines_until: Micros,
--- a/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
+++ b/crates/gannethub-core/tests/simulation/single_zone_jobs.rs
@@ -198,3 +198,26 @@
         w.finish();
     }
 }
+
+/// Guards against a job that settles in a zone with room for some of its tasks as soon as there is any, because it waited
+/// for long while there was none.
+#[test]
+fn time_without_capacity_does_not_shorten_the_wait_for_a_zone() {
+    let mut w = world_with_services(24, &["a"], &[("a", false, 1), ("b", false, 2)]);
+    w.run_time_range = (80 * SECOND, 81 * SECOND);
+    w.submit(job(
+        2,
+        1,
+        json!({"vcpus": 3.0, "yard": FIRST_ZONE, "guess_s": 80.0}),
+    ));
+    w.run_until(30, "the zone is full", |w| w.starts == 2);
+    w.faults.provisioning_unanswered = true;
+    w.submit(single_zone_job("service", 2));
+    w.run_until(100, "the zone has room", |w| {
+        w.jobs["j-000002"].done_confirmed_at.is_some()
+    });
+    w.run(20);
+    assert!(zones_of_job(&w).is_empty());
+    w.run_until(60, "some tasks run", |w| !zones_of_job(w).is_empty());
+    w.finish();
+}
